--- /dev/null
+++ b/Makefile
@@ -0,0 +1,32 @@
+# The daily commands. Everything they need is installed into .venv first.
+PYTHON ?= python3
+BIN := .venv/bin
+READY := .venv/ready
+
+.PHONY: demo test bench check format soak slopes proto
+
+$(READY): pyproject.toml
+	$(PYTHON) -m venv .venv
+	$(BIN)/pip install --quiet --editable '.[dev]'
+	touch $(READY)
+
+demo: $(READY)
+	$(BIN)/bronzehold demo
+
+test: $(READY) check
+	$(BIN)/python tests/run_known_red.py
+
+check: $(READY)
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+
+format: $(READY)
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+bench: $(READY)
+	$(BIN)/bronzehold bench
+
+proto: $(READY)
+	$(BIN)/python -m grpc_tools.protoc -I. --python_out=. \
+	  --grpc_python_out=. bronzehold/proto/etcd.proto bronzehold/proto/peer.proto
--- /dev/null
+++ b/bronzehold/__init__.py
@@ -0,0 +1,1 @@
+"""A database proxy with session consistency for groups of endpoints."""
--- /dev/null
+++ b/bronzehold/__main__.py
@@ -0,0 +1,5 @@
+"""Lets the program be run as a module."""
+
+from bronzehold.tools import main
+
+main.main()
--- /dev/null
+++ b/bronzehold/connection/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for one connection: callers, endpoint connections, framing."""
--- /dev/null
+++ b/bronzehold/connection/client.py
@@ -0,0 +1,176 @@
+"""A small blocking client of the PostgreSQL protocol.
+
+The proxy opens its endpoint connections with it, and the control calls to
+endpoints go through it. Callers use their own drivers.
+"""
+
+import socket
+
+import scramp
+
+from bronzehold.connection import frames, messages
+
+CONTROL_USER = "bronzehold"
+
+
+class ClientError(Exception):
+    """The connection could not be opened or has been lost."""
+
+
+class ServerError(ClientError):
+    """The server answered with an error.
+
+    Attributes:
+        sqlstate: Its SQLSTATE.
+    """
+
+    def __init__(self, fields: dict[str, str]):
+        super().__init__(fields.get("M", ""))
+        self.sqlstate = fields.get("C", "")
+
+
+class Client:
+    """One open connection, ready for queries."""
+
+    def __init__(
+        self,
+        *,
+        host: str,
+        port: int,
+        database: str,
+        name: str,
+        zone: str = "",
+        region: str = "",
+        user: str = CONTROL_USER,
+        password: str = "",
+        timeout: float | None = None,
+    ):
+        self.parameters: dict[str, str] = {}
+        self.pid = 0
+        self.secret = 0
+        self._password = password
+        try:
+            self.sock = socket.create_connection((host, port), timeout)
+            frames.tune(self.sock)
+            self.reader = frames.Reader(sock=self.sock)
+        except OSError as exc:
+            raise ClientError(str(exc)) from exc
+        try:
+            self._start(user, database, name, zone, region)
+        except ClientError:
+            self.close()
+            raise
+        except (frames.ClosedError, frames.FramingError, OSError) as exc:
+            self.close()
+            raise ClientError(str(exc)) from exc
+
+    def _start(
+        self, user: str, database: str, name: str, zone: str, region: str
+    ) -> None:
+        params = {"user": user, "database": database, "application_name": name}
+        if zone:
+            params["bronzehold.zone"] = zone
+            params["bronzehold.region"] = region
+        frames.send(self.sock, messages.startup(params))
+        scram = None
+        while True:
+            frame = self.reader.frame()
+            match frame.kind:
+                case b"R":
+                    scram = self._authenticate(frame, user, scram)
+                case b"K":
+                    key = messages.parse_key_data(frame.body)
+                    self.pid, self.secret = key
+                case b"S":
+                    key, value = messages.parse_parameter(frame.body)
+                    self.parameters[key] = value
+                case b"E":
+                    raise ServerError(messages.parse_error(frame.body))
+                case b"Z":
+                    return
+
+    def _authenticate(
+        self,
+        frame: frames.Frame,
+        user: str,
+        scram: scramp.ScramClient | None,
+    ) -> scramp.ScramClient | None:
+        code, data = messages.parse_auth(frame.body)
+        match code:
+            case messages.AUTH_OK:
+                return None
+            case messages.AUTH_SASL:
+                scram = scramp.ScramClient(
+                    ["SCRAM-SHA-256"], user, self._password
+                )
+                first = scram.get_client_first().encode()
+                reply = messages.sasl_initial("SCRAM-SHA-256", first)
+                frames.send(self.sock, reply)
+                return scram
+            case messages.AUTH_SASL_CONTINUE if scram:
+                scram.set_server_first(data.decode())
+                final = scram.get_client_final().encode()
+                frames.send(self.sock, frames.make(b"p", final))
+                return scram
+            case messages.AUTH_SASL_FINAL if scram:
+                scram.set_server_final(data.decode())
+                return scram
+            case _:
+                raise ClientError(f"authentication method {code}")
+
+    def rows(self, sql: str) -> list[list[bytes | None]]:
+        """Runs a simple query and returns the rows of its last result.
+
+        Raises:
+            ServerError: The server answered with an error.
+            ClientError: The connection was lost.
+        """
+        try:
+            frames.send(self.sock, messages.query(sql))
+            return self._collect()
+        except (frames.ClosedError, frames.FramingError, OSError) as exc:
+            raise ClientError(str(exc)) from exc
+
+    def _collect(self) -> list[list[bytes | None]]:
+        rows: list[list[bytes | None]] = []
+        failed = None
+        while True:
+            frame = self.reader.frame()
+            match frame.kind:
+                case b"T":
+                    rows = []
+                case b"D":
+                    rows.append(parse_row(frame.body))
+                case b"S":
+                    key, value = messages.parse_parameter(frame.body)
+                    self.parameters[key] = value
+                case b"E":
+                    failed = ServerError(messages.parse_error(frame.body))
+                case b"Z":
+                    if failed:
+                        raise failed
+                    return rows
+
+    def value(self, sql: str) -> str:
+        """Runs a query and returns its one value as text."""
+        return (self.rows(sql)[0][0] or b"").decode()
+
+    def close(self) -> None:
+        """Closes the connection."""
+        self.sock.close()
+
+
+def parse_row(body: bytes) -> list[bytes | None]:
+    """Returns the values of a DataRow."""
+    count = int.from_bytes(body[:2], "big")
+    values: list[bytes | None] = []
+    at = 2
+    for _ in range(count):
+        length = int.from_bytes(body[at : at + 4], "big", signed=True)
+        at += 4
+        if length < 0:
+            values.append(None)
+            continue
+        values.append(body[at : at + length])
+        at += length
+    return values
--- /dev/null
+++ b/bronzehold/connection/handshake.py
@@ -0,0 +1,25 @@
+"""The first packets of a connection, as the side that is called."""
+
+import socket
+
+from bronzehold.connection import frames, messages
+
+REFUSE_ENCRYPTION = b"N"
+
+
+def read_first(sock: socket.socket, reader: frames.Reader) -> bytes:
+    """Reads the first packet that is not a request for encryption.
+
+    Args:
+        sock: The connection.
+        reader: Reads from the same connection.
+
+    Returns:
+        The body of a start-up packet or of a cancel request.
+    """
+    while True:
+        body = reader.startup(messages.MAX_STARTUP_BYTES)
+        code = messages.startup_code(body)
+        if code not in (messages.SSL_REQUEST, messages.GSS_REQUEST):
+            return body
+        frames.send(sock, REFUSE_ENCRYPTION)
--- /dev/null
+++ b/bronzehold/connection/session.py
@@ -0,0 +1,154 @@
+"""What a caller's session has said and seen, for the life of its connection."""
+
+import dataclasses
+import re
+
+from bronzehold.core import data, errors
+from bronzehold.request import batch as batch_lib
+from bronzehold.request import classify
+
+OWN_PREFIX = classify.OWN_PREFIX
+SESSION_VARIABLE = OWN_PREFIX + "session"
+MARK_VARIABLE = OWN_PREFIX + "mark"
+AGE_VARIABLE = OWN_PREFIX + "max_age"
+
+_AGE = re.compile(r"^\s*(\d+(?:\.\d+)?)\s*(ms|s|min)?\s*$")
+_UNIT_S = {"ms": 0.001, "s": 1.0, "min": 60.0, None: 0.001}
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Freshness:
+    """What the reads of a session must see.
+
+    Attributes:
+        session: The caller's name for its session, "" if it has none.
+        mark: A write that must be seen.
+        carried: The caller carries the mark from proxy to proxy itself.
+        max_age: The oldest data tolerated in seconds, None for the service's.
+    """
+
+    session: str = ""
+    mark: data.Mark | None = None
+    carried: bool = False
+    max_age: float | None = None
+
+
+class Session:
+    """The session of one connection; only its own task uses it."""
+
+    def __init__(self, *, service: str):
+        self.service = service
+        self.names = batch_lib.Names()
+        self.freshness = Freshness()
+        self.local_age: float | None = None
+        self.variables: dict[str, str] = {}
+        self._saved: dict[str, str] | None = None
+
+    def max_age(self, default_ms: int) -> float:
+        """Returns the oldest data that a read tolerates now, in seconds."""
+        if self.local_age is not None:
+            return self.local_age
+        if self.freshness.max_age is not None:
+            return self.freshness.max_age
+        return default_ms * data.MILLISECOND
+
+    def wrote(self, mark: data.Mark) -> None:
+        """Notes a write of this session."""
+        self.freshness = dataclasses.replace(self.freshness, mark=mark)
+
+    def set(
+        self, name: str, value: str, *, local: bool = False, sql: str = ""
+    ) -> None:
+        """Sets a variable.
+
+        Args:
+            name: Its name.
+            value: Its value as text.
+            local: Whether it ends with the transaction.
+            sql: The statement that sets it on an endpoint connection.
+
+        Raises:
+            errors.FailureError: One of the proxy's own cannot be that.
+        """
+        match name.lower():
+            case "bronzehold.session":
+                self._freshen(session=value)
+            case "bronzehold.mark":
+                self._carry(value)
+            case "bronzehold.max_age":
+                age = _age(value)
+                if local:
+                    self.local_age = age
+                else:
+                    self._freshen(max_age=age)
+            case lower if lower.startswith(OWN_PREFIX):
+                raise errors.FailureError(
+                    errors.BadValue(variable=name, value=value)
+                )
+            case lower:
+                self.variables[lower] = sql
+
+    def _carry(self, value: str) -> None:
+        if not value:
+            self._freshen(mark=None, carried=False)
+            return
+        mark = data.parse_mark(value)
+        if mark is None or mark.group != self.service:
+            raise errors.FailureError(
+                errors.BadValue(variable=MARK_VARIABLE, value=value)
+            )
+        own = self.freshness.mark
+        newest = max(mark, own, key=_order) if own else mark
+        self._freshen(mark=newest, carried=True)
+
+    def _freshen(self, **fields) -> None:
+        self.freshness = dataclasses.replace(self.freshness, **fields)
+
+    def show(self, name: str) -> str | None:
+        """Returns one of the proxy's own variables, None for others."""
+        fresh = self.freshness
+        match name.lower():
+            case "bronzehold.session":
+                return fresh.session
+            case "bronzehold.mark":
+                return str(fresh.mark) if fresh.mark else ""
+            case "bronzehold.max_age":
+                return "" if fresh.max_age is None else f"{fresh.max_age}s"
+            case _:
+                return None
+
+    def reset(self, name: str = "") -> None:
+        """Puts one variable back, or all; what was written stays known."""
+        if name:
+            self.variables.pop(name.lower(), None)
+            return
+        self.variables.clear()
+        self._freshen(max_age=None)
+
+    def begin(self) -> None:
+        """Notes the variables, since a rollback puts them back."""
+        self._saved = dict(self.variables)
+
+    def end(self, *, keep: bool) -> None:
+        """Ends a transaction block."""
+        if not keep and self._saved is not None:
+            self.variables = self._saved
+        self._saved = None
+        self.local_age = None
+
+    def statements(self) -> tuple[str, ...]:
+        """Returns the SET statements that a connection must have run."""
+        return tuple(sql for _, sql in sorted(self.variables.items()))
+
+
+def _order(mark: data.Mark) -> tuple[int, int]:
+    return mark.term, mark.position
+
+
+def _age(value: str) -> float:
+    found = _AGE.match(value)
+    if not found:
+        raise errors.FailureError(
+            errors.BadValue(variable=AGE_VARIABLE, value=value)
+        )
+    return float(found[1]) * _UNIT_S[found[2]]
--- /dev/null
+++ b/bronzehold/connection/welcome.py
@@ -0,0 +1,62 @@
+"""Lets a caller in: its name and password, by SCRAM-SHA-256."""
+
+import socket
+
+import scramp
+
+from bronzehold.connection import frames, messages
+from bronzehold.core import errors, settings
+
+MECHANISM = "SCRAM-SHA-256"
+
+
+class Welcome:
+    """Knows the users that may call."""
+
+    def __init__(self, *, users: tuple[settings.User, ...]):
+        self._scram = scramp.ScramMechanism(MECHANISM)
+        self._known = {user.name: user for user in users}
+        self._info = {
+            user.name: self._scram.make_auth_info(user.password)
+            for user in users
+            if user.password
+        }
+
+    def admit(
+        self, sock: socket.socket, reader: frames.Reader, user: str
+    ) -> None:
+        """Checks a caller, and tells it that it is let in.
+
+        Args:
+            sock: The caller's connection.
+            reader: Reads from the same connection.
+            user: The name it gave.
+
+        Raises:
+            errors.FailureError: AccessDenied.
+        """
+        if self._known and user not in self._known:
+            raise errors.FailureError(errors.AccessDenied(user=user))
+        if user in self._info:
+            self._check(sock, reader, user)
+        frames.send(sock, messages.auth(messages.AUTH_OK))
+
+    def _check(
+        self, sock: socket.socket, reader: frames.Reader, user: str
+    ) -> None:
+        server = self._scram.make_server(lambda _name: self._info[user])
+        offer = f"{MECHANISM}\0\0".encode()
+        frames.send(sock, messages.auth(messages.AUTH_SASL, offer))
+        try:
+            _, first = messages.parse_sasl_initial(reader.frame().body)
+            # The name inside the exchange is empty in this protocol.
+            server.set_client_first(first.decode())
+            challenge = server.get_server_first().encode()
+            frames.send(
+                sock, messages.auth(messages.AUTH_SASL_CONTINUE, challenge)
+            )
+            server.set_client_final(reader.frame().body.decode())
+            final = server.get_server_final().encode()
+        except (scramp.ScramException, ValueError) as exc:
+            raise errors.FailureError(errors.AccessDenied(user=user)) from exc
+        frames.send(sock, messages.auth(messages.AUTH_SASL_FINAL, final))
--- /dev/null
+++ b/bronzehold/core/__init__.py
@@ -0,0 +1,1 @@
+"""Records, failures and settings that every other package speaks in."""
--- /dev/null
+++ b/bronzehold/core/errors.py
@@ -0,0 +1,241 @@
+"""Every way in which a request can fail, as tagged outcomes.
+
+The three kinds never blur: a request was not run, its outcome is unknown, or
+it ran and failed. Each record knows the SQLSTATE that drivers' users know.
+"""
+
+import dataclasses
+import enum
+
+
+class Kind(enum.Enum):
+    """What a failure says about the request."""
+
+    NOT_RUN = "not run"
+    UNKNOWN = "outcome unknown"
+    FAILED = "run and failed"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Overloaded:
+    """The request could not be served within its deadline."""
+
+    endpoint: str
+    expected_ms: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class NoPrimary:
+    """No endpoint is known to be the primary of the group."""
+
+    group: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class NoFreshEndpoint:
+    """No endpoint fresh enough for the read could be reached."""
+
+    group: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ServiceUnknown:
+    """No service has the database name that the caller gave."""
+
+    service: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class AccessDenied:
+    """The caller's user or password is not accepted."""
+
+    user: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Stopping:
+    """This proxy is stopping; the caller connects anew to another."""
+
+    proxy: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class SpendReached:
+    """The service has spent its statement seconds for this window."""
+
+    service: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Unsupported:
+    """The statement needs state that a shared connection cannot keep."""
+
+    what: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Malformed:
+    """The caller sent something that is not the protocol."""
+
+    what: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class NameMissing:
+    """The caller names a statement or portal that it has not made."""
+
+    what: str
+    name: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class BadValue:
+    """A variable of the proxy's own was set to what it cannot be."""
+
+    variable: str
+    value: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class InFailedTransaction:
+    """A statement came after the transaction had already failed."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class TransactionLost:
+    """The endpoint was lost before the commit was sent: nothing was kept."""
+
+    endpoint: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class OutcomeUnknown:
+    """The endpoint may or may not have kept the request."""
+
+    endpoint: str
+    why: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class AnswerCut:
+    """A read was cut off after part of its answer had been handed on."""
+
+    endpoint: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class MarkLost:
+    """The session's earlier write did not survive a change of primary."""
+
+    mark: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class MarkAhead:
+    """The session's mark could not be reached within the deadline."""
+
+    mark: str
+
+
+Failure = (
+    Overloaded
+    | NoPrimary
+    | NoFreshEndpoint
+    | ServiceUnknown
+    | AccessDenied
+    | Stopping
+    | SpendReached
+    | Unsupported
+    | Malformed
+    | NameMissing
+    | BadValue
+    | InFailedTransaction
+    | TransactionLost
+    | OutcomeUnknown
+    | AnswerCut
+    | MarkLost
+    | MarkAhead
+)
+
+
+class FailureError(Exception):
+    """Carries a failure up to where it is answered to the caller."""
+
+    def __init__(self, failure: Failure):
+        super().__init__(failure)
+        self.failure = failure
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Report:
+    """How a failure is reported to a caller.
+
+    Attributes:
+        kind: Which of the three kinds it is.
+        sqlstate: Five characters, as drivers know them.
+        message: One sentence for a person.
+    """
+
+    kind: Kind
+    sqlstate: str
+    message: str
+
+
+def report(failure: Failure) -> Report:
+    """Maps a failure to what the caller is told."""
+    match failure:
+        case Overloaded(endpoint=endpoint, expected_ms=expected_ms):
+            return _not_run(
+                "53300", f"{endpoint} is busy for another {expected_ms} ms"
+            )
+        case NoPrimary(group=group):
+            return _not_run("57P03", f"no primary is known for {group}")
+        case NoFreshEndpoint(group=group):
+            return _not_run("57P03", f"no endpoint of {group} is fresh enough")
+        case ServiceUnknown(service=service):
+            return _not_run("3D000", f'service "{service}" does not exist')
+        case AccessDenied(user=user):
+            return _not_run("28P01", f'user "{user}" is not let in')
+        case Stopping(proxy=proxy):
+            return _not_run("57P01", f"proxy {proxy} is stopping")
+        case SpendReached(service=service):
+            return _not_run("53400", f"{service} has spent its seconds")
+        case Unsupported(what=what):
+            return _not_run("0A000", f"{what} is not supported by the proxy")
+        case Malformed(what=what):
+            return _not_run("08P01", f"protocol violation: {what}")
+        case NameMissing(what=what, name=name):
+            state = "26000" if what == "statement" else "34000"
+            return _not_run(state, f'{what} "{name}" does not exist')
+        case BadValue(variable=variable, value=value):
+            return _not_run("22023", f'"{value}" is no value for {variable}')
+        case InFailedTransaction():
+            return _not_run("25P02", "the transaction has already failed")
+        case MarkAhead(mark=mark):
+            return _not_run("57P03", f"no endpoint has reached mark {mark}")
+        case MarkLost(mark=mark):
+            return _not_run("72000", f"the write at mark {mark} was lost")
+        case OutcomeUnknown(endpoint=endpoint, why=why):
+            return Report(
+                kind=Kind.UNKNOWN,
+                sqlstate="08007",
+                message=f"outcome unknown on {endpoint}: {why}",
+            )
+        case TransactionLost(endpoint=endpoint):
+            return Report(
+                kind=Kind.FAILED,
+                sqlstate="08006",
+                message=f"{endpoint} was lost, the transaction rolled back",
+            )
+        case AnswerCut(endpoint=endpoint):
+            return Report(
+                kind=Kind.FAILED,
+                sqlstate="08006",
+                message=f"{endpoint} was lost while it answered the read",
+            )
+
+
+def _not_run(sqlstate: str, message: str) -> Report:
+    return Report(
+        kind=Kind.NOT_RUN, sqlstate=sqlstate, message=f"not run: {message}"
+    )
--- /dev/null
+++ b/bronzehold/core/events.py
@@ -0,0 +1,203 @@
+"""The typed events of the time line."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ProxyStarted:
+    """A proxy process takes callers from now on."""
+
+    port: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ProxyStopping:
+    """A planned stop has begun."""
+
+    callers: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ProxyStopped:
+    """A planned stop is over."""
+
+    cut: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ConfigAdopted:
+    """A configuration is in force on this proxy."""
+
+    revision: int
+    source: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ConfigRefused:
+    """A document that is no configuration was not taken."""
+
+    source: str
+    problems: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class GrantGained:
+    """This proxy takes a primary's word from now on."""
+
+    group: str
+    term: int
+    primary: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class GrantLapsed:
+    """This proxy's right to take a primary's word has run out."""
+
+    group: str
+    term: int
+    primary: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class PrimarySuspected:
+    """The primary has not answered this proxy for too long."""
+
+    group: str
+    term: int
+    primary: str
+    why: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ChangeStarted:
+    """This proxy has won the right to change a primary."""
+
+    group: str
+    term: int
+    attempt: str
+    why: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ChangeDrained:
+    """No write is in flight on any proxy, as far as they answer."""
+
+    group: str
+    term: int
+    waited_ms: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ChangeFenced:
+    """A majority has promised the new term."""
+
+    group: str
+    term: int
+    endpoints: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ChangeWaited:
+    """Every grant for the older term has lapsed."""
+
+    group: str
+    term: int
+    waited_ms: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ChangePromoted:
+    """An endpoint has become primary."""
+
+    group: str
+    term: int
+    primary: str
+    position: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ChangeFailed:
+    """A change of primary ended without one."""
+
+    group: str
+    term: int
+    why: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class FollowOrdered:
+    """An endpoint was told whose log to take."""
+
+    group: str
+    term: int
+    endpoint: str
+    primary: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class EntriesDiscarded:
+    """An endpoint held entries past the fork and has dropped them."""
+
+    group: str
+    term: int
+    endpoint: str
+    entries: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class PeerSeen:
+    """A peer answers."""
+
+    peer: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class PeerSilent:
+    """A peer has stopped answering."""
+
+    peer: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class PlatformAway:
+    """The platform's service does not answer."""
+
+    why: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class PlatformBack:
+    """The platform's service answers again."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class TaskFailed:
+    """A task ended by an error that nobody expected."""
+
+    task: str
+    error: str
+
+
+Event = (
+    ProxyStarted
+    | ProxyStopping
+    | ProxyStopped
+    | ConfigAdopted
+    | ConfigRefused
+    | GrantGained
+    | GrantLapsed
+    | PrimarySuspected
+    | ChangeStarted
+    | ChangeDrained
+    | ChangeFenced
+    | ChangeWaited
+    | ChangePromoted
+    | ChangeFailed
+    | FollowOrdered
+    | EntriesDiscarded
+    | PeerSeen
+    | PeerSilent
+    | PlatformAway
+    | PlatformBack
+    | TaskFailed
+)
--- /dev/null
+++ b/bronzehold/process/platform.py
@@ -0,0 +1,219 @@
+"""The client of the platform's key-value service, over the etcd v3 API.
+
+A change is a compare-and-swap whose lost answer is settled by reading back:
+the value carries an id of its writer, so the writer recognizes its own.
+"""
+
+import collections.abc
+import dataclasses
+import threading
+
+import grpc
+
+from bronzehold.proto import etcd_pb2 as pb
+from bronzehold.proto import etcd_pb2_grpc
+
+CALL_TIMEOUT_S = 2.0
+PREFIX = "/bronzehold/"
+CONFIG_KEY = PREFIX + "config"
+GROUPS_PREFIX = PREFIX + "groups/"
+PROXIES_PREFIX = PREFIX + "proxies/"
+INSTANCES_KEY = "/platform/instances"
+MAX_MESSAGE_BYTES = 8 << 20
+
+
+class PlatformError(Exception):
+    """The service did not answer; the call may have taken effect."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Versioned:
+    """A value with the revision of its last change, 0 when there is none."""
+
+    key: str
+    value: bytes
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Swapped:
+    """The change is in place."""
+
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Lost:
+    """Another writer was first; this is what stands now."""
+
+    current: Versioned
+
+
+Outcome = Swapped | Lost
+
+
+class Client:
+    """Calls to the service; safe to use from many threads."""
+
+    def __init__(self, *, target: str, timeout: float = CALL_TIMEOUT_S):
+        self._timeout = timeout
+        self._channel = grpc.insecure_channel(
+            target,
+            options=[
+                ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
+                ("grpc.max_send_message_length", MAX_MESSAGE_BYTES),
+                ("grpc.initial_reconnect_backoff_ms", 100),
+                ("grpc.min_reconnect_backoff_ms", 100),
+                ("grpc.max_reconnect_backoff_ms", 1000),
+            ],
+        )
+        self._kv = etcd_pb2_grpc.KVStub(self._channel)
+        self._lease = etcd_pb2_grpc.LeaseStub(self._channel)
+        self._watch = etcd_pb2_grpc.WatchStub(self._channel)
+
+    def close(self) -> None:
+        """Closes the channel; waiting calls end."""
+        self._channel.close()
+
+    def _call(self, stub, req):
+        try:
+            return stub(req, timeout=self._timeout)
+        except grpc.RpcError as exc:
+            raise PlatformError(str(exc.code())) from exc
+        except ValueError as exc:
+            raise PlatformError("closed") from exc
+
+    def get(self, key: str) -> Versioned:
+        """Reads one key.
+
+        Raises:
+            PlatformError: The service did not answer.
+        """
+        answer = self._call(self._kv.Range, pb.RangeRequest(key=key.encode()))
+        for kv in answer.kvs:
+            return _versioned(kv)
+        return Versioned(key=key, value=b"", revision=0)
+
+    def list(self, prefix: str) -> list[Versioned]:
+        """Reads all keys that begin with a prefix."""
+        req = pb.RangeRequest(key=prefix.encode(), range_end=_end(prefix))
+        return [_versioned(kv) for kv in self._call(self._kv.Range, req).kvs]
+
+    def put(self, key: str, value: bytes, lease: int = 0) -> None:
+        """Writes one key without a comparison."""
+        req = pb.PutRequest(key=key.encode(), value=value, lease=lease)
+        self._call(self._kv.Put, req)
+
+    def swap(self, old: Versioned, value: bytes) -> Outcome:
+        """Replaces a value if nobody has changed it since it was read.
+
+        A lost answer is settled by reading back, so the value must differ
+        from every other writer's.
+
+        Args:
+            old: The value as it was read, revision 0 for a key not there.
+            value: The new value.
+
+        Returns:
+            Swapped or Lost.
+
+        Raises:
+            PlatformError: Whether the change is in place is not known.
+        """
+        key = old.key.encode()
+        get = pb.RequestOp(request_range=pb.RangeRequest(key=key))
+        req = pb.TxnRequest(
+            compare=[
+                pb.Compare(
+                    result=pb.Compare.EQUAL,
+                    target=pb.Compare.MOD,
+                    key=key,
+                    mod_revision=old.revision,
+                )
+            ],
+            success=[
+                pb.RequestOp(request_put=pb.PutRequest(key=key, value=value))
+            ],
+            failure=[get],
+        )
+        try:
+            answer = self._call(self._kv.Txn, req)
+        except PlatformError:
+            return self._settle(old, value)
+        if answer.succeeded:
+            return Swapped(revision=answer.header.revision)
+        for kv in answer.responses[0].response_range.kvs:
+            return _judge(_versioned(kv), value)
+        return Lost(current=Versioned(key=old.key, value=b"", revision=0))
+
+    def _settle(self, old: Versioned, value: bytes) -> Outcome:
+        now = self.get(old.key)
+        if now.revision == old.revision:
+            raise PlatformError("the change is not in place")
+        return _judge(now, value)
+
+    def grant_lease(self, ttl_s: int) -> int:
+        """Makes a lease and returns its id."""
+        req = pb.LeaseGrantRequest(TTL=ttl_s)
+        return self._call(self._lease.LeaseGrant, req).ID
+
+    def renew_lease(self, lease: int) -> bool:
+        """Renews a lease; returns whether it was still there."""
+        req = iter([pb.LeaseKeepAliveRequest(ID=lease)])
+        try:
+            for answer in self._lease.LeaseKeepAlive(
+                req, timeout=self._timeout
+            ):
+                return answer.TTL > 0
+        except (grpc.RpcError, ValueError) as exc:
+            raise PlatformError(str(exc)) from exc
+        return False
+
+    def revoke_lease(self, lease: int) -> None:
+        """Ends a lease and the keys under it."""
+        self._call(self._lease.LeaseRevoke, pb.LeaseRevokeRequest(ID=lease))
+
+    def watch(
+        self, prefix: str, stop: threading.Event
+    ) -> collections.abc.Iterator[Versioned]:
+        """Yields every change under a prefix until the watch breaks.
+
+        The iterator yields one empty value once the watch is in place, so
+        that the reader can read what changed before. It waits without an end,
+        and breaks when the client is closed.
+
+        Raises:
+            PlatformError: The watch broke.
+        """
+        create = pb.WatchCreateRequest(
+            key=prefix.encode(), range_end=_end(prefix)
+        )
+
+        def requests():
+            yield pb.WatchRequest(create_request=create)
+            stop.wait()
+
+        try:
+            for answer in self._watch.Watch(requests()):
+                if answer.created:
+                    yield Versioned(key="", value=b"", revision=0)
+                for event in answer.events:
+                    yield _versioned(event.kv)
+        except (grpc.RpcError, ValueError) as exc:
+            raise PlatformError(str(exc)) from exc
+
+
+def _judge(current: Versioned, value: bytes) -> Outcome:
+    if current.value == value:
+        return Swapped(revision=current.revision)
+    return Lost(current=current)
+
+
+def _versioned(kv: pb.KeyValue) -> Versioned:
+    return Versioned(
+        key=kv.key.decode(), value=kv.value, revision=kv.mod_revision
+    )
+
+
+def _end(prefix: str) -> bytes:
+    return prefix[:-1].encode() + bytes([ord(prefix[-1]) + 1])
--- /dev/null
+++ b/bronzehold/process/pool.py
@@ -0,0 +1,277 @@
+"""The connections and slots that this proxy may use of one endpoint.
+
+Whoever wants to run a statement waits in one queue for a slot and, unless it
+holds one already, a connection. The queue is fair between sessions: each
+statement gets a tag one beyond its session's last, and the lowest tag goes
+first, so a session with many statements cannot hold back one with few. A
+request that cannot be served before its deadline is refused at once.
+"""
+
+import collections.abc
+import dataclasses
+import itertools
+import threading
+import time
+
+from bronzehold.connection import backend as backend_lib
+from bronzehold.connection import client
+from bronzehold.core import data, errors
+
+EWMA_WEIGHT = 0.1
+FIRST_GUESS_S = 0.005
+IDLE_LIMIT_S = 60.0
+MAX_SESSIONS_KEPT = 4096
+
+
+class DialError(Exception):
+    """No new connection to the endpoint could be opened."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Caps:
+    """What this proxy may use at once.
+
+    Attributes:
+        connections: Connections for callers' work.
+        slots: Statements in flight.
+    """
+
+    connections: int
+    slots: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Load:
+    """How busy a pool is."""
+
+    running: int
+    waiting: int
+    open: int
+    caps: Caps
+    service_s: float
+
+
+class _Waiter:
+    """One request in the queue."""
+
+    __slots__ = ("granted", "held", "order", "tag")
+
+    def __init__(self, *, tag: float, order: int, held: bool):
+        self.tag = tag
+        self.order = order
+        self.held = held
+        self.granted = threading.Event()
+
+
+class Pool:
+    """Connections and slots of one endpoint, behind one lock."""
+
+    def __init__(
+        self,
+        *,
+        endpoint: data.Endpoint,
+        dial: collections.abc.Callable[[data.Endpoint], backend_lib.Backend],
+        caps: Caps,
+    ):
+        self.endpoint = endpoint
+        self._dial = dial
+        self._caps = caps
+        self._lock = threading.Lock()
+        self._idle: list[backend_lib.Backend] = []
+        self._leased = 0
+        self._running = 0
+        self._waiters: list[_Waiter] = []
+        self._order = itertools.count()
+        self._virtual = 0.0
+        self._tags: dict[str, float] = {}
+        self._service_s = FIRST_GUESS_S
+        self._closed = False
+
+    def resize(self, caps: Caps) -> None:
+        """Changes what may be used; idle connections above it are closed."""
+        with self._lock:
+            self._caps = caps
+            over = self._trim()
+            self._dispatch()
+        for backend in over:
+            backend.close()
+
+    def load(self) -> Load:
+        """Returns how busy the pool is."""
+        with self._lock:
+            return Load(
+                running=self._running,
+                waiting=len(self._waiters),
+                open=self._leased + len(self._idle),
+                caps=self._caps,
+                service_s=self._service_s,
+            )
+
+    def expected_wait(self) -> float:
+        """Returns how long a request that came now would wait, in seconds."""
+        with self._lock:
+            return self._expected()
+
+    def _expected(self) -> float:
+        ahead = self._running + len(self._waiters)
+        free = max(0, self._caps.slots - ahead)
+        if free:
+            return 0.0
+        behind = ahead - self._caps.slots + 1
+        return behind * self._service_s / max(1, self._caps.slots)
+
+    def enter(
+        self,
+        *,
+        session: str,
+        deadline: float,
+        held: backend_lib.Backend | None = None,
+    ) -> backend_lib.Backend:
+        """Waits for a slot, and for a connection unless one is held.
+
+        Args:
+            session: Whose turn it is, for fairness.
+            deadline: Until when it makes sense to start.
+            held: The connection that the caller already has.
+
+        Returns:
+            The connection to use.
+
+        Raises:
+            errors.FailureError: Not in time: Overloaded.
+            DialError: A new connection could not be opened.
+        """
+        with self._lock:
+            waiter = self._queue(session, deadline, held=held is not None)
+            self._dispatch()
+        if not waiter.granted.wait(max(0.0, deadline - time.monotonic())):
+            self._give_up(waiter)
+        if held is not None:
+            return held
+        return self._connect()
+
+    def _queue(self, session: str, deadline: float, *, held: bool) -> _Waiter:
+        expected = self._expected()
+        if time.monotonic() + expected > deadline:
+            raise self._overloaded(expected)
+        if len(self._tags) > MAX_SESSIONS_KEPT:
+            self._tags = {
+                k: v for k, v in self._tags.items() if v > self._virtual
+            }
+        tag = max(self._virtual, self._tags.get(session, 0.0)) + 1
+        self._tags[session] = tag
+        waiter = _Waiter(tag=tag, order=next(self._order), held=held)
+        self._waiters.append(waiter)
+        return waiter
+
+    def _overloaded(self, expected: float) -> errors.FailureError:
+        expected_ms = int(expected / data.MILLISECOND)
+        return errors.FailureError(
+            errors.Overloaded(
+                endpoint=self.endpoint.name, expected_ms=expected_ms
+            )
+        )
+
+    def _give_up(self, waiter: _Waiter) -> None:
+        with self._lock:
+            if waiter.granted.is_set():
+                return
+            self._waiters.remove(waiter)
+            expected = self._expected()
+        raise self._overloaded(expected)
+
+    def _dispatch(self) -> None:
+        while self._running < self._caps.slots and self._waiters:
+            ready = [w for w in self._waiters if w.held or self._has_room()]
+            if not ready:
+                return
+            waiter = min(ready, key=lambda w: (w.tag, w.order))
+            self._waiters.remove(waiter)
+            self._running += 1
+            if not waiter.held:
+                self._leased += 1
+            self._virtual = max(self._virtual, waiter.tag - 1)
+            waiter.granted.set()
+
+    def _has_room(self) -> bool:
+        return self._leased < self._caps.connections
+
+    def _connect(self) -> backend_lib.Backend:
+        while True:
+            with self._lock:
+                backend = self._idle.pop() if self._idle else None
+            if backend is None:
+                break
+            if backend.usable():
+                return backend
+            backend.close()
+        try:
+            return self._dial(self.endpoint)
+        except client.ClientError as exc:
+            self.abandon()
+            raise DialError(str(exc)) from exc
+
+    def abandon(self) -> None:
+        """Gives back the slot and connection of a request without either."""
+        with self._lock:
+            self._running -= 1
+            self._leased -= 1
+            self._dispatch()
+
+    def rest(self, took: float | None) -> None:
+        """Gives back the slot, and keeps the connection.
+
+        Args:
+            took: How long the statement ran in seconds, None if it did not.
+        """
+        with self._lock:
+            self._running -= 1
+            if took is not None:
+                self._learn(took)
+            self._dispatch()
+
+    def _learn(self, took: float) -> None:
+        self._service_s += EWMA_WEIGHT * (took - self._service_s)
+
+    def give_back(self, backend: backend_lib.Backend, *, good: bool) -> None:
+        """Gives back the connection.
+
+        Args:
+            backend: The connection.
+            good: Whether the next caller may use it.
+        """
+        backend.detach()
+        backend.idle_since = time.monotonic()
+        with self._lock:
+            self._leased -= 1
+            keep = good and not self._closed
+            if keep:
+                self._idle.append(backend)
+            over = self._trim()
+            self._dispatch()
+        if not keep:
+            backend.close()
+        for item in over:
+            item.close()
+
+    def _trim(self) -> list[backend_lib.Backend]:
+        room = max(0, self._caps.connections - self._leased)
+        over = self._idle[: max(0, len(self._idle) - room)]
+        del self._idle[: len(over)]
+        now = time.monotonic()
+        while self._idle and now - self._idle[0].idle_since > IDLE_LIMIT_S:
+            over.append(self._idle.pop(0))
+        return over
+
+    def drop_idle(self) -> None:
+        """Closes the idle connections, as after the endpoint was lost."""
+        with self._lock:
+            idle, self._idle = self._idle, []
+        for backend in idle:
+            backend.close()
+
+    def close(self) -> None:
+        """Closes the idle connections now, and the others as they return."""
+        with self._lock:
+            self._closed = True
+        self.drop_idle()
--- /dev/null
+++ b/bronzehold/process/proxy.py
@@ -0,0 +1,277 @@
+"""The proxy daemon: takes callers, and holds together what serves them."""
+
+import contextlib
+import itertools
+import secrets
+import socket
+import threading
+import time
+
+from bronzehold.connection import caller as caller_lib
+from bronzehold.connection import frames, handshake, messages, welcome
+from bronzehold.core import data, errors, events, settings
+from bronzehold.process import (
+    catalog,
+    changes,
+    configs,
+    metrics,
+    operator,
+    peers,
+    platform,
+    tasks,
+    timeline,
+)
+from bronzehold.process import served as served_lib
+
+BACKLOG = 1024
+HANDSHAKE_TIMEOUT_S = 10.0
+STOP_POLL_S = 0.02
+LINGER_S = 3.0
+SECRET_BITS = 31
+
+
+class Proxy:
+    """One proxy process, or one of several in a process of tests."""
+
+    def __init__(self, *, cfg: settings.Settings):
+        self.cfg = cfg
+        self.line = timeline.Timeline(proxy=cfg.name, zone=cfg.zone)
+        self.tasks = tasks.Tasks(line=self.line)
+        self.measures = metrics.Metrics()
+        self.platform = platform.Client(target=cfg.platform)
+        env = served_lib.Environment(
+            cfg=cfg,
+            line=self.line,
+            measures=self.measures,
+            spawn_lasting=self.tasks.spawn_lasting,
+            # The peers are made later than the environment.
+            share=lambda: self.peers.share(),  # noqa: PLW0108
+        )
+        self.catalog = catalog.Catalog(env=env)
+        self.peers = peers.Peers(
+            cfg=cfg, line=self.line, catalog=self.catalog, tasks=self.tasks
+        )
+        self.peers.cancel_here = self._cancel
+        self.peers.operator = operator.Servicer(self)
+        self.configs = configs.Configs(
+            cfg=cfg,
+            line=self.line,
+            catalog=self.catalog,
+            store=self.platform,
+            peers=self.peers,
+            tasks=self.tasks,
+        )
+        self.changes = changes.Changes(
+            cfg=cfg,
+            line=self.line,
+            catalog=self.catalog,
+            store=self.platform,
+            peers=self.peers,
+            tasks=self.tasks,
+        )
+        self._welcome = welcome.Welcome(users=cfg.users)
+        self._lock = threading.Lock()
+        self._callers: dict[int, caller_lib.Caller] = {}
+        self._socks: dict[int, socket.socket] = {}
+        self._pids = itertools.count(1)
+        self._listener: socket.socket | None = None
+        self._stopping = False
+        self._stopped = threading.Event()
+
+    @property
+    def port(self) -> int:
+        """The port that callers connect to."""
+        return self._listener.getsockname()[1] if self._listener else 0
+
+    @property
+    def stopping(self) -> bool:
+        """Whether a planned stop has begun."""
+        return self._stopping
+
+    def start(self) -> None:
+        """Starts to serve."""
+        self.peers.start()
+        self.configs.start()
+        self.changes.start()
+        self._listener = socket.create_server(
+            (self.cfg.host, self.cfg.port), backlog=BACKLOG
+        )
+        self.tasks.spawn("accept", self._accept)
+        self.line.add(events.ProxyStarted(port=self.port))
+
+    # Callers.
+
+    def _accept(self) -> None:
+        listener = self._listener
+        while True:
+            try:
+                sock, _ = listener.accept()
+            except OSError:
+                return
+            self._take(sock)
+
+    def _take(self, sock: socket.socket) -> None:
+        number = next(self._pids)
+        with self._lock:
+            self._socks[number] = sock
+        self.tasks.spawn("caller", lambda: self._serve(sock, number))
+
+    def _serve(self, sock: socket.socket, number: int) -> None:
+        try:
+            frames.tune(sock)
+            sock.settimeout(HANDSHAKE_TIMEOUT_S)
+            self._welcome_and_serve(sock, number)
+        except (frames.ClosedError, frames.FramingError, OSError):
+            pass
+        finally:
+            with self._lock:
+                self._callers.pop(number, None)
+                self._socks.pop(number, None)
+            sock.close()
+
+    def _welcome_and_serve(self, sock: socket.socket, number: int) -> None:
+        reader = frames.Reader(sock=sock)
+        body = handshake.read_first(sock, reader)
+        if messages.startup_code(body) == messages.CANCEL_REQUEST:
+            pid, secret = messages.parse_cancel(body)
+            self._cancel(pid, secret)
+            self.peers.cancel(pid, secret)
+            return
+        try:
+            caller = self._let_in(sock, reader, number, body)
+        except errors.FailureError as exc:
+            frames.send(sock, messages.failure(exc.failure, fatal=True))
+            return
+        sock.settimeout(None)
+        caller.serve()
+        caller.finish()
+
+    def _let_in(
+        self, sock: socket.socket, reader: frames.Reader, number: int, body
+    ) -> caller_lib.Caller:
+        if messages.startup_code(body) >> 16 != messages.PROTOCOL_MAJOR:
+            raise errors.FailureError(errors.Malformed(what="protocol version"))
+        params = messages.parse_startup(body)
+        user = params.get("user", "")
+        name = params.get("database", user)
+        self._welcome.admit(sock, reader, user)
+        served = self.catalog.find(name)
+        if served is None:
+            raise errors.FailureError(errors.ServiceUnknown(service=name))
+        caller = caller_lib.Caller(
+            sock=sock,
+            reader=reader,
+            served=served,
+            key=(number, secrets.randbits(SECRET_BITS)),
+            proxy=self.cfg.name,
+        )
+        caller.open(params)
+        with self._lock:
+            self._callers[number] = caller
+            last = self._listener is None
+        if last:
+            caller.stop()
+        return caller
+
+    def _cancel(self, pid: int, secret: int) -> None:
+        with self._lock:
+            caller = self._callers.get(pid)
+        if caller is not None and caller.key == (pid, secret):
+            caller.cancel()
+
+    def callers(self) -> int:
+        """Returns how many callers are connected."""
+        with self._lock:
+            return len(self._callers)
+
+    # Stopping.
+
+    def drain(self) -> None:
+        """Begins a planned stop: cuts no request, then ends the process.
+
+        The proxy first announces that it leaves and keeps taking callers, then
+        closes its port, tells every caller between transactions, and waits for
+        those that are in one.
+        """
+        with self._lock:
+            if self._stopping:
+                return
+            self._stopping = True
+        self.line.add(events.ProxyStopping(callers=self.callers()))
+        self.tasks.spawn("drain", self._drain)
+
+    def _drain(self) -> None:
+        timing = self.cfg.timing
+        self.peers.announce_stop()
+        self.configs.unregister()
+        time.sleep(timing.announce_ms * data.MILLISECOND)
+        self._close_listener()
+        for caller in self._all_callers():
+            caller.stop()
+        now = time.monotonic()
+        end = now + timing.stop_ms * data.MILLISECOND
+        linger = now + LINGER_S
+        while time.monotonic() < end and self._open():
+            time.sleep(STOP_POLL_S)
+            if time.monotonic() > linger:
+                # A caller that stays idle, or never finishes its handshake,
+                # does not hold the stop back.
+                for caller in self._all_callers():
+                    caller.say_goodbye()
+                if not self._busy():
+                    break
+        self.line.add(events.ProxyStopped(cut=self._busy()))
+        self.close()
+
+    def _open(self) -> int:
+        with self._lock:
+            return len(self._socks)
+
+    def _all_callers(self) -> list[caller_lib.Caller]:
+        with self._lock:
+            return list(self._callers.values())
+
+    def _busy(self) -> int:
+        return sum(caller.busy() for caller in self._all_callers())
+
+    def _close_listener(self) -> None:
+        # Whoever is in the queue of the port already is served first.
+        with self._lock:
+            listener, self._listener = self._listener, None
+        if listener is None:
+            return
+        listener.setblocking(False)
+        while True:
+            try:
+                sock, _ = listener.accept()
+            except OSError:
+                break
+            sock.setblocking(True)
+            self._take(sock)
+        _shut(listener)
+
+    def close(self) -> None:
+        """Ends at once, whatever is under way."""
+        self.tasks.close()
+        with self._lock:
+            listener, self._listener = self._listener, None
+        if listener is not None:
+            _shut(listener)
+        with self._lock:
+            socks = list(self._socks.values())
+        for sock in socks:
+            _shut(sock)
+        self.catalog.close()
+        self.peers.close()
+        self.platform.close()
+        self._stopped.set()
+
+    def wait(self) -> None:
+        """Waits until the proxy has ended."""
+        self._stopped.wait()
+
+
+def _shut(sock: socket.socket) -> None:
+    with contextlib.suppress(OSError):
+        sock.shutdown(socket.SHUT_RDWR)
+    sock.close()
--- /dev/null
+++ b/bronzehold/process/tasks.py
@@ -0,0 +1,58 @@
+"""Runs the tasks of a process: one for each connection, peer and endpoint."""
+
+import collections.abc
+from concurrent import futures
+import threading
+
+from bronzehold.core import events
+from bronzehold.process import timeline
+
+STACK_BYTES = 256 * 1024
+MAX_TASKS = 20000
+RESTART_S = 0.2
+
+
+class Tasks:
+    """An executor whose tasks end when the process stops."""
+
+    def __init__(self, *, line: timeline.Timeline):
+        threading.stack_size(STACK_BYTES)
+        self._line = line
+        self._pool = futures.ThreadPoolExecutor(MAX_TASKS)
+        self.stop = threading.Event()
+
+    def spawn(self, name: str, task: collections.abc.Callable[[], None]):
+        """Starts a task; an error that it does not expect is an event.
+
+        Returns:
+            A future that is done once the task has ended.
+        """
+        return self._pool.submit(self._run, name, task)
+
+    def spawn_lasting(
+        self, name: str, task: collections.abc.Callable[[], None]
+    ):
+        """Starts a task that is started anew when an error ends it."""
+        return self.spawn(name, lambda: self._last(name, task))
+
+    def _last(self, name: str, task: collections.abc.Callable[[], None]):
+        ended = False
+        while not (ended or self.stop.is_set()):
+            ended = self._run(name, task)
+            self.stop.wait(0.0 if ended else RESTART_S)
+
+    def _run(self, name: str, task: collections.abc.Callable[[], None]) -> bool:
+        try:
+            task()
+            return True
+        except Exception as exc:  # noqa: BLE001
+            # A task must not end in silence, whatever ended it.
+            if not self.stop.is_set():
+                error = f"{type(exc).__name__}: {exc}"
+                self._line.add(events.TaskFailed(task=name, error=error))
+            return False
+
+    def close(self) -> None:
+        """Tells the tasks to end, without waiting for them."""
+        self.stop.set()
+        self._pool.shutdown(wait=False, cancel_futures=True)
--- /dev/null
+++ b/bronzehold/process/timeline.py
@@ -0,0 +1,120 @@
+"""The events of one process, kept for the time line and written to the log."""
+
+import collections
+import dataclasses
+import itertools
+import logging
+import threading
+import time
+
+from pythonjsonlogger import json as jsonlogger
+
+from bronzehold.core import events
+
+KEPT_EVENTS = 4096
+LOGGER = "bronzehold"
+
+# Without a handler of its own, a library stays quiet.
+logging.getLogger(LOGGER).addHandler(logging.NullHandler())
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Entry:
+    """One event with where and when it happened.
+
+    Attributes:
+        sequence: Grows by one with each event of the process.
+        at_ns: Wall clock of the process.
+        proxy: The process.
+        zone: Its availability zone.
+        event: What happened.
+    """
+
+    sequence: int
+    at_ns: int
+    proxy: str
+    zone: str
+    event: events.Event
+
+
+def to_plain(entry: Entry) -> dict:
+    """Returns an entry as JSON can hold it."""
+    return {
+        "sequence": entry.sequence,
+        "at_ns": entry.at_ns,
+        "proxy": entry.proxy,
+        "zone": entry.zone,
+        "event": type(entry.event).__name__,
+        **dataclasses.asdict(entry.event),
+    }
+
+
+class Timeline:
+    """Collects the events of this process; safe to use from many threads."""
+
+    def __init__(self, *, proxy: str, zone: str):
+        self._proxy = proxy
+        self._zone = zone
+        self._lock = threading.Lock()
+        self._sequence = itertools.count(1)
+        self._entries: collections.deque[Entry] = collections.deque(
+            maxlen=KEPT_EVENTS
+        )
+        self._log = logging.getLogger(LOGGER)
+
+    def add(self, event: events.Event) -> None:
+        """Records an event."""
+        with self._lock:
+            entry = Entry(
+                sequence=next(self._sequence),
+                at_ns=time.time_ns(),
+                proxy=self._proxy,
+                zone=self._zone,
+                event=event,
+            )
+            self._entries.append(entry)
+        self._log.log(_level(event), type(event).__name__, extra=_fields(entry))
+
+    def after(self, sequence: int) -> list[Entry]:
+        """Returns the kept events behind a sequence number."""
+        with self._lock:
+            return [e for e in self._entries if e.sequence > sequence]
+
+
+def _fields(entry: Entry) -> dict:
+    plain = to_plain(entry)
+    plain["instance"] = plain.pop("proxy")
+    return plain
+
+
+def _level(event: events.Event) -> int:
+    match event:
+        case events.TaskFailed():
+            return logging.ERROR
+        case (
+            events.PrimarySuspected()
+            | events.ChangeFailed()
+            | events.ConfigRefused()
+            | events.EntriesDiscarded()
+            | events.PlatformAway()
+            | events.PeerSilent()
+        ):
+            return logging.WARNING
+        case _:
+            return logging.INFO
+
+
+def set_up_logs(level: str) -> None:
+    """Writes the logs to the standard error, one JSON object a line."""
+    handler = logging.StreamHandler()
+    handler.setFormatter(
+        jsonlogger.JsonFormatter(
+            "{asctime}{levelname}{message}",
+            style="{",
+            rename_fields={"asctime": "time", "levelname": "level"},
+        )
+    )
+    log = logging.getLogger(LOGGER)
+    log.handlers[:] = [handler]
+    log.setLevel(level)
+    log.propagate = False
--- /dev/null
+++ b/bronzehold/proto/__init__.py
@@ -0,0 +1,1 @@
+"""Protocol definitions and the code generated from them."""
--- /dev/null
+++ b/bronzehold/request/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for one request: classification, batches and their outcome."""
--- /dev/null
+++ b/bronzehold/request/classify.py
@@ -0,0 +1,427 @@
+"""What a statement's text asks for, proved by a SQL parser.
+
+Only what is proved to be a read may run on a replica; all else counts as a
+write. Parsing is dear, so the answers are cached by the text with its literals
+set aside. Literals are set aside only in texts where a plain pattern finds
+them for certain.
+"""
+
+import dataclasses
+import functools
+import re
+
+import pglast
+from pglast import ast, enums, visitors
+
+CACHE_ENTRIES = 8192
+MAX_CACHED_TEXT = 4096
+OWN_PREFIX = "bronzehold."
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Read:
+    """Changes nothing and locks nothing."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Write:
+    """Not proved to be a read.
+
+    Attributes:
+        ends: It may end a transaction block in the middle of its text.
+    """
+
+    ends: bool = False
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Begin:
+    """Starts a transaction block.
+
+    Attributes:
+        read_only: The block was declared read-only.
+        plain: Read committed and nothing else asked for, so that the proxy
+            may choose the endpoint at the block's first statement.
+    """
+
+    read_only: bool
+    plain: bool
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Commit:
+    """Ends a transaction block and keeps its changes."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Rollback:
+    """Ends a transaction block and drops its changes."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class SetVar:
+    """Sets a variable of the session, or of the transaction if local.
+
+    Attributes:
+        name: Its name.
+        value: Its value as text.
+        local: Whether it ends with the transaction.
+        sql: The whole statement, to set it on another connection.
+    """
+
+    name: str
+    value: str
+    local: bool
+    sql: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ShowVar:
+    """Asks for a variable."""
+
+    name: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ResetVars:
+    """Puts the session's variables back: DISCARD ALL, RESET ALL or one."""
+
+    tag: str
+    name: str = ""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Refused:
+    """Needs state that a shared connection cannot keep."""
+
+    what: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Nothing:
+    """Empty or a comment."""
+
+
+Statement = (
+    Read
+    | Write
+    | Begin
+    | Commit
+    | Rollback
+    | SetVar
+    | ShowVar
+    | ResetVars
+    | Refused
+    | Nothing
+)
+
+_READ_FUNCTIONS = frozenset(
+    (
+        "abs",
+        "array_agg",
+        "array_length",
+        "avg",
+        "bit_length",
+        "btrim",
+        "ceil",
+        "ceiling",
+        "char_length",
+        "coalesce",
+        "concat",
+        "concat_ws",
+        "count",
+        "current_database",
+        "current_schema",
+        "date_part",
+        "date_trunc",
+        "dense_rank",
+        "exp",
+        "extract",
+        "first_value",
+        "floor",
+        "format",
+        "greatest",
+        "json_agg",
+        "json_build_object",
+        "jsonb_agg",
+        "jsonb_build_object",
+        "lag",
+        "last_value",
+        "lead",
+        "least",
+        "left",
+        "length",
+        "ln",
+        "log",
+        "lower",
+        "lpad",
+        "ltrim",
+        "max",
+        "md5",
+        "min",
+        "mod",
+        "now",
+        "nullif",
+        "pg_sleep",
+        "position",
+        "power",
+        "rank",
+        "regexp_replace",
+        "repeat",
+        "replace",
+        "reverse",
+        "right",
+        "round",
+        "row_number",
+        "rpad",
+        "rtrim",
+        "sign",
+        "split_part",
+        "sqrt",
+        "string_agg",
+        "strpos",
+        "substr",
+        "substring",
+        "sum",
+        "timezone",
+        "to_char",
+        "to_date",
+        "to_number",
+        "to_timestamp",
+        "translate",
+        "trim",
+        "trunc",
+        "unnest",
+        "upper",
+        "version",
+    )
+)
+_SESSION_FUNCTIONS = frozenset(
+    (
+        "set_config",
+        "pg_advisory_lock",
+        "pg_advisory_lock_shared",
+        "pg_try_advisory_lock",
+        "pg_try_advisory_lock_shared",
+        "pg_advisory_unlock",
+        "pg_advisory_unlock_all",
+        "pg_advisory_unlock_shared",
+    )
+)
+_UNSURE = re.compile(r"""[\\$"]|--|/\*""")
+_LITERAL = re.compile(r"'[^']*'|\b\d+(?:\.\d+)?\b")
+
+
+def classify(text: str) -> Statement:
+    """Returns what a text asks for; several statements count as one."""
+    if len(text) > MAX_CACHED_TEXT:
+        return _parse(text)
+    if _UNSURE.search(text) or not text[:7].upper().startswith(
+        ("SELECT", "INSERT", "UPDATE", "DELETE")
+    ):
+        return _cached(text)
+    return _cached_shape(_LITERAL.sub("0", text), _Text(text))
+
+
+class _Text(str):
+    """A text that equals every other, to stay out of the cache's key."""
+
+    __slots__ = ()
+
+    def __eq__(self, other):
+        return isinstance(other, _Text)
+
+    def __hash__(self):
+        return 0
+
+
+@functools.lru_cache(CACHE_ENTRIES)
+def _cached_shape(_shape: str, text: _Text) -> Statement:
+    return _parse(str(text))
+
+
+@functools.lru_cache(CACHE_ENTRIES)
+def _cached(text: str) -> Statement:
+    return _parse(text)
+
+
+def _parse(text: str) -> Statement:
+    try:
+        nodes = [raw.stmt for raw in pglast.parse_sql(text)]
+    except pglast.parser.ParseError:
+        # The endpoint is the one to say what is wrong with the text.
+        return Write()
+    if not nodes:
+        return Nothing()
+    found = [_statement(node, text) for node in nodes]
+    if len(found) == 1:
+        return found[0]
+    return _several(found)
+
+
+def _several(found: list[Statement]) -> Statement:
+    for item in found:
+        match item:
+            case Refused():
+                return item
+            case SetVar(local=False) | ResetVars():
+                return Refused(what="SET among several statements")
+    if all(isinstance(item, Read | Nothing) for item in found):
+        return Read()
+    ends = any(isinstance(item, Commit) for item in found)
+    return Write(ends=ends)
+
+
+def _statement(node: ast.Node, text: str) -> Statement:
+    match node:
+        case ast.SelectStmt():
+            return _select(node)
+        case ast.TransactionStmt():
+            return _transaction(node)
+        case ast.VariableSetStmt():
+            return _variable(node, text)
+        case ast.VariableShowStmt():
+            return ShowVar(name=node.name)
+        case ast.DiscardStmt():
+            return ResetVars(tag="DISCARD ALL")
+        case ast.PrepareStmt() | ast.ExecuteStmt() | ast.DeallocateStmt():
+            return Refused(what="PREPARE as a statement")
+        case ast.ListenStmt() | ast.UnlistenStmt():
+            return Refused(what="LISTEN")
+        case ast.DeclareCursorStmt() if node.options & _HOLD:
+            return Refused(what="a cursor WITH HOLD")
+        case ast.CopyStmt():
+            return Refused(what="COPY")
+        case ast.LoadStmt():
+            return Refused(what="LOAD")
+        case ast.LockStmt() | ast.CreateTableAsStmt():
+            return _temporary(getattr(node, "into", None), "rel")
+        case ast.CreateStmt() | ast.ViewStmt() | ast.CreateSeqStmt():
+            name = {
+                ast.CreateStmt: "relation",
+                ast.ViewStmt: "view",
+                ast.CreateSeqStmt: "sequence",
+            }[type(node)]
+            return _temporary(node, name)
+        case _:
+            return _other(node)
+
+
+_HOLD = enums.CURSOR_OPT_HOLD if hasattr(enums, "CURSOR_OPT_HOLD") else 0x20
+
+
+def _temporary(node, name: str) -> Statement:
+    rel = getattr(node, name, None) if node is not None else None
+    if rel is not None and rel.relpersistence == "t":
+        return Refused(what="a temporary table")
+    return Write()
+
+
+class _Finder(visitors.Visitor):
+    """Looks for whatever keeps a SELECT from being a read."""
+
+    def __init__(self):
+        super().__init__()
+        self.writes = False
+        self.refused: str = ""
+
+    def visit_SelectStmt(self, _ancestors, node):
+        if node.lockingClause or node.intoClause:
+            self.writes = True
+        into = node.intoClause
+        if into is not None and into.rel.relpersistence == "t":
+            self.refused = "a temporary table"
+
+    def visit_InsertStmt(self, _ancestors, _node):
+        self.writes = True
+
+    def visit_UpdateStmt(self, _ancestors, _node):
+        self.writes = True
+
+    def visit_DeleteStmt(self, _ancestors, _node):
+        self.writes = True
+
+    def visit_MergeStmt(self, _ancestors, _node):
+        self.writes = True
+
+    def visit_FuncCall(self, _ancestors, node):
+        name = node.funcname[-1].sval.lower()
+        if name in _SESSION_FUNCTIONS:
+            self.refused = name
+        own = len(node.funcname) == 1 or node.funcname[0].sval == "pg_catalog"
+        if not own or name not in _READ_FUNCTIONS:
+            self.writes = True
+
+
+def _select(node: ast.SelectStmt) -> Statement:
+    finder = _Finder()
+    finder(node)
+    if finder.refused:
+        return Refused(what=finder.refused)
+    return Write() if finder.writes else Read()
+
+
+def _other(node: ast.Node) -> Statement:
+    finder = _Finder()
+    finder(node)
+    return Refused(what=finder.refused) if finder.refused else Write()
+
+
+def _transaction(node: ast.TransactionStmt) -> Statement:
+    kind = enums.TransactionStmtKind
+    match node.kind:
+        case kind.TRANS_STMT_BEGIN | kind.TRANS_STMT_START:
+            return _begin(node)
+        case kind.TRANS_STMT_COMMIT if not node.chain:
+            return Commit()
+        case kind.TRANS_STMT_ROLLBACK if not node.chain:
+            return Rollback()
+        case kind.TRANS_STMT_PREPARE:
+            return Refused(what="PREPARE TRANSACTION")
+        case _:
+            return Write(ends=True)
+
+
+def _begin(node: ast.TransactionStmt) -> Statement:
+    read_only = False
+    plain = True
+    for option in node.options or ():
+        value = getattr(option.arg, "val", None)
+        match option.defname:
+            case "transaction_read_only":
+                read_only = bool(getattr(value, "ival", 0))
+            case "transaction_isolation":
+                plain = plain and value.sval == "read committed"
+            case _:
+                plain = False
+    return Begin(read_only=read_only, plain=plain)
+
+
+def _variable(node: ast.VariableSetStmt, text: str) -> Statement:
+    kind = enums.VariableSetKind
+    match node.kind:
+        case kind.VAR_SET_VALUE:
+            value = ", ".join(_constant(arg) for arg in node.args)
+            sql = text.strip().rstrip(";")
+            return SetVar(
+                name=node.name,
+                value=value,
+                local=bool(node.is_local),
+                sql=sql,
+            )
+        case kind.VAR_RESET | kind.VAR_SET_DEFAULT:
+            return ResetVars(tag="RESET", name=node.name)
+        case kind.VAR_RESET_ALL:
+            return ResetVars(tag="RESET")
+        case _:
+            # SET TRANSACTION and its kin belong to the block they stand in.
+            return Write()
+
+
+def _constant(arg) -> str:
+    value = getattr(arg, "val", arg)
+    for field in ("sval", "fval", "ival", "boolval"):
+        found = getattr(value, field, None)
+        if found is not None:
+            return str(found)
+    return ""
--- /dev/null
+++ b/bronzehold/request/reads.py
@@ -0,0 +1,160 @@
+"""Where a read may run, and how long it waits for such an endpoint."""
+
+import dataclasses
+import time
+
+from bronzehold.connection import session as session_lib
+from bronzehold.core import data, errors
+from bronzehold.process import served as served_lib
+
+RECHECK_S = 0.02
+SAME_REGION_S = 0.002
+OTHER_REGION_S = 0.02
+PRIMARY_PENALTY_S = 0.25
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Need:
+    """What a read must see.
+
+    Attributes:
+        mark: A point in the log, None for none.
+        max_age: The oldest data tolerated in seconds, None for any.
+    """
+
+    mark: data.Mark | None
+    max_age: float | None
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Place:
+    """The endpoint that a read goes to.
+
+    Attributes:
+        endpoint: Its name.
+        primary: Whether it is the primary, and if so in which term.
+        term: The primary's term, 0 on a replica.
+    """
+
+    endpoint: str
+    primary: bool
+    term: int
+
+
+def need(
+    served: served_lib.Served,
+    session: session_lib.Session,
+    arrived: float,
+    deadline: float,
+) -> Need:
+    """Returns what the reads of a session must see.
+
+    A session that has a name may have written through another proxy. Unless
+    its caller carries the mark, whatever the primary holds after the read
+    arrived is what must be seen.
+
+    Raises:
+        errors.FailureError: NoPrimary, when that cannot be learned.
+    """
+    fresh = session.freshness
+    max_age = session.max_age(served.service.max_age_ms)
+    roams = bool(fresh.session) and not fresh.carried
+    if roams or max_age == 0:
+        mark = served.group.fresh_mark(arrived, deadline)
+        if fresh.mark is not None and fresh.mark.term > mark.term:
+            mark = fresh.mark
+        return Need(mark=mark, max_age=None)
+    return Need(mark=fresh.mark, max_age=max_age)
+
+
+def choose(
+    served: served_lib.Served,
+    wanted: Need,
+    own_mark: data.Mark | None,
+    deadline: float,
+    avoid: frozenset[str],
+) -> Place:
+    """Waits for an endpoint that a read may run on.
+
+    Replicas go first. When none is fresh enough, the read waits for one for
+    a short while before it goes to the primary.
+
+    Args:
+        served: The service.
+        wanted: What the read must see.
+        own_mark: The session's own write, to tell when it has been lost.
+        deadline: Until when to wait.
+        avoid: Endpoints that have just failed.
+
+    Raises:
+        errors.FailureError: MarkLost, MarkAhead or NoFreshEndpoint.
+    """
+    group = served.group
+    patience = group.timing.replica_wait_ms * data.MILLISECOND
+    turn = min(deadline, time.monotonic() + patience)
+    waiting = False
+    try:
+        while True:
+            if own_mark is not None and group.readable(own_mark, None)[1]:
+                raise errors.FailureError(errors.MarkLost(mark=str(own_mark)))
+            names, _ = group.readable(wanted.mark, wanted.max_age)
+            names = [name for name in names if name not in avoid]
+            now = time.monotonic()
+            place = _best(served, names, allow_primary=now >= turn)
+            if place is not None:
+                return place
+            if now >= deadline:
+                raise errors.FailureError(_why_none(served, wanted))
+            if not waiting:
+                waiting = True
+                group.applied_waiters += 1
+            bound = turn if now < turn else deadline
+            with group.cond:
+                group.cond.wait(max(0.001, min(RECHECK_S, bound - now)))
+    finally:
+        if waiting:
+            group.applied_waiters -= 1
+
+
+def _why_none(served: served_lib.Served, wanted: Need) -> errors.Failure:
+    if wanted.mark is not None:
+        return errors.MarkAhead(mark=str(wanted.mark))
+    return errors.NoFreshEndpoint(group=served.group.name)
+
+
+def _best(
+    served: served_lib.Served, names: list[str], *, allow_primary: bool
+) -> Place | None:
+    grant = served.group.grant()
+    primary = grant.primary if grant else ""
+    best: tuple[float, str] | None = None
+    for name in names:
+        if name == primary and not allow_primary:
+            continue
+        cost = _cost(served, name)
+        if cost is None:
+            continue
+        if name == primary:
+            cost += PRIMARY_PENALTY_S
+        if best is None or cost < best[0]:
+            best = (cost, name)
+    if best is None:
+        return None
+    name = best[1]
+    on_primary = name == primary
+    term = grant.term if grant and on_primary else 0
+    return Place(endpoint=name, primary=on_primary, term=term)
+
+
+def _cost(served: served_lib.Served, name: str) -> float | None:
+    pool = served.pool(name)
+    if pool is None:
+        return None
+    return _distance(served, pool.endpoint) + pool.expected_wait()
+
+
+def _distance(served: served_lib.Served, ep: data.Endpoint) -> float:
+    cfg = served.env.cfg
+    if ep.region != cfg.region:
+        return OTHER_REGION_S
+    return 0.0 if ep.zone == cfg.zone else SAME_REGION_S
--- /dev/null
+++ b/bronzehold/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins of the platform and of database groups."""
--- /dev/null
+++ b/bronzehold/standin/platform.py
@@ -0,0 +1,393 @@
+"""A stand-in for the platform's key-value service: a subset of etcd v3.
+
+It keeps keys with revisions, leases that lapse, transactions that compare,
+and watches; it counts every call, and refuses calls above its rates.
+"""
+
+from concurrent import futures
+import dataclasses
+import itertools
+import json
+import threading
+import time
+
+import grpc
+
+from bronzehold.proto import etcd_pb2 as pb
+from bronzehold.proto import etcd_pb2_grpc
+
+WORKERS = 64
+LEASE_CHECK_S = 0.05
+WATCH_POLL_S = 0.1
+CONTROL_PREFIX = b"/platform/fault"
+INSTANCES_KEY = b"/platform/instances"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Conditions:
+    """The conditions that the service is under.
+
+    Attributes:
+        absent: No call is answered.
+        slow_s: What each call takes.
+        lose_answers: How many of the next transactions take effect without
+            their answers arriving.
+        hold_leases: Leases are not renewed, and so lapse.
+        writes_per_s: Writes allowed in a second.
+        reads_per_s: Reads allowed in a second.
+    """
+
+    absent: bool = False
+    slow_s: float = 0.0
+    lose_answers: int = 0
+    hold_leases: bool = False
+    writes_per_s: int = 400
+    reads_per_s: int = 2000
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Counts:
+    """Calls answered since the start."""
+
+    reads: int = 0
+    writes: int = 0
+    watches: int = 0
+
+
+@dataclasses.dataclass
+class _Lease:
+    ttl: int
+    deadline: float
+
+
+class _Bucket:
+    """Tokens that refill each second."""
+
+    def __init__(self):
+        self._tokens = 0.0
+        self._at = 0.0
+
+    def take(self, rate: int) -> bool:
+        now = time.monotonic()
+        refill = (now - self._at) * rate
+        self._tokens = min(float(rate), self._tokens + refill)
+        self._at = now
+        if self._tokens < 1:
+            return False
+        self._tokens -= 1
+        return True
+
+
+class Store:
+    """Keys, leases and watches, behind one lock."""
+
+    def __init__(self):
+        self._lock = threading.Condition()
+        self._keys: dict[bytes, pb.KeyValue] = {}
+        self._leases: dict[int, _Lease] = {}
+        self._lease_ids = itertools.count(1000)
+        self._events: list[tuple[int, pb.Event]] = []
+        self._reads = _Bucket()
+        self._writes = _Bucket()
+        self.revision = 1
+        self.now = Conditions()
+        self.counts = Counts()
+        self.closed = threading.Event()
+
+    def change(self, **fields) -> None:
+        """Replaces some of the conditions."""
+        with self._lock:
+            self.now = dataclasses.replace(self.now, **fields)
+
+    def header(self) -> pb.ResponseHeader:
+        """Returns the header that every answer carries."""
+        return pb.ResponseHeader(
+            cluster_id=1, member_id=1, revision=self.revision, raft_term=1
+        )
+
+    def admit(self, context: grpc.ServicerContext, *, write: bool) -> None:
+        """Applies outage, slowness and rates to a call."""
+        if self.now.slow_s:
+            time.sleep(self.now.slow_s)
+        if self.now.absent:
+            context.abort(grpc.StatusCode.UNAVAILABLE, "absent")
+        with self._lock:
+            if write:
+                ok = self._writes.take(self.now.writes_per_s)
+                self.counts = dataclasses.replace(
+                    self.counts, writes=self.counts.writes + 1
+                )
+            else:
+                ok = self._reads.take(self.now.reads_per_s)
+                self.counts = dataclasses.replace(
+                    self.counts, reads=self.counts.reads + 1
+                )
+        if not ok:
+            context.abort(grpc.StatusCode.RESOURCE_EXHAUSTED, "rate")
+
+    def lose(self, context: grpc.ServicerContext) -> None:
+        """Drops the answer of a call that has taken effect, if set to."""
+        with self._lock:
+            left = self.now.lose_answers
+            if left > 0:
+                self.now = dataclasses.replace(self.now, lose_answers=left - 1)
+        if left > 0:
+            context.abort(grpc.StatusCode.UNAVAILABLE, "answer lost")
+
+    def range(self, req: pb.RangeRequest) -> pb.RangeResponse:
+        """Reads a key or a range of keys."""
+        with self._lock:
+            kvs = [self._keys[key] for key in self._matching(req)]
+            return pb.RangeResponse(
+                header=self.header(), kvs=kvs, count=len(kvs)
+            )
+
+    def _matching(self, req) -> list[bytes]:
+        if not req.range_end:
+            return [req.key] if req.key in self._keys else []
+        return sorted(k for k in self._keys if req.key <= k < req.range_end)
+
+    def put(self, req: pb.PutRequest) -> pb.PutResponse:
+        """Writes a key."""
+        with self._lock:
+            self.revision += 1
+            old = self._keys.get(req.key)
+            kv = pb.KeyValue(
+                key=req.key,
+                value=req.value,
+                lease=req.lease,
+                create_revision=old.create_revision if old else self.revision,
+                mod_revision=self.revision,
+                version=old.version + 1 if old else 1,
+            )
+            self._keys[req.key] = kv
+            self._record(pb.Event(type=pb.Event.PUT, kv=kv))
+            return pb.PutResponse(header=self.header())
+
+    def delete(self, req: pb.DeleteRangeRequest) -> pb.DeleteRangeResponse:
+        """Deletes a key or a range of keys."""
+        with self._lock:
+            keys = self._matching(req)
+            for key in keys:
+                self.revision += 1
+                del self._keys[key]
+                kv = pb.KeyValue(key=key, mod_revision=self.revision)
+                self._record(pb.Event(type=pb.Event.DELETE, kv=kv))
+            return pb.DeleteRangeResponse(
+                header=self.header(), deleted=len(keys)
+            )
+
+    def _record(self, event: pb.Event) -> None:
+        self._events.append((self.revision, event))
+        self._lock.notify_all()
+
+    def txn(self, req: pb.TxnRequest) -> pb.TxnResponse:
+        """Runs one branch of a transaction, by its comparisons."""
+        with self._lock:
+            succeeded = all(self._compare(c) for c in req.compare)
+            ops = req.success if succeeded else req.failure
+            responses = [self._run(op) for op in ops]
+            return pb.TxnResponse(
+                header=self.header(), succeeded=succeeded, responses=responses
+            )
+
+    def _run(self, op: pb.RequestOp) -> pb.ResponseOp:
+        match op.WhichOneof("request"):
+            case "request_put":
+                return pb.ResponseOp(response_put=self.put(op.request_put))
+            case "request_delete_range":
+                deleted = self.delete(op.request_delete_range)
+                return pb.ResponseOp(response_delete_range=deleted)
+            case _:
+                found = self.range(op.request_range)
+                return pb.ResponseOp(response_range=found)
+
+    def _compare(self, cmp: pb.Compare) -> bool:
+        kv = self._keys.get(cmp.key, pb.KeyValue())
+        match cmp.target:
+            case pb.Compare.VERSION:
+                left, right = kv.version, cmp.version
+            case pb.Compare.CREATE:
+                left, right = kv.create_revision, cmp.create_revision
+            case pb.Compare.MOD:
+                left, right = kv.mod_revision, cmp.mod_revision
+            case pb.Compare.VALUE:
+                left, right = kv.value, cmp.value
+            case _:
+                left, right = kv.lease, cmp.lease
+        match cmp.result:
+            case pb.Compare.EQUAL:
+                return left == right
+            case pb.Compare.GREATER:
+                return left > right
+            case pb.Compare.LESS:
+                return left < right
+            case _:
+                return left != right
+
+    def grant(self, ttl: int) -> int:
+        """Makes a lease of some seconds."""
+        with self._lock:
+            lease = next(self._lease_ids)
+            self._leases[lease] = _Lease(ttl, time.monotonic() + ttl)
+            return lease
+
+    def keep_alive(self, lease: int) -> int:
+        """Renews a lease; returns its seconds, 0 if it has lapsed."""
+        with self._lock:
+            held = self._leases.get(lease)
+            if held is None:
+                return 0
+            if not self.now.hold_leases:
+                held.deadline = time.monotonic() + held.ttl
+            return held.ttl
+
+    def revoke(self, lease: int) -> None:
+        """Ends a lease and deletes its keys."""
+        with self._lock:
+            self._leases.pop(lease, None)
+            keys = [k for k, kv in self._keys.items() if kv.lease == lease]
+        for key in keys:
+            self.delete(pb.DeleteRangeRequest(key=key))
+
+    def lapse_forever(self) -> None:
+        """Ends the leases that nobody renews."""
+        while not self.closed.wait(LEASE_CHECK_S):
+            now = time.monotonic()
+            with self._lock:
+                if self.now.absent:
+                    # As a new leader does, an outage extends every lease.
+                    for held in self._leases.values():
+                        held.deadline = now + held.ttl
+                over = [i for i, h in self._leases.items() if h.deadline < now]
+            for lease in over:
+                self.revoke(lease)
+
+    def events_after(self, revision: int, req) -> list[pb.Event]:
+        """Waits a moment for the events of a watch."""
+        with self._lock:
+            if not self._events or self._events[-1][0] <= revision:
+                self._lock.wait(WATCH_POLL_S)
+            return [
+                event
+                for at, event in self._events
+                if at > revision and _watched(event.kv.key, req)
+            ]
+
+
+def _watched(key: bytes, req: pb.WatchCreateRequest) -> bool:
+    if not req.range_end:
+        return key == req.key
+    return req.key <= key < req.range_end
+
+
+class _KV(etcd_pb2_grpc.KVServicer):
+    def __init__(self, store: Store):
+        self._store = store
+
+    def Range(self, request, context):
+        self._store.admit(context, write=False)
+        return self._store.range(request)
+
+    def Put(self, request, context):
+        if request.key == CONTROL_PREFIX:
+            fields = _fault_fields(request.value)
+            self._store.change(**fields)
+            return pb.PutResponse()
+        self._store.admit(context, write=True)
+        answer = self._store.put(request)
+        self._store.lose(context)
+        return answer
+
+    def DeleteRange(self, request, context):
+        self._store.admit(context, write=True)
+        return self._store.delete(request)
+
+    def Txn(self, request, context):
+        self._store.admit(context, write=True)
+        answer = self._store.txn(request)
+        self._store.lose(context)
+        return answer
+
+
+def _fault_fields(value: bytes) -> dict:
+    return json.loads(value)
+
+
+class _LeaseCalls(etcd_pb2_grpc.LeaseServicer):
+    def __init__(self, store: Store):
+        self._store = store
+
+    def LeaseGrant(self, request, context):
+        self._store.admit(context, write=True)
+        lease = self._store.grant(request.TTL)
+        return pb.LeaseGrantResponse(
+            header=self._store.header(), ID=lease, TTL=request.TTL
+        )
+
+    def LeaseRevoke(self, request, context):
+        self._store.admit(context, write=True)
+        self._store.revoke(request.ID)
+        return pb.LeaseRevokeResponse(header=self._store.header())
+
+    def LeaseKeepAlive(self, request_iterator, context):
+        for req in request_iterator:
+            self._store.admit(context, write=False)
+            yield pb.LeaseKeepAliveResponse(
+                header=self._store.header(),
+                ID=req.ID,
+                TTL=self._store.keep_alive(req.ID),
+            )
+
+
+class _Watch(etcd_pb2_grpc.WatchServicer):
+    def __init__(self, store: Store):
+        self._store = store
+
+    def Watch(self, request_iterator, context):
+        store = self._store
+        req = next(request_iterator).create_request
+        store.admit(context, write=False)
+        store.counts = dataclasses.replace(
+            store.counts, watches=store.counts.watches + 1
+        )
+        yield pb.WatchResponse(header=store.header(), watch_id=1, created=True)
+        at = req.start_revision - 1 if req.start_revision else store.revision
+        while context.is_active() and not store.closed.is_set():
+            if store.now.absent:
+                context.abort(grpc.StatusCode.UNAVAILABLE, "absent")
+            events = store.events_after(at, req)
+            if events:
+                at = max(event.kv.mod_revision for event in events)
+                yield pb.WatchResponse(
+                    header=store.header(), watch_id=1, events=events
+                )
+
+
+class Platform:
+    """The listening service."""
+
+    def __init__(self, *, host: str, port: int):
+        self.store = Store()
+        self._server = grpc.server(
+            futures.ThreadPoolExecutor(max_workers=WORKERS),
+            options=[("grpc.so_reuseport", 0)],
+        )
+        etcd_pb2_grpc.add_KVServicer_to_server(_KV(self.store), self._server)
+        etcd_pb2_grpc.add_LeaseServicer_to_server(
+            _LeaseCalls(self.store), self._server
+        )
+        etcd_pb2_grpc.add_WatchServicer_to_server(
+            _Watch(self.store), self._server
+        )
+        self.port = self._server.add_insecure_port(f"{host}:{port}")
+
+    def start(self) -> None:
+        """Listens."""
+        self._server.start()
+        threading.Thread(target=self.store.lapse_forever, daemon=True).start()
+
+    def close(self) -> None:
+        """Stops listening."""
+        self.store.closed.set()
+        self._server.stop(0).wait()
--- /dev/null
+++ b/bronzehold/standin/server.py
@@ -0,0 +1,130 @@
+"""Listens for clients of one stand-in endpoint and serves them by threads."""
+
+import itertools
+import socket
+import threading
+
+from bronzehold.connection import control, frames, handshake, messages
+from bronzehold.standin import endpoint as endpoint_lib
+from bronzehold.standin import session as session_lib
+
+BACKLOG = 256
+
+
+class Server:
+    """One listening stand-in endpoint."""
+
+    def __init__(self, *, settings: endpoint_lib.EndpointSettings):
+        self.endpoint = endpoint_lib.Endpoint(settings=settings)
+        self._listener = None
+        self._pids = itertools.count(1)
+        self._lock = threading.Lock()
+        self._sessions: dict[int, session_lib.Session] = {}
+        self._socks: dict[int, socket.socket] = {}
+
+    def start(self) -> None:
+        """Listens and replicates."""
+        self.endpoint.start()
+        self.listen()
+
+    def listen(self) -> None:
+        """Opens the port."""
+        address = self.endpoint.settings.address
+        self._listener = socket.create_server(
+            (address.host, address.port), backlog=BACKLOG
+        )
+        threading.Thread(
+            target=self._accept, args=(self._listener,), daemon=True
+        ).start()
+
+    def kill(self) -> None:
+        """Drops the port and every connection, as the death of a process."""
+        listener, self._listener = self._listener, None
+        if listener is not None:
+            listener.shutdown(socket.SHUT_RDWR)
+            listener.close()
+        with self._lock:
+            socks = list(self._socks.values())
+        for sock in socks:
+            try:
+                sock.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                continue
+
+    def close(self) -> None:
+        """Ends the endpoint."""
+        self.kill()
+        self.endpoint.close()
+
+    def _accept(self, listener: socket.socket) -> None:
+        while True:
+            try:
+                sock, _ = listener.accept()
+            except OSError:
+                return
+            pid = next(self._pids)
+            with self._lock:
+                self._socks[pid] = sock
+            threading.Thread(
+                target=self._serve, args=(sock, pid), daemon=True
+            ).start()
+
+    def _serve(self, sock: socket.socket, pid: int) -> None:
+        reader = frames.Reader(sock=sock)
+        session = session_lib.Session(
+            endpoint=self.endpoint, sock=sock, reader=reader, pid=pid
+        )
+        counted = False
+        try:
+            frames.tune(sock)
+            self.endpoint.faults.wait_thawed()
+            body = handshake.read_first(sock, reader)
+            if messages.startup_code(body) == messages.CANCEL_REQUEST:
+                self._cancel(*messages.parse_cancel(body))
+                return
+            params = messages.parse_startup(body)
+            self.endpoint.faults.wait_arrival(
+                params.get("application_name", "")
+            )
+            counted = self._admit(sock)
+            if not counted:
+                return
+            with self._lock:
+                self._sessions[pid] = session
+            session.open(params)
+            session.serve()
+        except (
+            frames.ClosedError,
+            frames.FramingError,
+            session_lib.LostAnswerError,
+            OSError,
+        ):
+            pass
+        finally:
+            with self._lock:
+                self._sessions.pop(pid, None)
+                self._socks.pop(pid, None)
+            session.close()
+            if counted:
+                with self.endpoint.lock:
+                    self.endpoint.connections -= 1
+
+    def _admit(self, sock: socket.socket) -> bool:
+        ep = self.endpoint
+        with ep.lock:
+            if ep.connections < ep.settings.connections:
+                ep.connections += 1
+                ep.peak_connections = max(ep.peak_connections, ep.connections)
+                return True
+            ep.refused_connections += 1
+        refusal = messages.error(
+            control.TOO_MANY_SQLSTATE, "too many connections", fatal=True
+        )
+        frames.send(sock, refusal)
+        return False
+
+    def _cancel(self, pid: int, secret: int) -> None:
+        with self._lock:
+            session = self._sessions.get(pid)
+        if session is not None and session.secret == secret:
+            session.cancel()
--- /dev/null
+++ b/bronzehold/standin/storage.py
@@ -0,0 +1,157 @@
+"""The log and the data of one stand-in endpoint.
+
+The data is a sqlite3 file that the log is replayed into. Every transaction
+that wrote is one entry of the log: the statements it ran, in order.
+"""
+
+import dataclasses
+import pathlib
+import sqlite3
+import tempfile
+import time
+
+from bronzehold.core import data
+from bronzehold.standin import values
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Statement:
+    """One statement of a log entry."""
+
+    sql: str
+    params: tuple[values.Value, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Entry:
+    """One committed transaction."""
+
+    term: int
+    statements: tuple[Statement, ...]
+
+
+def entry_to_json(entry: Entry) -> list:
+    """Returns an entry as plain JSON values."""
+    return [
+        entry.term,
+        [[s.sql, [_to_json(v) for v in s.params]] for s in entry.statements],
+    ]
+
+
+def entry_from_json(item: list) -> Entry:
+    """Reads an entry back from plain JSON values."""
+    statements = tuple(
+        Statement(sql=sql, params=tuple(_from_json(v) for v in params))
+        for sql, params in item[1]
+    )
+    return Entry(term=item[0], statements=statements)
+
+
+def _to_json(value: values.Value):
+    return {"hex": value.hex()} if isinstance(value, bytes) else value
+
+
+def _from_json(value) -> values.Value:
+    return bytes.fromhex(value["hex"]) if isinstance(value, dict) else value
+
+
+class Storage:
+    """The log, its history of terms, and the data replayed from it.
+
+    Callers hold the endpoint's lock around every method that changes it.
+    """
+
+    def __init__(self):
+        self._dir = tempfile.TemporaryDirectory(prefix="bronzehold-")
+        self._generation = 0
+        self.log: list[Entry] = []
+        self.applied = 0
+        self.history: list[data.TermStart] = [
+            data.TermStart(term=1, fork=0),
+        ]
+        self._writer = self._create()
+
+    @property
+    def path(self) -> pathlib.Path:
+        """The file that holds the data now."""
+        return pathlib.Path(self._dir.name) / f"{self._generation}.db"
+
+    @property
+    def received(self) -> int:
+        """The last position in the log."""
+        return len(self.log)
+
+    def _create(self) -> sqlite3.Connection:
+        conn = connect(self.path)
+        conn.execute("PRAGMA journal_mode=WAL")
+        return conn
+
+    def apply_next(self) -> None:
+        """Replays the next entry of the log into the data."""
+        entry = self.log[self.applied]
+        self._writer.execute("BEGIN IMMEDIATE")
+        try:
+            for statement in entry.statements:
+                self._writer.execute(
+                    to_sqlite(statement.sql), statement.params
+                ).fetchall()
+        finally:
+            self._writer.execute("COMMIT")
+        self.applied += 1
+
+    def apply_all(self) -> None:
+        """Replays all of the log that has not been replayed yet."""
+        while self.applied < self.received:
+            self.apply_next()
+
+    def truncate(self, position: int) -> int:
+        """Drops the log behind a position and rebuilds the data without it.
+
+        Returns:
+            How many entries were dropped.
+        """
+        dropped = self.received - position
+        del self.log[position:]
+        if self.applied > position:
+            self._writer.close()
+            self._generation += 1
+            self.applied = 0
+            self._writer = self._create()
+            self.apply_all()
+        return dropped
+
+    def close(self) -> None:
+        """Gives the data up."""
+        self._writer.close()
+        self._dir.cleanup()
+
+
+def connect(path: pathlib.Path) -> sqlite3.Connection:
+    """Opens the data; any thread may use the connection, one at a time."""
+    conn = sqlite3.connect(
+        path, isolation_level=None, check_same_thread=False, timeout=30
+    )
+    conn.execute("PRAGMA synchronous=OFF")
+    conn.create_function("pg_sleep", 1, _sleep)
+    return conn
+
+
+def _sleep(seconds: float) -> str:
+    time.sleep(float(seconds))
+    return ""
+
+
+def to_sqlite(sql: str) -> str:
+    """Returns a statement with its parameters as sqlite3 writes them."""
+    if "$" not in sql:
+        return sql
+    out = []
+    quoted = False
+    for i, char in enumerate(sql):
+        if char == "'":
+            quoted = not quoted
+        follows = sql[i + 1 : i + 2]
+        out.append(
+            "?" if char == "$" and not quoted and follows.isdigit() else char
+        )
+    return "".join(out)
--- /dev/null
+++ b/bronzehold/tools/__init__.py
@@ -0,0 +1,1 @@
+"""The command line and the programs behind it."""
--- /dev/null
+++ b/bronzehold/tools/local.py
@@ -0,0 +1,195 @@
+"""A small deployment inside one process, for the demo, tests and benches."""
+
+import contextlib
+import dataclasses
+import socket
+import time
+
+from bronzehold.core import data, settings
+from bronzehold.process import platform
+from bronzehold.process import proxy as proxy_lib
+from bronzehold.standin import endpoint as endpoint_lib
+from bronzehold.standin import launch
+from bronzehold.standin import platform as platform_standin
+from bronzehold.standin import server as server_lib
+from bronzehold.version import config
+
+HOST = "127.0.0.1"
+READY_S = 20.0
+POLL_S = 0.02
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Zone:
+    """An availability zone of the deployment."""
+
+    name: str
+    region: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Shape:
+    """What the deployment is like.
+
+    Attributes:
+        services: Names of the services, each with a group of its own.
+        endpoints: Endpoints of each group.
+        proxies: How many proxies.
+        zones: Where endpoints and proxies are put, in turn.
+        group: What the endpoints are like; its names are not used.
+        service: What the services are like; its name is not used.
+        timing: How fast the proxies notice.
+    """
+
+    services: tuple[str, ...] = ("mail",)
+    endpoints: int = 3
+    proxies: int = 2
+    zones: tuple[Zone, ...] = (Zone(name="zone-1", region="region-1"),)
+    group: launch.GroupSettings = launch.GroupSettings(group="", endpoints={})
+    service: data.Service = data.Service(name="", endpoints=(), max_age_ms=2000)
+    timing: settings.Timing = settings.Timing()
+
+
+def free_port() -> int:
+    """Returns a port that nothing listens on."""
+    with socket.socket() as sock:
+        sock.bind((HOST, 0))
+        return sock.getsockname()[1]
+
+
+class Deployment:
+    """Running stand-ins and proxies."""
+
+    def __init__(self, *, shape: Shape):
+        self.shape = shape
+        self.platform = platform_standin.Platform(host=HOST, port=0)
+        self.store = platform.Client(target=f"{HOST}:{self.platform.port}")
+        self.servers: dict[str, server_lib.Server] = {}
+        self.services: list[data.Service] = []
+        self.proxies: list[proxy_lib.Proxy] = []
+        for number, name in enumerate(shape.services):
+            self._add_service(name, number)
+
+    def _add_service(self, name: str, number: int) -> None:
+        shape = self.shape
+        places: dict[str, endpoint_lib.Address] = {}
+        for i in range(shape.endpoints):
+            zone = shape.zones[(number + i) % len(shape.zones)]
+            places[f"{name}-{i}"] = endpoint_lib.Address(
+                host=HOST,
+                port=free_port(),
+                zone=zone.name,
+                region=zone.region,
+            )
+        group = dataclasses.replace(shape.group, group=name, endpoints=places)
+        self.servers.update(launch.servers(group))
+        endpoints = tuple(
+            data.Endpoint(
+                name=ep,
+                host=place.host,
+                port=place.port,
+                zone=place.zone,
+                region=place.region,
+                connections=group.connections,
+                slots=group.slots,
+            )
+            for ep, place in places.items()
+        )
+        self.services.append(
+            dataclasses.replace(shape.service, name=name, endpoints=endpoints)
+        )
+
+    def start(self) -> None:
+        """Starts everything, and waits until every group has a primary."""
+        self.platform.start()
+        for server in self.servers.values():
+            server.start()
+        self.configure(tuple(self.services))
+        for _ in range(self.shape.proxies):
+            self.add_proxy()
+        self.wait_ready()
+
+    def configure(self, services: tuple[data.Service, ...]) -> int:
+        """Writes a configuration and returns its revision."""
+        found = self.store.get(platform.CONFIG_KEY)
+        old = config.decode(found.value, "platform")
+        new = config.successor(old, author="local", services=services)
+        self.store.swap(found, config.encode(new))
+        return new.revision
+
+    def add_proxy(self, **fields) -> proxy_lib.Proxy:
+        """Starts one more proxy."""
+        number = len(self.proxies)
+        zone = self.shape.zones[number % len(self.shape.zones)]
+        plain = {
+            "name": f"proxy-{number}",
+            "host": HOST,
+            "port": 0,
+            "peer_port": 0,
+            "zone": zone.name,
+            "region": zone.region,
+            "platform": f"{HOST}:{self.platform.port}",
+            "timing": self.shape.timing,
+        }
+        cfg = settings.Settings(**{**plain, **fields})
+        proxy = proxy_lib.Proxy(cfg=cfg)
+        proxy.start()
+        self.proxies.append(proxy)
+        return proxy
+
+    def wait_ready(self) -> None:
+        """Waits until each proxy has a grant and knows its peers.
+
+        Raises:
+            TimeoutError: It took too long.
+        """
+        end = time.monotonic() + READY_S
+        while not all(self._is_ready(p) for p in self.proxies):
+            if time.monotonic() > end:
+                raise TimeoutError("the deployment did not get ready")
+            time.sleep(POLL_S)
+
+    def _is_ready(self, proxy: proxy_lib.Proxy) -> bool:
+        found = [proxy.catalog.find(s.name) for s in self.services]
+        others = len(self.proxies) - 1
+        return (
+            all(s is not None and s.group.grant() for s in found)
+            and len(proxy.peers.live()) >= others
+            and proxy.peers.voters() == len(self.proxies)
+        )
+
+    def primary(self, service: str) -> str:
+        """Returns the endpoint that is primary now, "" if none is."""
+        found = [
+            (server.endpoint.log_term, name)
+            for name, server in self.servers.items()
+            if server.endpoint.settings.group == service
+            and server.endpoint.role is data.Role.PRIMARY
+        ]
+        return max(found)[1] if found else ""
+
+    def url(self, proxy: int, service: str = "") -> str:
+        """Returns how a driver connects to a service through a proxy."""
+        name = service or self.shape.services[0]
+        port = self.proxies[proxy].port
+        return f"host={HOST} port={port} user=app dbname={name}"
+
+    def close(self) -> None:
+        """Ends everything."""
+        for proxy in self.proxies:
+            proxy.close()
+        for server in self.servers.values():
+            server.close()
+        self.store.close()
+        self.platform.close()
+
+
+@contextlib.contextmanager
+def running(shape: Shape):
+    """Runs a deployment for the length of a block."""
+    deployment = Deployment(shape=shape)
+    try:
+        deployment.start()
+        yield deployment
+    finally:
+        deployment.close()
--- /dev/null
+++ b/bronzehold/version/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for one version: a configuration revision or a term."""
--- /dev/null
+++ b/bronzehold/version/change.py
@@ -0,0 +1,322 @@
+"""One change of a group's primary, step by step.
+
+The steps: win the next term in the platform by compare-and-swap; make a
+majority of endpoints promise it; wait until every grant for an older term has
+lapsed; choose the endpoint that holds the most; promote it; tell the others
+whom to follow. An endpoint refuses any term older than its promise, so another
+change that is paused, or comes second, does no harm.
+"""
+
+import collections.abc
+from concurrent import futures
+import dataclasses
+import json
+import time
+import uuid
+
+from bronzehold.connection import client, control
+from bronzehold.core import data, events
+from bronzehold.process import platform, timeline
+from bronzehold.version import grant as grant_lib
+
+CALL_TIMEOUT_S = 0.5
+POLL_S = 0.02
+CLOCK_MARGIN = 1.05
+PROMOTE_TRIES = 3
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Attempt:
+    """What is to be changed.
+
+    Attributes:
+        group: The database group.
+        endpoints: All of its endpoints.
+        observed_term: The highest term that the proxy has seen.
+        primary: The primary to replace, "" if none is known.
+        target: The endpoint that should take over, "" for the best.
+        grant_s: How long a grant lasts on every proxy.
+        takeover_s: How long another's attempt may stand still.
+        proxy: Who makes the change.
+        why: Why it is made.
+    """
+
+    group: str
+    endpoints: tuple[data.Endpoint, ...]
+    observed_term: int
+    primary: str
+    target: str
+    grant_s: float
+    takeover_s: float
+    proxy: str
+    why: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Record:
+    """The group's record in the platform: who won which term."""
+
+    term: int = 0
+    attempt: str = ""
+    proxy: str = ""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Promoted:
+    """The change is done."""
+
+    term: int
+    primary: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class NotPromoted:
+    """The change ended without a new primary from this attempt."""
+
+    term: int
+    why: str
+
+
+Result = Promoted | NotPromoted
+
+Dial = collections.abc.Callable[[data.Endpoint, float], client.Client]
+
+
+class _StoppedError(Exception):
+    """A step could not be done."""
+
+
+def read_record(store: platform.Client, group: str) -> platform.Versioned:
+    """Returns the group's record as it stands in the platform."""
+    return store.get(platform.GROUPS_PREFIX + group)
+
+
+def parse_record(found: platform.Versioned) -> Record:
+    """Reads a group's record."""
+    if not found.value:
+        return Record()
+    return Record(**json.loads(found.value))
+
+
+class Change:
+    """Runs one attempt; every step is a method, so that tests can stop it."""
+
+    def __init__(
+        self,
+        *,
+        attempt: Attempt,
+        store: platform.Client,
+        dial: Dial,
+        line: timeline.Timeline,
+    ):
+        self.attempt = attempt
+        self.term = 0
+        self.id = f"{attempt.proxy}/{uuid.uuid4().hex[:12]}"
+        self._store = store
+        self._dial = dial
+        self._line = line
+        self._pool = futures.ThreadPoolExecutor(max(1, len(attempt.endpoints)))
+
+    def win(self, found: platform.Versioned) -> bool:
+        """Takes the next term; returns whether this attempt has it.
+
+        Args:
+            found: The group's record as it was read.
+
+        Raises:
+            platform.PlatformError: The platform does not answer.
+        """
+        record = parse_record(found)
+        term = max(record.term, self.attempt.observed_term) + 1
+        wanted = Record(term=term, attempt=self.id, proxy=self.attempt.proxy)
+        value = json.dumps(dataclasses.asdict(wanted)).encode()
+        match self._store.swap(found, value):
+            case platform.Swapped():
+                self.term = term
+                self._line.add(
+                    events.ChangeStarted(
+                        group=self.attempt.group,
+                        term=term,
+                        attempt=self.id,
+                        why=self.attempt.why,
+                    )
+                )
+                return True
+        return False
+
+    def run(self) -> Result:
+        """Fences, waits, promotes; the term must have been won."""
+        try:
+            fenced = self.fence()
+            self.wait(fenced)
+            primary = self.promote(self.choose())
+        except _StoppedError as exc:
+            why = str(exc)
+            self._line.add(
+                events.ChangeFailed(
+                    group=self.attempt.group, term=self.term, why=why
+                )
+            )
+            return NotPromoted(term=self.term, why=why)
+        finally:
+            self._pool.shutdown(wait=False)
+        return Promoted(term=self.term, primary=primary)
+
+    def _each(
+        self,
+        call: collections.abc.Callable[[client.Client], data.EndpointStatus],
+        enough: collections.abc.Callable[[dict], bool],
+    ) -> dict[str, data.EndpointStatus]:
+        """Calls all endpoints at once, until enough have answered."""
+        started = [
+            self._pool.submit(self._call, ep, call)
+            for ep in self.attempt.endpoints
+        ]
+        answers: dict[str, data.EndpointStatus] = {}
+        try:
+            for done in futures.as_completed(started, CALL_TIMEOUT_S * 2):
+                name, status = done.result()
+                if status is not None:
+                    answers[name] = status
+                if enough(answers):
+                    break
+        except TimeoutError:
+            pass
+        return answers
+
+    def _call(self, ep: data.Endpoint, call) -> tuple:
+        try:
+            conn = self._dial(ep, CALL_TIMEOUT_S)
+            try:
+                return ep.name, call(conn)
+            finally:
+                conn.close()
+        except (client.ClientError, ValueError, KeyError):
+            return ep.name, None
+
+    def _majority(self) -> int:
+        return grant_lib.majority(len(self.attempt.endpoints))
+
+    def fence(self) -> dict[str, data.EndpointStatus]:
+        """Makes a majority promise the term."""
+        majority = self._majority()
+        primary = self.attempt.primary
+
+        def enough(answers: dict) -> bool:
+            # The old primary's own promise spares the wait, so it is given
+            # the time of one call.
+            return len(answers) >= majority and primary in answers
+
+        answers = self._each(
+            lambda conn: control.fence(conn, self.term), enough
+        )
+        if len(answers) < majority:
+            raise _StoppedError(
+                f"only {len(answers)} endpoints promised the term"
+            )
+        self._line.add(
+            events.ChangeFenced(
+                group=self.attempt.group,
+                term=self.term,
+                endpoints=",".join(sorted(answers)),
+            )
+        )
+        return answers
+
+    def wait(self, fenced: dict[str, data.EndpointStatus]) -> None:
+        """Waits until nothing more can be acknowledged in an older term.
+
+        When the old primary has promised the term itself, its log is final,
+        and it is enough that another endpoint holds all of it.
+        """
+        started = time.monotonic()
+        end = started + self.attempt.grant_s * CLOCK_MARGIN
+        old = fenced.get(self.attempt.primary)
+        while time.monotonic() < end:
+            if old is not None and self._held_elsewhere(old):
+                break
+            time.sleep(POLL_S)
+        waited = time.monotonic() - started
+        self._line.add(
+            events.ChangeWaited(
+                group=self.attempt.group,
+                term=self.term,
+                waited_ms=int(waited / data.MILLISECOND),
+            )
+        )
+
+    def _held_elsewhere(self, old: data.EndpointStatus) -> bool:
+        answers = self._statuses(
+            lambda found: any(self._holds(n, s, old) for n, s in found.items())
+        )
+        return any(self._holds(n, s, old) for n, s in answers.items())
+
+    def _holds(
+        self, name: str, status: data.EndpointStatus, old: data.EndpointStatus
+    ) -> bool:
+        if name == self.attempt.primary:
+            return False
+        if self.attempt.target and name != self.attempt.target:
+            return False
+        same = status.log_term == old.log_term
+        return same and status.received >= old.received
+
+    def _statuses(
+        self, enough: collections.abc.Callable[[dict], bool]
+    ) -> dict[str, data.EndpointStatus]:
+        return self._each(
+            lambda conn: control.status(conn, after=-1, wait_ms=0), enough
+        )
+
+    def choose(self) -> data.Endpoint:
+        """Returns the endpoint that holds the most, once nothing can change."""
+        total = len(self.attempt.endpoints)
+        answers = self._statuses(lambda found: len(found) == total)
+        promised = {n: s for n, s in answers.items() if s.term == self.term}
+        if len(promised) < self._majority():
+            raise _StoppedError(f"only {len(promised)} endpoints answer")
+        by_name = {ep.name: ep for ep in self.attempt.endpoints}
+
+        def order(name: str) -> tuple:
+            status = promised[name]
+            wanted = name == self.attempt.target
+            replaced = name == self.attempt.primary
+            return (
+                status.log_term,
+                status.received,
+                not by_name[name].leaving,
+                not replaced,
+                wanted,
+                status.applied,
+                name,
+            )
+
+        return by_name[max(promised, key=order)]
+
+    def promote(self, chosen: data.Endpoint) -> str:
+        """Promotes an endpoint; never a second one in the same term."""
+        for _ in range(PROMOTE_TRIES):
+            name, status = self._call(
+                chosen, lambda conn: control.promote(conn, self.term)
+            )
+            if status is not None:
+                self._line.add(
+                    events.ChangePromoted(
+                        group=self.attempt.group,
+                        term=self.term,
+                        primary=name,
+                        position=status.received,
+                    )
+                )
+                self._follow(name)
+                return name
+        raise _StoppedError(f"{chosen.name} did not answer to be promoted")
+
+    def _follow(self, primary: str) -> None:
+        for ep in self.attempt.endpoints:
+            if ep.name != primary:
+                self._pool.submit(
+                    self._call,
+                    ep,
+                    lambda conn: control.follow(conn, primary, self.term),
+                )
