--- a/bronzehold/process/proxy.py
+++ b/bronzehold/process/proxy.py
@@ -206,7 +206,7 @@
         self.configs.unregister()
         time.sleep(timing.announce_ms * data.MILLISECOND)
         self._close_listener()
-        for caller in self._all_callers():
+        for caller in self.all_callers():
             caller.stop()
         now = time.monotonic()
         end = now + timing.stop_ms * data.MILLISECOND
@@ -216,7 +216,7 @@
             if time.monotonic() > linger:
                 # A caller that stays idle, or never finishes its handshake,
                 # does not hold the stop back.
-                for caller in self._all_callers():
+                for caller in self.all_callers():
                     caller.say_goodbye()
                 if not self._busy():
                     break
@@ -227,12 +227,13 @@
         with self._lock:
             return len(self._socks)
 
-    def _all_callers(self) -> list[caller_lib.Caller]:
+    def all_callers(self) -> list[caller_lib.Caller]:
+        """Returns the callers that are connected."""
         with self._lock:
             return list(self._callers.values())
 
     def _busy(self) -> int:
-        return sum(caller.busy() for caller in self._all_callers())
+        return sum(caller.busy() for caller in self.all_callers())
 
     def _close_listener(self) -> None:
         # Whoever is in the queue of the port already is served first.
--- a/bronzehold/standin/session.py
+++ b/bronzehold/standin/session.py
@@ -311,6 +311,9 @@
     def _columns(
         self, sql: str, params: tuple, formats: tuple[int, ...]
     ) -> bytes:
+        if _word(sql) == "SHOW":
+            shown = _Result(names=(_shown(sql),))
+            return _row_description(shown, formats)
         if _word(sql) not in _ROW_WORDS and "RETURNING" not in sql.upper():
             return frames.make(b"n")
         if _word(sql) not in _ROW_WORDS:
@@ -534,7 +537,7 @@
     def _setting(self, word: str, sql: str) -> _Result:
         match word:
             case "SHOW":
-                name = sql.split(None, 1)[1].strip().rstrip(";")
+                name = _shown(sql)
                 value = self._settings.get(name, "")
                 return _Result(tag="SHOW", names=(name,), rows=[(value,)])
             case "SET":
@@ -604,6 +607,10 @@
     return [part for part in parts if part.strip()]
 
 
+def _shown(sql: str) -> str:
+    return sql.split(None, 1)[1].strip().rstrip(";")
+
+
 def _word(sql: str) -> str:
     text = re.sub(r"^(\s*(/\*.*?\*/|--[^\n]*\n))*\s*", "", sql, flags=re.S)
     found = re.match(r"\w+", text)
--- /dev/null
+++ b/tests/drivers_test.py
@@ -0,0 +1,301 @@
+"""Stock drivers, unchanged, against what the protocol can bring."""
+
+import socket
+import threading
+import time
+
+import pg8000.dbapi
+import psycopg
+import pytest
+
+from bronzehold.connection import frames
+from bronzehold.connection import messages
+
+BIG = 16 << 20
+
+
+@pytest.fixture(name="conn")
+def _conn(deployment):
+    with psycopg.connect(deployment.url(0), autocommit=True) as conn:
+        yield conn
+
+
+@pytest.fixture(name="table", scope="module")
+def _table(deployment):
+    with psycopg.connect(deployment.url(0), autocommit=True) as conn:
+        conn.execute("CREATE TABLE t (id INTEGER PRIMARY KEY, v TEXT)")
+        conn.execute("INSERT INTO t VALUES (1, 'one'), (2, NULL)")
+
+
+def pg8000_connect(deployment, proxy: int = 0):
+    port = deployment.proxies[proxy].port
+    return pg8000.dbapi.connect(
+        user="app", host="127.0.0.1", port=port, database="mail"
+    )
+
+
+def eventually(check, seconds: float = 10.0) -> bool:
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        if check():
+            return True
+        time.sleep(0.02)
+    return False
+
+
+@pytest.mark.usefixtures("table")
+class TestAnswers:
+    def test_nulls_and_empty_results(self, conn, deployment):
+        conn.execute("SET bronzehold.max_age = 0")
+        rows = conn.execute("SELECT v FROM t WHERE id = 2").fetchall()
+        assert rows == [(None,)]
+        assert conn.execute("SELECT v FROM t WHERE id = 9").fetchall() == []
+        other = pg8000_connect(deployment)
+        cur = other.cursor()
+        cur.execute("SET bronzehold.max_age = 0")
+        cur.execute("SELECT v FROM t WHERE id = %s", (2,))
+        assert [tuple(row) for row in cur.fetchall()] == [(None,)]
+        cur.execute("SELECT v FROM t WHERE id = %s", (9,))
+        assert [tuple(row) for row in cur.fetchall()] == []
+        other.close()
+
+    def test_server_errors_keep_the_connection(self, conn, deployment):
+        with pytest.raises(psycopg.errors.UniqueViolation):
+            conn.execute("INSERT INTO t VALUES (1, 'again')")
+        with pytest.raises(psycopg.errors.UndefinedTable):
+            conn.execute("SELECT * FROM missing WHERE id = %s", (1,))
+        with pytest.raises(psycopg.errors.SyntaxError):
+            conn.execute("SELEKT 1")
+        assert conn.execute("SELECT 1").fetchone() == (1,)
+        other = pg8000_connect(deployment)
+        cur = other.cursor()
+        with pytest.raises(pg8000.dbapi.DatabaseError):
+            cur.execute("SELECT * FROM missing")
+        other.rollback()
+        cur.execute("SELECT 1")
+        assert cur.fetchone()[0] == 1
+        other.close()
+
+    def test_several_statements_in_one_query(self, conn):
+        cur = conn.execute("SELECT 1; SELECT 2")
+        assert cur.fetchone() == (1,)
+        assert cur.nextset()
+        assert cur.fetchone() == (2,)
+        conn.execute(
+            "BEGIN; INSERT INTO t VALUES (70, 'a');"
+            " INSERT INTO t VALUES (71, 'b'); COMMIT"
+        )
+        with pytest.raises(psycopg.errors.UniqueViolation):
+            conn.execute(
+                "INSERT INTO t VALUES (72, 'c'); INSERT INTO t VALUES (70, 'd')"
+            )
+        rows = conn.execute("SELECT id FROM t WHERE id >= 70").fetchall()
+        assert sorted(rows) == [(70,), (71,)]
+
+    def test_large_parameter_and_large_result(self, conn):
+        conn.execute("INSERT INTO t VALUES (50, %s)", ("x" * BIG,))
+        (value,) = conn.execute("SELECT v FROM t WHERE id = 50").fetchone()
+        assert len(value) == BIG
+        conn.execute("DELETE FROM t WHERE id = 50")
+
+    def test_many_rows_come_whole(self, conn):
+        sql = (
+            "WITH RECURSIVE n(i) AS (SELECT 1 UNION ALL "
+            "SELECT i + 1 FROM n WHERE i < 50000) SELECT i FROM n"
+        )
+        rows = conn.execute(sql).fetchall()
+        assert [row[0] for row in rows] == list(range(1, 50001))
+
+    def test_named_statements_over_shared_connections(self, conn):
+        for i in range(12):
+            found = conn.execute(
+                "SELECT v FROM t WHERE id = %s", (1,), prepare=True
+            ).fetchone()
+            assert found == ("one",), i
+
+    def test_pipeline(self, conn):
+        with conn.pipeline():
+            first = conn.execute("INSERT INTO t VALUES (80, 'p')")
+            second = conn.execute("SELECT v FROM t WHERE id = 80")
+            third = conn.execute("SELECT %s", ("z",))
+        assert first.rowcount == 1
+        assert second.fetchone() == ("p",)
+        assert third.fetchone() == ("z",)
+
+    def test_pipeline_with_an_error_in_the_middle(self, conn):
+        with pytest.raises(psycopg.errors.UniqueViolation), conn.pipeline():
+            conn.execute("INSERT INTO t VALUES (1, 'again')")
+            conn.execute("SELECT 1")
+        assert conn.execute("SELECT 5").fetchone() == (5,)
+
+    def test_transactions_commit_and_roll_back(self, deployment):
+        with psycopg.connect(deployment.url(0)) as conn:
+            with conn.transaction():
+                conn.execute("SELECT 1")
+                conn.execute("INSERT INTO t VALUES (90, 'kept')")
+            conn.execute("INSERT INTO t VALUES (91, 'dropped')")
+            conn.rollback()
+            rows = conn.execute("SELECT id FROM t WHERE id >= 90").fetchall()
+            assert rows == [(90,)]
+
+    def test_failed_transaction_stays_failed_until_its_end(self, deployment):
+        with psycopg.connect(deployment.url(0)) as conn:
+            with pytest.raises(psycopg.errors.UndefinedTable):
+                conn.execute("SELECT * FROM missing")
+            with pytest.raises(psycopg.errors.InFailedSqlTransaction):
+                conn.execute("INSERT INTO t VALUES (95, 'x')")
+            conn.rollback()
+            assert conn.execute("SELECT 1").fetchone() == (1,)
+
+    def test_binary_results(self, conn):
+        cur = conn.cursor(binary=True)
+        assert cur.execute("SELECT 7").fetchone() == (7,)
+
+
+class TestRefusals:
+    @pytest.mark.parametrize(
+        "sql",
+        [
+            "COPY t FROM STDIN",
+            "LISTEN news",
+            "CREATE TEMP TABLE x (id INT)",
+            "PREPARE p AS SELECT 1",
+            "SELECT set_config('a.b', 'c', false)",
+            "SELECT pg_advisory_lock(1)",
+        ],
+    )
+    def test_state_that_cannot_be_shared_is_refused(self, conn, sql):
+        with pytest.raises(psycopg.errors.FeatureNotSupported, match="not run"):
+            conn.execute(sql)
+        assert conn.execute("SELECT 1").fetchone() == (1,)
+
+    def test_unknown_service(self, deployment):
+        url = deployment.url(0, "nothing")
+        with pytest.raises(psycopg.OperationalError, match="does not exist"):
+            psycopg.connect(url)
+
+    def test_bad_values_of_own_variables(self, conn):
+        for sql in (
+            "SET bronzehold.max_age = 'soon'",
+            "SET bronzehold.mark = 'x'",
+            "SET bronzehold.other = '1'",
+        ):
+            with pytest.raises(psycopg.errors.InvalidParameterValue):
+                conn.execute(sql)
+
+    def test_own_variables_show(self, conn):
+        conn.execute("SET bronzehold.session = 's1'")
+        found = conn.execute("SHOW bronzehold.session").fetchone()
+        assert found == ("s1",)
+
+    def test_noise_instead_of_the_protocol(self, deployment):
+        for noise in (b"GET / HTTP/1.1\r\n\r\n", b"\0\0\0\1", b"\xff" * 64):
+            with socket.create_connection(
+                ("127.0.0.1", deployment.proxies[0].port), 5
+            ) as sock:
+                sock.sendall(noise)
+                sock.settimeout(5)
+                while sock.recv(1000):
+                    continue
+
+
+@pytest.mark.usefixtures("table")
+class TestVanishing:
+    def test_caller_gone_in_mid_transaction_is_rolled_back(self, deployment):
+        conn = psycopg.connect(deployment.url(0))
+        conn.execute("INSERT INTO t VALUES (200, 'gone')")
+        conn.pgconn.finish()
+        with psycopg.connect(deployment.url(0), autocommit=True) as other:
+            # The write lock is free again, and the row is not there.
+            other.execute("INSERT INTO t VALUES (201, 'next')")
+            rows = other.execute("SELECT id FROM t WHERE id = 200").fetchall()
+        assert rows == []
+
+    def test_caller_gone_in_mid_answer(self, deployment):
+        sql = (
+            "WITH RECURSIVE n(i) AS (SELECT 1 UNION ALL SELECT i + 1 "
+            "FROM n WHERE i < 300000) SELECT i, 'xxxxxxxxxxxxxxxxxxxx' FROM n"
+        )
+        with socket.create_connection(
+            ("127.0.0.1", deployment.proxies[0].port), 5
+        ) as sock:
+            sock.sendall(messages.startup({"user": "a", "database": "mail"}))
+            reader = frames.Reader(sock=sock)
+            while reader.frame().kind != b"Z":
+                continue
+            sock.sendall(messages.query(sql))
+            reader.frame()
+        with psycopg.connect(deployment.url(0), autocommit=True) as conn:
+            for _ in range(20):
+                assert conn.execute("SELECT 3").fetchone() == (3,)
+
+    def test_cancel_stops_the_statement_and_no_other(self, deployment):
+        with psycopg.connect(deployment.url(0), autocommit=True) as conn:
+            timer = threading.Timer(0.3, conn.cancel_safe)
+            timer.start()
+            started = time.monotonic()
+            with pytest.raises(psycopg.errors.QueryCanceled):
+                conn.execute(
+                    "WITH RECURSIVE n(i) AS (SELECT 1 UNION ALL SELECT i + 1 "
+                    "FROM n WHERE i < 200000000) SELECT count(*) FROM n"
+                )
+            assert time.monotonic() - started < 10
+            conn.cancel_safe()
+            assert conn.execute("SELECT 4").fetchone() == (4,)
+
+    def test_cancel_by_way_of_the_other_proxy(self, deployment):
+        with psycopg.connect(deployment.url(0), autocommit=True) as conn:
+            pid, secret = next(
+                c.key
+                for c in deployment.proxies[0].all_callers()
+                if c.key[0] == conn.info.backend_pid
+            )
+
+            def cancel():
+                with socket.create_connection(
+                    ("127.0.0.1", deployment.proxies[1].port), 5
+                ) as sock:
+                    sock.sendall(messages.cancel(pid, secret))
+
+            threading.Timer(0.3, cancel).start()
+            with pytest.raises(psycopg.errors.QueryCanceled):
+                conn.execute(
+                    "WITH RECURSIVE n(i) AS (SELECT 1 UNION ALL SELECT i + 1 "
+                    "FROM n WHERE i < 200000000) SELECT count(*) FROM n"
+                )
+
+
+class TestLeaks:
+    def test_session_settings_do_not_leak(self, deployment):
+        with psycopg.connect(deployment.url(0), autocommit=True) as one:
+            one.execute("SET my.colour = 'red'")
+            shown = one.execute("SHOW my.colour").fetchone()
+            assert shown == ("red",)
+            with psycopg.connect(deployment.url(0), autocommit=True) as two:
+                for _ in range(8):
+                    shown = two.execute("SHOW my.colour").fetchone()
+                    assert shown == ("",)
+            assert one.execute("SHOW my.colour").fetchone() == ("red",)
+
+    def test_rolled_back_setting_is_put_back(self, deployment):
+        with psycopg.connect(deployment.url(0), autocommit=True) as conn:
+            conn.execute("SET my.colour = 'red'")
+            conn.execute("BEGIN")
+            conn.execute("SET my.colour = 'blue'")
+            conn.execute("ROLLBACK")
+            assert conn.execute("SHOW my.colour").fetchone() == ("red",)
+
+    def test_prepared_statements_do_not_leak(self, deployment):
+        with socket.create_connection(
+            ("127.0.0.1", deployment.proxies[0].port), 5
+        ) as sock:
+            sock.sendall(messages.startup({"user": "a", "database": "mail"}))
+            reader = frames.Reader(sock=sock)
+            while reader.frame().kind != b"Z":
+                continue
+            bind = frames.make(b"B", b"\0_pg3_0\0\0\0\0\0\0\0")
+            sock.sendall(bind + frames.make(b"S"))
+            frame = reader.frame()
+            assert frame.kind == b"E"
+            assert messages.parse_error(frame.body)["C"] == "26000"
+            assert reader.frame().kind == b"Z"
