The right to acknowledge and the change of primary, under failure

Ruled out: the fence and the wait, which went as they should; the choice took the endpoint with the longest log, and that was the stalled primary itself, by entries that nobody had been told of. Change: a change made for a stall passes the old primary over, if the others that answer are so many that one holds every acknowledged write; without the acknowledgement of a replica a stall is no reason for a change.

--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 	$(BIN)/bronzehold demo
 
 test: $(READY) check
-	$(BIN)/python tests/run_known_red.py
+	$(BIN)/python tests/run_known_red.py -n 3 --dist worksteal
 
 check: $(READY)
 	$(BIN)/ruff format --check .
--- a/bronzehold/process/changes.py
+++ b/bronzehold/process/changes.py
@@ -11,6 +11,7 @@
 from bronzehold.connection import client, control
 from bronzehold.core import data, events, settings
 from bronzehold.process import catalog as catalog_lib
+from bronzehold.process import group as group_lib
 from bronzehold.process import peers as peers_lib
 from bronzehold.process import platform, timeline
 from bronzehold.process import served as served_lib
@@ -151,6 +152,7 @@
             takeover_s=timing.takeover_ms * data.MILLISECOND,
             proxy=self._cfg.name,
             why=why,
+            pass_over=why == group_lib.STALLED,
         )
         change = self.prepare(
             change_lib.Change(
--- a/bronzehold/process/group.py
+++ b/bronzehold/process/group.py
@@ -15,6 +15,7 @@
 
 RECHECK_S = 0.05
 HOLD_S = 2.0
+STALLED = "stalled"
 
 
 class Group:
@@ -186,7 +187,7 @@
             fenced_for = time.monotonic() - grant.start
             bound = self.timing.takeover_ms * data.MILLISECOND
             return "fenced" if fenced_for > bound else ""
-        return "stalled" if self._stalled(seen) else ""
+        return STALLED if self._stalled(seen) else ""
 
     def _orphaned(self) -> str:
         # No primary has been seen since the start, though a majority answers.
@@ -204,7 +205,8 @@
             for o in self._seen.values()
             if o.endpoint != primary.endpoint and not self.is_silent(o.endpoint)
         ]
-        if not others:
+        if not others or self.service.ack is data.Ack.PRIMARY:
+            # On the primary's word, writes go on without the replicas.
             return False
         behind = all(
             o.status.received < primary.status.received for o in others
--- /dev/null
+++ b/bronzehold/tools/history_test.py
@@ -0,0 +1,61 @@
+import dataclasses
+
+import pytest
+
+from bronzehold.tools import history
+
+GOOD = (
+    history.Write(
+        session="a", key=1, outcome=history.Outcome.DONE, start=0, end=1
+    ),
+    history.Read(session="a", keys=frozenset({1}), start=2, end=3),
+    history.Write(
+        session="a", key=2, outcome=history.Outcome.UNKNOWN, start=4, end=5
+    ),
+    history.Write(
+        session="a", key=3, outcome=history.Outcome.NOT_RUN, start=6, end=7
+    ),
+)
+
+
+def test_good_history_passes_whatever_became_of_the_unknown():
+    assert history.check(GOOD, [1]) == []
+    assert history.check(GOOD, [1, 2]) == []
+
+
+@pytest.mark.parametrize(
+    ("final", "kind"),
+    [
+        ([], history.Lost),
+        ([1, 3], history.Ghost),
+        ([1, 1], history.Doubled),
+        ([1, 2, 2], history.Doubled),
+    ],
+)
+def test_what_is_there_in_the_end_is_checked(final, kind):
+    (found,) = history.check(GOOD, final)
+    assert isinstance(found, kind)
+
+
+def test_read_that_misses_its_own_write_is_found():
+    broken = (GOOD[0], dataclasses.replace(GOOD[1], keys=frozenset()))
+    (found,) = history.check(broken, [1])
+    assert found == history.Stale(session="a", key=1, at=2)
+
+
+def test_read_that_began_before_the_write_ended_may_miss_it():
+    read = dataclasses.replace(GOOD[1], keys=frozenset(), start=0.5)
+    assert history.check((GOOD[0], read), [1]) == []
+
+
+def test_read_that_sees_another_sessions_key_is_found():
+    read = dataclasses.replace(GOOD[1], keys=frozenset({1, 9}))
+    (found,) = history.check((GOOD[0], read), [1])
+    assert found == history.Torn(session="a", key=9)
+
+
+def test_longest_gap():
+    writes = [dataclasses.replace(GOOD[0], end=t) for t in (1, 2, 5, 6)]
+    assert history.longest_gap(writes, 1) == 3
+    assert history.longest_gap(writes, 5.5) == 1
+    assert history.longest_gap(writes, 9) is None
--- /dev/null
+++ b/bronzehold/tools/workload.py
@@ -0,0 +1,237 @@
+"""Callers that roam between proxies, write, read back, and note it all."""
+
+import collections.abc
+import dataclasses
+import random
+import threading
+import time
+
+import psycopg
+
+from bronzehold.tools import history
+
+TABLE = "CREATE TABLE kept (id INTEGER, session TEXT)"
+CONNECT_TIMEOUT_S = 5
+RECONNECT_S = 0.05
+NOT_RUN_PREFIX = "not run"
+UNKNOWN_SQLSTATE = "08007"
+KEYS_PER_WORKER = 1_000_000
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Plan:
+    """What the callers do.
+
+    Attributes:
+        urls: How to connect, one for each proxy.
+        workers: How many callers.
+        pause_s: Pause between two rounds of a caller.
+        carry: Callers carry their marks instead of naming their session.
+        transactions: Writes are made in transaction blocks.
+        seed: Of the callers' choices.
+    """
+
+    urls: tuple[str, ...]
+    workers: int = 4
+    pause_s: float = 0.01
+    carry: bool = False
+    transactions: bool = False
+    seed: int = 1
+
+
+class Workload:
+    """The running callers."""
+
+    def __init__(self, *, plan: Plan):
+        self.plan = plan
+        self.history = history.History()
+        self._stop = threading.Event()
+        self._threads = [
+            threading.Thread(target=self._work, args=(n,), daemon=True)
+            for n in range(plan.workers)
+        ]
+
+    def start(self) -> None:
+        """Makes the table and starts the callers."""
+        with psycopg.connect(self.plan.urls[0], autocommit=True) as conn:
+            conn.execute(TABLE)
+        for thread in self._threads:
+            thread.start()
+
+    def finish(self) -> list[history.Operation]:
+        """Ends the callers and returns what they noted."""
+        self._stop.set()
+        for thread in self._threads:
+            thread.join()
+        return self.history.all()
+
+    def final(self, seconds: float = 20.0) -> list[int]:
+        """Returns the keys that are there, once the service answers."""
+        end = time.monotonic() + seconds
+        while True:
+            for url in self.plan.urls:
+                try:
+                    return _all_keys(url)
+                except psycopg.Error:
+                    if time.monotonic() > end:
+                        raise
+            time.sleep(RECONNECT_S)
+
+    def _work(self, number: int) -> None:
+        caller = _Caller(plan=self.plan, number=number, log=self.history)
+        while not self._stop.is_set():
+            caller.round()
+            self._stop.wait(self.plan.pause_s)
+        caller.close()
+
+
+def _all_keys(url: str) -> list[int]:
+    with psycopg.connect(
+        url, autocommit=True, connect_timeout=CONNECT_TIMEOUT_S
+    ) as conn:
+        conn.execute("SET bronzehold.max_age = 0")
+        rows = conn.execute("SELECT id FROM kept").fetchall()
+    return [row[0] for row in rows]
+
+
+class _Caller:
+    """One caller, with a connection to each proxy."""
+
+    def __init__(self, *, plan: Plan, number: int, log: history.History):
+        self._plan = plan
+        self._log = log
+        self._number = number
+        self._session = f"session-{number}"
+        self._random = random.Random(f"{plan.seed}/{number}")
+        self._conns: dict[str, psycopg.Connection] = {}
+        self._next = 0
+        self._mark = ""
+
+    def close(self) -> None:
+        for conn in self._conns.values():
+            conn.close()
+
+    def _connect(self, url: str) -> psycopg.Connection:
+        conn = self._conns.get(url)
+        if conn is None or conn.closed:
+            conn = psycopg.connect(
+                url, autocommit=True, connect_timeout=CONNECT_TIMEOUT_S
+            )
+            if not self._plan.carry:
+                conn.execute(f"SET bronzehold.session = '{self._session}'")
+            self._conns[url] = conn
+        if self._plan.carry and self._mark:
+            conn.execute(f"SET bronzehold.mark = '{self._mark}'")
+        return conn
+
+    def round(self) -> None:
+        """Writes through one proxy and reads through another."""
+        writer = self._random.choice(self._plan.urls)
+        reader = self._random.choice(self._plan.urls)
+        try:
+            conn = self._connect(writer)
+        except psycopg.Error:
+            self._drop(writer)
+            return
+        self._write(conn)
+        try:
+            self._read(self._connect(reader))
+        except psycopg.Error:
+            self._drop(reader)
+
+    def _drop(self, url: str) -> None:
+        conn = self._conns.pop(url, None)
+        if conn is not None:
+            conn.close()
+        time.sleep(RECONNECT_S)
+
+    def _write(self, conn: psycopg.Connection) -> None:
+        key = self._number * KEYS_PER_WORKER + self._next
+        self._next += 1
+        start = time.monotonic()
+        outcome = history.Outcome.DONE
+        try:
+            self._insert(conn, key)
+        except psycopg.Error as exc:
+            outcome = outcome_of(exc)
+            if not conn.closed and self._plan.transactions:
+                _end_block(conn)
+        if outcome is history.Outcome.DONE:
+            self._mark = parameter(conn, "bronzehold.mark") or self._mark
+        self._log.add(
+            history.Write(
+                session=self._session,
+                key=key,
+                outcome=outcome,
+                start=start,
+                end=time.monotonic(),
+            )
+        )
+
+    def _insert(self, conn: psycopg.Connection, key: int) -> None:
+        sql = "INSERT INTO kept VALUES (%s, %s)"
+        if not self._plan.transactions:
+            conn.execute(sql, (key, self._session))
+            return
+        conn.execute("BEGIN")
+        conn.execute("SELECT count(*) FROM kept")
+        conn.execute(sql, (key, self._session))
+        conn.execute("COMMIT")
+
+    def _read(self, conn: psycopg.Connection) -> None:
+        start = time.monotonic()
+        sql = "SELECT id FROM kept WHERE session = %s"
+        rows = conn.execute(sql, (self._session,)).fetchall()
+        self._log.add(
+            history.Read(
+                session=self._session,
+                keys=frozenset(row[0] for row in rows),
+                start=start,
+                end=time.monotonic(),
+            )
+        )
+
+
+def _end_block(conn: psycopg.Connection) -> None:
+    try:
+        conn.execute("ROLLBACK")
+    except psycopg.Error:
+        conn.close()
+
+
+def parameter(conn: psycopg.Connection, name: str) -> str:
+    """Returns a parameter as the server reported it last."""
+    value = conn.pgconn.parameter_status(name.encode())
+    return value.decode() if value else ""
+
+
+def outcome_of(exc: psycopg.Error) -> history.Outcome:
+    """Returns what an error tells its caller of the request."""
+    if exc.sqlstate is None or exc.sqlstate == UNKNOWN_SQLSTATE:
+        # The connection to the proxy was lost, or the proxy does not know.
+        return history.Outcome.UNKNOWN
+    if str(exc).startswith(NOT_RUN_PREFIX):
+        return history.Outcome.NOT_RUN
+    return history.Outcome.FAILED
+
+
+def run(
+    plan: Plan,
+    during: collections.abc.Callable[[Workload], None],
+) -> tuple[list[history.Operation], list[history.Violation]]:
+    """Runs callers while something happens to the system.
+
+    Args:
+        plan: What the callers do.
+        during: What happens; the callers end when it returns.
+
+    Returns:
+        What the callers noted, and where it breaks a promise.
+    """
+    workload = Workload(plan=plan)
+    workload.start()
+    try:
+        during(workload)
+    finally:
+        operations = workload.finish()
+    return operations, history.check(operations, workload.final())
--- a/bronzehold/version/change.py
+++ b/bronzehold/version/change.py
@@ -39,6 +39,9 @@
         takeover_s: How long another's attempt may stand still.
         proxy: Who makes the change.
         why: Why it is made.
+        pass_over: The primary answers but its log reaches no replica, and
+            nothing is acknowledged that no replica holds, so it need not be
+            the endpoint that holds the most.
     """
 
     group: str
@@ -50,6 +53,7 @@
     takeover_s: float
     proxy: str
     why: str
+    pass_over: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -275,6 +279,7 @@
         promised = {n: s for n, s in answers.items() if s.term == self.term}
         if len(promised) < self._majority():
             raise _StoppedError(f"only {len(promised)} endpoints answer")
+        self._pass_over(promised)
         by_name = {ep.name: ep for ep in self.attempt.endpoints}
 
         def order(name: str) -> tuple:
@@ -293,6 +298,14 @@
 
         return by_name[max(promised, key=order)]
 
+    def _pass_over(self, promised: dict[str, data.EndpointStatus]) -> None:
+        # An acknowledged write is held by a majority, so the others must be
+        # so many that one of them holds it.
+        others = len(promised.keys() - {self.attempt.primary})
+        missing = len(self.attempt.endpoints) - self._majority()
+        if self.attempt.pass_over and others > missing:
+            promised.pop(self.attempt.primary, None)
+
     def promote(self, chosen: data.Endpoint) -> str:
         """Promotes an endpoint; never a second one in the same term."""
         for _ in range(PROMOTE_TRIES):
