--- a/bronzehold/connection/backend.py
+++ b/bronzehold/connection/backend.py
@@ -5,7 +5,9 @@
 import threading
 import time
 
-from bronzehold.connection import client, frames, messages
+from bronzehold.connection import client
+from bronzehold.connection import frames
+from bronzehold.connection import messages
 from bronzehold.core import data
 
 RECEIVE_TIMEOUT_S = 0.1
--- a/bronzehold/connection/caller.py
+++ b/bronzehold/connection/caller.py
@@ -15,14 +15,19 @@
 import time
 
 from bronzehold.connection import backend as backend_lib
-from bronzehold.connection import client, frames, messages
+from bronzehold.connection import client
+from bronzehold.connection import frames
+from bronzehold.connection import messages
 from bronzehold.connection import session as session_lib
-from bronzehold.core import data, errors
+from bronzehold.core import data
+from bronzehold.core import errors
 from bronzehold.process import metrics
 from bronzehold.process import pool as pool_lib
 from bronzehold.process import served as served_lib
 from bronzehold.request import batch as batch_lib
-from bronzehold.request import classify, reads, relay
+from bronzehold.request import classify
+from bronzehold.request import reads
+from bronzehold.request import relay
 from bronzehold.version import grant as grant_lib
 
 PAUSE_S = 0.02
@@ -635,6 +640,7 @@
                 errors.OutcomeUnknown(endpoint=place.endpoint, why=why)
             )
         if mark is not None:
+            group.wrote(mark)
             self._session.wrote(mark)
 
     # Pinned blocks.
--- a/bronzehold/connection/client.py
+++ b/bronzehold/connection/client.py
@@ -8,7 +8,8 @@
 
 import scramp
 
-from bronzehold.connection import frames, messages
+from bronzehold.connection import frames
+from bronzehold.connection import messages
 
 CONTROL_USER = "bronzehold"
 
--- a/bronzehold/connection/handshake.py
+++ b/bronzehold/connection/handshake.py
@@ -2,7 +2,8 @@
 
 import socket
 
-from bronzehold.connection import frames, messages
+from bronzehold.connection import frames
+from bronzehold.connection import messages
 
 REFUSE_ENCRYPTION = b"N"
 
--- a/bronzehold/connection/session.py
+++ b/bronzehold/connection/session.py
@@ -3,7 +3,8 @@
 import dataclasses
 import re
 
-from bronzehold.core import data, errors
+from bronzehold.core import data
+from bronzehold.core import errors
 from bronzehold.request import batch as batch_lib
 from bronzehold.request import classify
 
--- a/bronzehold/connection/welcome.py
+++ b/bronzehold/connection/welcome.py
@@ -4,8 +4,10 @@
 
 import scramp
 
-from bronzehold.connection import frames, messages
-from bronzehold.core import errors, settings
+from bronzehold.connection import frames
+from bronzehold.connection import messages
+from bronzehold.core import errors
+from bronzehold.core import settings
 
 MECHANISM = "SCRAM-SHA-256"
 
--- a/bronzehold/process/catalog.py
+++ b/bronzehold/process/catalog.py
@@ -4,7 +4,9 @@
 import dataclasses
 import threading
 
-from bronzehold.core import data, events, structure
+from bronzehold.core import data
+from bronzehold.core import events
+from bronzehold.core import structure
 from bronzehold.process import served as served_lib
 from bronzehold.version import config
 
--- a/bronzehold/process/changes.py
+++ b/bronzehold/process/changes.py
@@ -8,14 +8,18 @@
 import threading
 import time
 
-from bronzehold.connection import client, control
-from bronzehold.core import data, events, settings
+from bronzehold.connection import client
+from bronzehold.connection import control
+from bronzehold.core import data
+from bronzehold.core import events
+from bronzehold.core import settings
 from bronzehold.process import catalog as catalog_lib
 from bronzehold.process import group as group_lib
 from bronzehold.process import peers as peers_lib
-from bronzehold.process import platform, timeline
+from bronzehold.process import platform
 from bronzehold.process import served as served_lib
 from bronzehold.process import tasks as tasks_lib
+from bronzehold.process import timeline
 from bronzehold.version import change as change_lib
 from bronzehold.version import grant as grant_lib
 
--- a/bronzehold/process/configs.py
+++ b/bronzehold/process/configs.py
@@ -9,11 +9,13 @@
 import random
 import threading
 
-from bronzehold.core import events, settings
+from bronzehold.core import events
+from bronzehold.core import settings
 from bronzehold.process import catalog as catalog_lib
 from bronzehold.process import peers as peers_lib
-from bronzehold.process import platform, timeline
+from bronzehold.process import platform
 from bronzehold.process import tasks as tasks_lib
+from bronzehold.process import timeline
 
 RETRY_S = 0.5
 RENEWALS_PER_LEASE = 3
--- a/bronzehold/process/group.py
+++ b/bronzehold/process/group.py
@@ -9,7 +9,10 @@
 import threading
 import time
 
-from bronzehold.core import data, errors, events, settings
+from bronzehold.core import data
+from bronzehold.core import errors
+from bronzehold.core import events
+from bronzehold.core import settings
 from bronzehold.process import timeline
 from bronzehold.version import grant as grant_lib
 
@@ -41,8 +44,8 @@
         self._progress_at = time.monotonic()
         self._held = ""
         self._held_until = 0.0
+        self._written: data.Mark | None = None
         self.writes_in_flight = 0
-        self.fresh_waiters = 0
         self.ack_waiters = 0
         self.applied_waiters = 0
 
@@ -363,16 +366,12 @@
         """
         with self.cond:
             self._asked_at = max(self._asked_at, arrived)
-            self.fresh_waiters += 1
             self.cond.notify_all()
-            try:
-                while True:
-                    mark = self._position_after(arrived)
-                    if mark is not None:
-                        return mark
-                    self._wait(deadline, errors.NoPrimary(group=self.name))
-            finally:
-                self.fresh_waiters -= 1
+            while True:
+                mark = self._position_after(arrived)
+                if mark is not None:
+                    return mark
+                self._wait(deadline, errors.NoPrimary(group=self.name))
 
     def _position_after(self, arrived: float) -> data.Mark | None:
         grant = self.grant()
@@ -391,9 +390,7 @@
         seen = self._seen.get(endpoint)
         if grant is None or grant.primary != endpoint:
             return False
-        return self.fresh_waiters > 0 and (
-            seen is None or seen.sent < self._asked_at
-        )
+        return seen is None or seen.sent < self._asked_at
 
     def wait_changed(
         self,
@@ -430,6 +427,36 @@
                     names.append(seen.endpoint)
         return names, False
 
+    def _primary_has(
+        self,
+        seen: grant_lib.Observation,
+        grant: grant_lib.Grant,
+        mark: data.Mark | None,
+    ) -> bool:
+        if mark is None or mark.term < grant.term:
+            return True
+        written = self._written
+        known = seen.status.received
+        if written is not None and written.term == grant.term:
+            known = max(known, written.position)
+        return mark.term == grant.term and mark.position <= known
+
+    def wrote(self, mark: data.Mark) -> None:
+        """Notes a write that the primary has reported to this proxy."""
+        with self.cond:
+            old = self._written
+            if old is None or (mark.term, mark.position) > (
+                old.term,
+                old.position,
+            ):
+                self._written = mark
+
+    def ask_primary(self) -> None:
+        """Has the primary polled soon."""
+        with self.cond:
+            self._asked_at = time.monotonic()
+            self.cond.notify_all()
+
     def _lost(self, mark: data.Mark, grant: grant_lib.Grant) -> bool:
         seen = self._seen.get(grant.primary)
         if seen is None or seen.status.log_term != grant.term:
@@ -450,7 +477,7 @@
         if seen.status.log_term != grant.term:
             return False
         if seen.endpoint == grant.primary:
-            return grant.until > now
+            return grant.until > now and self._primary_has(seen, grant, mark)
         if seen.status.role is not data.Role.REPLICA:
             return False
         if not _sees(seen, mark):
--- a/bronzehold/process/operator.py
+++ b/bronzehold/process/operator.py
@@ -5,7 +5,8 @@
 import time
 
 from bronzehold.core import structure
-from bronzehold.process import platform, timeline
+from bronzehold.process import platform
+from bronzehold.process import timeline
 from bronzehold.proto import peer_pb2 as pb
 from bronzehold.proto import peer_pb2_grpc
 from bronzehold.version import change as change_lib
--- a/bronzehold/process/peers.py
+++ b/bronzehold/process/peers.py
@@ -14,10 +14,13 @@
 import grpc
 import xxhash
 
-from bronzehold.core import data, events, settings
+from bronzehold.core import data
+from bronzehold.core import events
+from bronzehold.core import settings
 from bronzehold.process import catalog as catalog_lib
-from bronzehold.process import platform, timeline
+from bronzehold.process import platform
 from bronzehold.process import tasks as tasks_lib
+from bronzehold.process import timeline
 from bronzehold.proto import peer_pb2 as pb
 from bronzehold.proto import peer_pb2_grpc
 
--- a/bronzehold/process/pool.py
+++ b/bronzehold/process/pool.py
@@ -15,7 +15,8 @@
 
 from bronzehold.connection import backend as backend_lib
 from bronzehold.connection import client
-from bronzehold.core import data, errors
+from bronzehold.core import data
+from bronzehold.core import errors
 
 EWMA_WEIGHT = 0.1
 FIRST_GUESS_S = 0.005
--- a/bronzehold/process/proxy.py
+++ b/bronzehold/process/proxy.py
@@ -8,20 +8,24 @@
 import time
 
 from bronzehold.connection import caller as caller_lib
-from bronzehold.connection import frames, handshake, messages, welcome
-from bronzehold.core import data, errors, events, settings
-from bronzehold.process import (
-    catalog,
-    changes,
-    configs,
-    metrics,
-    operator,
-    peers,
-    platform,
-    tasks,
-    timeline,
-)
+from bronzehold.connection import frames
+from bronzehold.connection import handshake
+from bronzehold.connection import messages
+from bronzehold.connection import welcome
+from bronzehold.core import data
+from bronzehold.core import errors
+from bronzehold.core import events
+from bronzehold.core import settings
+from bronzehold.process import catalog
+from bronzehold.process import changes
+from bronzehold.process import configs
+from bronzehold.process import metrics
+from bronzehold.process import operator
+from bronzehold.process import peers
+from bronzehold.process import platform
 from bronzehold.process import served as served_lib
+from bronzehold.process import tasks
+from bronzehold.process import timeline
 
 BACKLOG = 1024
 HANDSHAKE_TIMEOUT_S = 10.0
--- a/bronzehold/process/served.py
+++ b/bronzehold/process/served.py
@@ -5,10 +5,13 @@
 
 from bronzehold.connection import backend as backend_lib
 from bronzehold.connection import client
-from bronzehold.core import data, settings
-from bronzehold.process import budget, metrics, timeline
+from bronzehold.core import data
+from bronzehold.core import settings
+from bronzehold.process import budget
 from bronzehold.process import group as group_lib
+from bronzehold.process import metrics
 from bronzehold.process import pool as pool_lib
+from bronzehold.process import timeline
 from bronzehold.process import watcher as watcher_lib
 
 CONTROL_CONNECTIONS = 1
--- a/bronzehold/process/watcher.py
+++ b/bronzehold/process/watcher.py
@@ -4,7 +4,8 @@
 import threading
 import time
 
-from bronzehold.connection import client, control
+from bronzehold.connection import client
+from bronzehold.connection import control
 from bronzehold.core import data
 from bronzehold.process import group as group_lib
 from bronzehold.version import grant as grant_lib
--- a/bronzehold/request/batch.py
+++ b/bronzehold/request/batch.py
@@ -11,7 +11,8 @@
 
 import xxhash
 
-from bronzehold.connection import frames, messages
+from bronzehold.connection import frames
+from bronzehold.connection import messages
 from bronzehold.core import errors
 from bronzehold.request import classify
 
--- a/bronzehold/request/classify.py
+++ b/bronzehold/request/classify.py
@@ -11,7 +11,9 @@
 import re
 
 import pglast
-from pglast import ast, enums, visitors
+from pglast import ast
+from pglast import enums
+from pglast import visitors
 
 CACHE_ENTRIES = 8192
 MAX_CACHED_TEXT = 4096
--- a/bronzehold/request/reads.py
+++ b/bronzehold/request/reads.py
@@ -4,7 +4,8 @@
 import time
 
 from bronzehold.connection import session as session_lib
-from bronzehold.core import data, errors
+from bronzehold.core import data
+from bronzehold.core import errors
 from bronzehold.process import served as served_lib
 
 RECHECK_S = 0.02
@@ -108,6 +109,7 @@
             if not waiting:
                 waiting = True
                 group.applied_waiters += 1
+                group.ask_primary()
             bound = turn if now < turn else deadline
             with group.cond:
                 group.cond.wait(max(0.001, min(RECHECK_S, bound - now)))
--- a/bronzehold/request/relay.py
+++ b/bronzehold/request/relay.py
@@ -9,7 +9,9 @@
 import time
 
 from bronzehold.connection import backend as backend_lib
-from bronzehold.connection import control, frames, messages
+from bronzehold.connection import control
+from bronzehold.connection import frames
+from bronzehold.connection import messages
 from bronzehold.core import data
 from bronzehold.request import batch as batch_lib
 
--- a/bronzehold/standin/endpoint.py
+++ b/bronzehold/standin/endpoint.py
@@ -14,7 +14,8 @@
 
 from bronzehold.connection import client
 from bronzehold.core import data
-from bronzehold.standin import faults, storage
+from bronzehold.standin import faults
+from bronzehold.standin import storage
 
 PULL_WAIT_S = 0.1
 PULL_TIMEOUT_S = 1.0
--- a/bronzehold/standin/server.py
+++ b/bronzehold/standin/server.py
@@ -1,10 +1,14 @@
 """Listens for clients of one stand-in endpoint and serves them by threads."""
 
+import contextlib
 import itertools
 import socket
 import threading
 
-from bronzehold.connection import control, frames, handshake, messages
+from bronzehold.connection import control
+from bronzehold.connection import frames
+from bronzehold.connection import handshake
+from bronzehold.connection import messages
 from bronzehold.standin import endpoint as endpoint_lib
 from bronzehold.standin import session as session_lib
 
@@ -46,10 +50,20 @@
         with self._lock:
             socks = list(self._socks.values())
         for sock in socks:
-            try:
+            with contextlib.suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
+
+    def drop_connections(self, name: str) -> None:
+        """Drops the connections of one client, as a lost path would."""
+        with self._lock:
+            socks = [
+                self._socks[pid]
+                for pid, session in self._sessions.items()
+                if session.name == name
+            ]
+        for sock in socks:
+            with contextlib.suppress(OSError):
                 sock.shutdown(socket.SHUT_RDWR)
-            except OSError:
-                continue
 
     def close(self) -> None:
         """Ends the endpoint."""
--- a/bronzehold/standin/session.py
+++ b/bronzehold/standin/session.py
@@ -10,10 +10,14 @@
 
 import pglast
 
-from bronzehold.connection import control, frames, messages
+from bronzehold.connection import control
+from bronzehold.connection import frames
+from bronzehold.connection import messages
 from bronzehold.core import data
 from bronzehold.standin import endpoint as endpoint_lib
-from bronzehold.standin import faults, storage, values
+from bronzehold.standin import faults
+from bronzehold.standin import storage
+from bronzehold.standin import values
 
 _WRITES = {"INSERT", "UPDATE", "DELETE", "CREATE", "DROP", "ALTER", "REPLACE"}
 _ROW_WORDS = {"SELECT", "VALUES", "WITH"}
@@ -137,6 +141,11 @@
             return settings.zone_ms * data.MILLISECOND
         return 0.0
 
+    @property
+    def name(self) -> str:
+        """The name that the client gave."""
+        return self._name
+
     def serve(self) -> None:
         """Answers messages until the client leaves."""
         while True:
--- a/bronzehold/tools/demo.py
+++ b/bronzehold/tools/demo.py
@@ -12,7 +12,8 @@
 import threading
 import time
 
-from bronzehold.tools import local, operators
+from bronzehold.tools import local
+from bronzehold.tools import operators
 
 SECONDS = 12.0
 KILL_AFTER_S = 4.0
--- a/bronzehold/tools/local.py
+++ b/bronzehold/tools/local.py
@@ -5,7 +5,8 @@
 import socket
 import time
 
-from bronzehold.core import data, settings
+from bronzehold.core import data
+from bronzehold.core import settings
 from bronzehold.process import platform
 from bronzehold.process import proxy as proxy_lib
 from bronzehold.standin import endpoint as endpoint_lib
--- a/bronzehold/tools/main.py
+++ b/bronzehold/tools/main.py
@@ -8,7 +8,8 @@
 
 import defopt
 
-from bronzehold.core import settings, structure
+from bronzehold.core import settings
+from bronzehold.core import structure
 from bronzehold.process import platform
 from bronzehold.process import proxy as proxy_lib
 from bronzehold.process import timeline as timeline_lib
--- a/bronzehold/tools/operators.py
+++ b/bronzehold/tools/operators.py
@@ -10,8 +10,10 @@
 
 import grpc
 
-from bronzehold.core import data, structure
-from bronzehold.process import configs, platform
+from bronzehold.core import data
+from bronzehold.core import structure
+from bronzehold.process import configs
+from bronzehold.process import platform
 from bronzehold.proto import peer_pb2 as pb
 from bronzehold.proto import peer_pb2_grpc
 from bronzehold.version import config
--- a/bronzehold/version/change.py
+++ b/bronzehold/version/change.py
@@ -14,9 +14,12 @@
 import time
 import uuid
 
-from bronzehold.connection import client, control
-from bronzehold.core import data, events
-from bronzehold.process import platform, timeline
+from bronzehold.connection import client
+from bronzehold.connection import control
+from bronzehold.core import data
+from bronzehold.core import events
+from bronzehold.process import platform
+from bronzehold.process import timeline
 from bronzehold.version import grant as grant_lib
 
 CALL_TIMEOUT_S = 0.5
--- a/bronzehold/version/config.py
+++ b/bronzehold/version/config.py
@@ -3,7 +3,8 @@
 import json
 import uuid
 
-from bronzehold.core import data, structure
+from bronzehold.core import data
+from bronzehold.core import structure
 
 EMPTY = data.Document(revision=0, change_id="", author="", services=())
 LINEAGE_LENGTH = 64
--- a/bronzehold/version/sheet.py
+++ b/bronzehold/version/sheet.py
@@ -10,7 +10,8 @@
 import io
 import ipaddress
 
-from bronzehold.core import data, structure
+from bronzehold.core import data
+from bronzehold.core import structure
 
 REQUIRED = (
     "service",
