Mixing, leaving, configuration and limits, proved under failure

One name now goes first, and one proxy starts. - After a planned change writes were let go before every proxy knew the new primary; one was refused by the old one. They are held until all know it, and a write that an endpoint refused before running goes to the next primary. - A change dialled connections of its own, which a full endpoint would refuse just when it matters. Control calls share the watcher's connection. - A document counted as in force before it was applied. It is applied first. - A configuration that is no object ended the reading task. It is refused.

--- a/bronzehold/connection/caller.py
+++ b/bronzehold/connection/caller.py
@@ -582,6 +582,9 @@
                 raise _RetryError
             ahead = (BEGIN,) if in_block else ()
             answer = self._relay(backend, place, batch, ahead, hold=True)
+            if answer.refused and not answer.handed:
+                # None of it was kept, so it may go to the next primary.
+                raise _RetryError
         except relay.BrokenError as exc:
             self._let_go(pool, backend, good=False)
             raise errors.FailureError(
@@ -679,15 +682,12 @@
     def _run_pinned(self, batch: batch_lib.Batch) -> str:
         pinned = self._block
         place = pinned.place
-        deadline = self._deadline(batch)
         in_block = pinned.state in _IN_BLOCK
         may_commit = place.primary and (
             not in_block or _may_commit(batch.statement)
         )
         self._place = "primary" if place.primary else "replica"
-        pinned.pool.enter(
-            session=self._id, deadline=deadline, held=pinned.backend
-        )
+        pinned.pool.resume()
         try:
             answer = self._relay(
                 pinned.backend,
--- a/bronzehold/core/structure.py
+++ b/bronzehold/core/structure.py
@@ -72,6 +72,9 @@
     Raises:
         ProblemsError: Unknown keys, missing keys or values of another type.
     """
+    if not isinstance(value, dict):
+        problem = Problem(source=source, where="$", what="is not an object")
+        raise ProblemsError((problem,))
     try:
         return _CONVERTER.structure(value, kind)
     except (cattrs_errors.BaseValidationError, ValueError) as exc:
--- a/bronzehold/process/catalog.py
+++ b/bronzehold/process/catalog.py
@@ -46,9 +46,9 @@
         with self._lock:
             if document.revision <= self.document.revision:
                 return
+            self._apply(document)
             self.document = document
             self.text = text
-            self._apply()
         self._env.line.add(
             events.ConfigAdopted(revision=document.revision, source=source)
         )
@@ -58,12 +58,12 @@
         with self._lock:
             if names != self._leaving:
                 self._leaving = names
-                self._apply()
+                self._apply(self.document)
 
-    def _apply(self) -> None:
+    def _apply(self, document: data.Document) -> None:
         wanted = {
             service.name: leave(service, self._leaving)
-            for service in self.document.services
+            for service in document.services
         }
         for name in set(self._served) - set(wanted):
             self._served.pop(name).close()
--- a/bronzehold/process/changes.py
+++ b/bronzehold/process/changes.py
@@ -25,9 +25,12 @@
 
 CHECK_S = 0.05
 STAGGER_S = 0.3
+LEAVING_STAGGER_S = 5.0
+LEAVING = "leaving"
 DRAIN_S = 5.0
 LEAVING_DRAIN_S = 60.0
 RETRY_S = 0.5
+NEWS_S = 1.0
 FOLLOW_S = 0.5
 
 
@@ -80,7 +83,8 @@
             self._since.pop(name, None)
             return
         since = self._since.setdefault(name, now)
-        if now - since < self._peers.rank(name) * STAGGER_S:
+        stagger = LEAVING_STAGGER_S if why == LEAVING else STAGGER_S
+        if now - since < self._peers.rank(name) * stagger:
             return
         with self._lock:
             self._busy.add(name)
@@ -102,13 +106,13 @@
         ep = group.endpoint(primary)
         if ep is not None and ep.leaving and group.grant() is not None:
             stays = any(not e.leaving for e in group.service.endpoints)
-            return "leaving" if stays else ""
+            return LEAVING if stays else ""
         return ""
 
     def _change_logged(self, served: served_lib.Served, why: str) -> None:
         name = served.group.name
         try:
-            if why == "leaving":
+            if why == LEAVING:
                 self._planned(served, target="", drain_s=LEAVING_DRAIN_S)
             else:
                 self._note_trouble(served, why)
@@ -162,7 +166,7 @@
             change_lib.Change(
                 attempt=attempt,
                 store=self._store,
-                dial=served.dial,
+                call=served.control,
                 line=self._line,
             )
         )
@@ -245,7 +249,7 @@
             if change is None:
                 return self._fail(group.name, 0, "another change was first")
             result = change.run()
-            self._await_grant(group, result)
+            self._await_news(group, result)
             return result
         finally:
             self._peers.announce(group.name, "")
@@ -255,6 +259,8 @@
         self._peers.announce(group.name, attempt)
         while time.monotonic() < deadline:
             group.hold_writes(attempt)
+            if group.held() != attempt:
+                return False
             mine = group.drained()
             if mine and self._peers.all_drained(group.name, attempt):
                 return True
@@ -262,10 +268,16 @@
                 return False
         return False
 
-    def _await_grant(self, group, result: change_lib.Result) -> None:
-        match result:
-            case change_lib.Promoted(term=term, primary=primary):
-                group.wait_grant(primary, term, time.monotonic() + RETRY_S)
+    def _await_news(self, group, result: change_lib.Result) -> None:
+        """Waits until all proxies know the new primary, before writes go on."""
+        if isinstance(result, change_lib.NotPromoted):
+            return
+        end = time.monotonic() + NEWS_S
+        group.wait_grant(result.primary, result.term, end)
+        while time.monotonic() < end:
+            if self._peers.all_in_term(group.name, result.term):
+                return
+            self._tasks.stop.wait(CHECK_S)
 
     # Followers.
 
@@ -298,15 +310,11 @@
         name: str,
         grant: grant_lib.Grant,
     ) -> None:
-        ep = served.group.endpoint(name)
-        if ep is None:
-            return
         try:
-            conn = served.dial(ep, change_lib.CALL_TIMEOUT_S)
-            try:
-                control.follow(conn, grant.primary, grant.term)
-            finally:
-                conn.close()
+            served.control(
+                name,
+                lambda conn: control.follow(conn, grant.primary, grant.term),
+            )
         except client.ClientError:
             return
         self._line.add(
--- a/bronzehold/process/group.py
+++ b/bronzehold/process/group.py
@@ -238,6 +238,10 @@
             attempt: Names the change, its proxy first.
         """
         with self.cond:
+            # Of two changes at the same time, all proxies hold for the one
+            # whose name comes first.
+            if self.held() and attempt > self._held:
+                return
             self._held = attempt
             self._held_until = time.monotonic() + HOLD_S
             self.cond.notify_all()
--- a/bronzehold/process/peers.py
+++ b/bronzehold/process/peers.py
@@ -350,6 +350,13 @@
             for beat in self.live().values()
         )
 
+    def all_in_term(self, group: str, term: int) -> bool:
+        """Whether every peer that answers takes a term's primary's word."""
+        return all(
+            any(view.group == group and view.term >= term for view in b.groups)
+            for b in self.live().values()
+        )
+
     def rank(self, key: str) -> int:
         """Returns this proxy's place in the order of proxies for a key.
 
--- a/bronzehold/process/pool.py
+++ b/bronzehold/process/pool.py
@@ -1,7 +1,8 @@
 """The connections and slots that this proxy may use of one endpoint.
 
-Whoever wants to run a statement waits in one queue for a slot and, unless it
-holds one already, a connection. The queue is fair between sessions: each
+Whoever wants to run a statement waits in one queue for a slot and a
+connection. A statement of an open transaction waits for neither: others may
+wait for what the transaction holds. The queue is fair between sessions: each
 statement gets a tag one beyond its session's last, and the lowest tag goes
 first, so a session with many statements cannot hold back one with few. A
 request that cannot be served before its deadline is refused at once.
@@ -55,12 +56,11 @@
 class _Waiter:
     """One request in the queue."""
 
-    __slots__ = ("granted", "held", "order", "tag")
+    __slots__ = ("granted", "order", "tag")
 
-    def __init__(self, *, tag: float, order: int, held: bool):
+    def __init__(self, *, tag: float, order: int):
         self.tag = tag
         self.order = order
-        self.held = held
         self.granted = threading.Event()
 
 
@@ -121,19 +121,17 @@
         behind = ahead - self._caps.slots + 1
         return behind * self._service_s / max(1, self._caps.slots)
 
-    def enter(
-        self,
-        *,
-        session: str,
-        deadline: float,
-        held: backend_lib.Backend | None = None,
-    ) -> backend_lib.Backend:
-        """Waits for a slot, and for a connection unless one is held.
+    def resume(self) -> None:
+        """Counts one more statement of a transaction that is open."""
+        with self._lock:
+            self._running += 1
+
+    def enter(self, *, session: str, deadline: float) -> backend_lib.Backend:
+        """Waits for a slot and a connection.
 
         Args:
             session: Whose turn it is, for fairness.
             deadline: Until when it makes sense to start.
-            held: The connection that the caller already has.
 
         Returns:
             The connection to use.
@@ -143,15 +141,13 @@
             DialError: A new connection could not be opened.
         """
         with self._lock:
-            waiter = self._queue(session, deadline, held=held is not None)
+            waiter = self._queue(session, deadline)
             self._dispatch()
         if not waiter.granted.wait(max(0.0, deadline - time.monotonic())):
             self._give_up(waiter)
-        if held is not None:
-            return held
         return self._connect()
 
-    def _queue(self, session: str, deadline: float, *, held: bool) -> _Waiter:
+    def _queue(self, session: str, deadline: float) -> _Waiter:
         expected = self._expected()
         if time.monotonic() + expected > deadline:
             raise self._overloaded(expected)
@@ -161,7 +157,7 @@
             }
         tag = max(self._virtual, self._tags.get(session, 0.0)) + 1
         self._tags[session] = tag
-        waiter = _Waiter(tag=tag, order=next(self._order), held=held)
+        waiter = _Waiter(tag=tag, order=next(self._order))
         self._waiters.append(waiter)
         return waiter
 
@@ -182,20 +178,19 @@
         raise self._overloaded(expected)
 
     def _dispatch(self) -> None:
-        while self._running < self._caps.slots and self._waiters:
-            ready = [w for w in self._waiters if w.held or self._has_room()]
-            if not ready:
-                return
-            waiter = min(ready, key=lambda w: (w.tag, w.order))
+        while self._waiters and self._has_room():
+            waiter = min(self._waiters, key=lambda w: (w.tag, w.order))
             self._waiters.remove(waiter)
             self._running += 1
-            if not waiter.held:
-                self._leased += 1
+            self._leased += 1
             self._virtual = max(self._virtual, waiter.tag - 1)
             waiter.granted.set()
 
     def _has_room(self) -> bool:
-        return self._leased < self._caps.connections
+        return (
+            self._running < self._caps.slots
+            and self._leased < self._caps.connections
+        )
 
     def _connect(self) -> backend_lib.Backend:
         while True:
--- a/bronzehold/process/served.py
+++ b/bronzehold/process/served.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import dataclasses
+import typing
 
 from bronzehold.connection import backend as backend_lib
 from bronzehold.connection import client
@@ -17,6 +18,8 @@
 CONTROL_CONNECTIONS = 1
 SLOT_OVERCOMMIT = 2
 
+_T = typing.TypeVar("_T")
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Environment:
@@ -110,6 +113,19 @@
         conn = self.dial(ep, backend_lib.DIAL_TIMEOUT_S)
         return backend_lib.Backend(endpoint=ep, conn=conn)
 
+    def control(
+        self, endpoint: str, ask: collections.abc.Callable[[client.Client], _T]
+    ) -> _T:
+        """Makes a control call to an endpoint.
+
+        Raises:
+            client.ClientError: The endpoint did not answer, or refused.
+        """
+        watcher = self._watchers.get(endpoint)
+        if watcher is None:
+            raise client.ClientError(f"{endpoint} is not served")
+        return watcher.call_soon(ask)
+
     def dial(self, ep: data.Endpoint, timeout: float) -> client.Client:
         """Opens a connection to an endpoint of this service."""
         cfg = self.env.cfg
--- a/bronzehold/process/watcher.py
+++ b/bronzehold/process/watcher.py
@@ -3,6 +3,7 @@
 import collections.abc
 import threading
 import time
+import typing
 
 from bronzehold.connection import client
 from bronzehold.connection import control
@@ -15,9 +16,15 @@
 QUIET_GAP_S = 0.04
 RETRY_S = 0.1
 
+_T = typing.TypeVar("_T")
+
 
 class Watcher:
-    """The task that keeps one endpoint's status up to date."""
+    """The task that keeps one endpoint's status up to date.
+
+    Control calls of others go over its connection too, since connections to
+    endpoints are scarce.
+    """
 
     def __init__(
         self,
@@ -30,6 +37,9 @@
         self._endpoint = endpoint
         self._dial = dial
         self._stop = threading.Event()
+        self._lock = threading.Lock()
+        self._conn: client.Client | None = None
+        self._urgent = 0
         self.polls = 0
 
     def stop(self) -> None:
@@ -38,21 +48,54 @@
 
     def run(self) -> None:
         """Polls until stopped."""
-        conn = None
         while not self._stop.is_set():
             try:
-                if conn is None:
-                    conn = self._dial(self._endpoint, self._timeout())
-                self._poll(conn)
+                self.call(self._poll)
                 self._pause()
-            except (client.ClientError, ValueError, KeyError):
-                if conn is not None:
-                    conn.close()
-                conn = None
+            except client.ClientError:
                 self._group.tick()
                 self._stop.wait(RETRY_S)
-        if conn is not None:
-            conn.close()
+        with self._lock:
+            self._drop()
+
+    def call_soon(
+        self, ask: collections.abc.Callable[[client.Client], _T]
+    ) -> _T:
+        """Makes a control call, without waiting for a long poll to end.
+
+        Raises:
+            client.ClientError: The endpoint did not answer, or refused.
+        """
+        self._urgent += 1
+        try:
+            return self.call(ask)
+        finally:
+            self._urgent -= 1
+
+    def call(self, ask: collections.abc.Callable[[client.Client], _T]) -> _T:
+        """Makes a control call.
+
+        Raises:
+            client.ClientError: The endpoint did not answer, or refused.
+        """
+        with self._lock:
+            try:
+                if self._conn is None:
+                    self._conn = self._dial(self._endpoint, self._timeout())
+                return ask(self._conn)
+            except client.ServerError:
+                raise
+            except client.ClientError:
+                self._drop()
+                raise
+            except (ValueError, KeyError) as exc:
+                self._drop()
+                raise client.ClientError(str(exc)) from exc
+
+    def _drop(self) -> None:
+        if self._conn is not None:
+            self._conn.close()
+        self._conn = None
 
     def _timeout(self) -> float:
         return self._group.timing.poll_timeout_ms * data.MILLISECOND
@@ -63,9 +106,8 @@
         wait_ms = 0
         if seen is not None and seen.status.role is data.Role.REPLICA:
             after = seen.status.received
-            wait_ms = LONG_POLL_MS
-            if self._group.applied_waiters:
-                wait_ms = 0
+            busy = self._group.applied_waiters or self._urgent
+            wait_ms = 0 if busy else LONG_POLL_MS
         sent = time.monotonic()
         status = control.status(conn, after=after, wait_ms=wait_ms)
         self.polls += 1
--- a/bronzehold/request/relay.py
+++ b/bronzehold/request/relay.py
@@ -44,6 +44,8 @@
         state: The transaction state at its end, b"" after a Flush.
         mark: The last mark that the endpoint reported in it.
         sqlstate: Of the error in it, "" for none.
+        refused: The endpoint refused it before running any of it, since it
+            is not the primary.
         took: Seconds from the request to the end of the answer.
         skipping: Whether the endpoint ignores messages until a Sync.
     """
@@ -53,6 +55,7 @@
     state: bytes
     mark: data.Mark | None
     sqlstate: str
+    refused: bool
     took: float
     skipping: bool
 
@@ -91,6 +94,7 @@
         self._state = b""
         self._mark: data.Mark | None = None
         self._sqlstate = ""
+        self._refused = False
         self._skipping = skipping
 
     def run(
@@ -118,6 +122,7 @@
             state=self._state,
             mark=self._mark,
             sqlstate=self._sqlstate,
+            refused=self._refused,
             took=time.monotonic() - started,
             skipping=self._skipping,
         )
@@ -149,6 +154,10 @@
             raise self._broken("a statement of the proxy's own failed")
         fields = messages.parse_error(frame.body)
         self._sqlstate = fields.get("C", "XX000")
+        self._refused = (
+            fields.get("M") == control.NOT_PRIMARY_MESSAGE
+            and self._mark is None
+        )
         self._skipping = step.ends != b"Z"
         self._out += frame.data
 
--- a/bronzehold/standin/server.py
+++ b/bronzehold/standin/server.py
@@ -84,6 +84,7 @@
             ).start()
 
     def _serve(self, sock: socket.socket, pid: int) -> None:
+        ep = self.endpoint
         reader = frames.Reader(sock=sock)
         session = session_lib.Session(
             endpoint=self.endpoint, sock=sock, reader=reader, pid=pid
@@ -100,8 +101,10 @@
             self.endpoint.faults.wait_arrival(
                 params.get("application_name", "")
             )
-            counted = self._admit(sock)
-            if not counted:
+            # Replication has connections of its own, beside the limit.
+            follower = params.get("application_name") in ep.settings.peers
+            counted = not follower and self._admit(sock)
+            if not (counted or follower):
                 return
             with self._lock:
                 self._sessions[pid] = session
--- a/bronzehold/version/change.py
+++ b/bronzehold/version/change.py
@@ -86,7 +86,8 @@
 
 Result = Promoted | NotPromoted
 
-Dial = collections.abc.Callable[[data.Endpoint, float], client.Client]
+Ask = collections.abc.Callable[[client.Client], data.EndpointStatus]
+Call = collections.abc.Callable[[str, Ask], data.EndpointStatus]
 
 
 class _StoppedError(Exception):
@@ -113,14 +114,14 @@
         *,
         attempt: Attempt,
         store: platform.Client,
-        dial: Dial,
+        call: Call,
         line: timeline.Timeline,
     ):
         self.attempt = attempt
         self.term = 0
         self.id = f"{attempt.proxy}/{uuid.uuid4().hex[:12]}"
         self._store = store
-        self._dial = dial
+        self._control = call
         self._line = line
         self._pool = futures.ThreadPoolExecutor(max(1, len(attempt.endpoints)))
 
@@ -171,7 +172,7 @@
 
     def _each(
         self,
-        call: collections.abc.Callable[[client.Client], data.EndpointStatus],
+        call: Ask,
         enough: collections.abc.Callable[[dict], bool],
     ) -> dict[str, data.EndpointStatus]:
         """Calls all endpoints at once, until enough have answered."""
@@ -191,14 +192,12 @@
             pass
         return answers
 
-    def _call(self, ep: data.Endpoint, call) -> tuple:
+    def _call(
+        self, ep: data.Endpoint, call: Ask
+    ) -> tuple[str, data.EndpointStatus | None]:
         try:
-            conn = self._dial(ep, CALL_TIMEOUT_S)
-            try:
-                return ep.name, call(conn)
-            finally:
-                conn.close()
-        except (client.ClientError, ValueError, KeyError):
+            return ep.name, self._control(ep.name, call)
+        except client.ClientError:
             return ep.name, None
 
     def _majority(self) -> int:
--- /dev/null
+++ b/tests/mixing_test.py
@@ -0,0 +1,243 @@
+"""Transactions never mix, and nothing of one caller reaches another.
+
+The same generated histories run through two proxies and through the naive
+version: one connection straight to one endpoint, no pool, no replicas.
+"""
+
+import dataclasses
+import threading
+
+import hypothesis
+from hypothesis import strategies
+import psycopg
+import pytest
+
+from bronzehold.connection import caller as caller_lib
+from bronzehold.tools import local
+
+SESSIONS = 3
+KEYS = 4
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Step:
+    """One thing that one session does."""
+
+    session: int
+    verb: str
+    key: int = 0
+    proxy: int = 0
+
+
+VERBS = (
+    "insert",
+    "update",
+    "count",
+    "read",
+    "begin",
+    "commit",
+    "rollback",
+    "fail",
+    "set",
+    "show",
+    "leave",
+)
+STEPS = strategies.lists(
+    strategies.builds(
+        Step,
+        session=strategies.integers(0, SESSIONS - 1),
+        verb=strategies.sampled_from(VERBS),
+        key=strategies.integers(1, KEYS),
+        proxy=strategies.integers(0, 1),
+    ),
+    max_size=25,
+)
+
+
+@dataclasses.dataclass
+class World:
+    """Sessions over connections that a function opens."""
+
+    open: object
+    conns: dict = dataclasses.field(default_factory=dict)
+    writer: int | None = None
+
+    def conn(self, step: Step):
+        if step.session not in self.conns:
+            self.conns[step.session] = self.open(step)
+        return self.conns[step.session]
+
+    def close(self):
+        for conn in self.conns.values():
+            conn.close()
+
+
+def run(world: World, step: Step) -> object:
+    """Does a step and returns what the caller saw."""
+    conn = world.conn(step)
+    if step.verb == "leave":
+        conn.close()
+        del world.conns[step.session]
+        return None
+    try:
+        cur = conn.execute(_sql(step))
+        rows = cur.fetchall() if cur.description else None
+    except psycopg.Error as exc:
+        return exc.sqlstate, conn.info.transaction_status
+    count = cur.rowcount if step.verb in ("insert", "update") else None
+    return rows, count, conn.info.transaction_status
+
+
+def _sql(step: Step) -> str:
+    owner = f"s{step.session}"
+    match step.verb:
+        case "insert":
+            return f"INSERT INTO m VALUES ({step.key}, '{owner}', 0)"
+        case "update":
+            return f"UPDATE m SET n = n + 1 WHERE id = {step.key}"
+        case "count":
+            return "SELECT count(*) FROM m"
+        case "read":
+            return "SELECT id, owner, n FROM m ORDER BY id"
+        case "begin":
+            return "BEGIN"
+        case "commit":
+            return "COMMIT"
+        case "rollback":
+            return "ROLLBACK"
+        case "fail":
+            return "SELECT * FROM missing"
+        case "set":
+            return f"SET my.owner = '{owner}'"
+        case _:
+            return "SHOW my.owner"
+
+
+def blocked(steps: list[Step]) -> list[Step]:
+    """Drops the steps that would wait for another session's write lock.
+
+    One caller runs at a time, so a write that waits for another open
+    transaction would wait for ever.
+    """
+    kept = []
+    in_block: set[int] = set()
+    holder: int | None = None
+    for step in steps:
+        writes = step.verb in ("insert", "update")
+        if writes and holder not in (None, step.session):
+            continue
+        kept.append(step)
+        if step.verb == "begin":
+            in_block.add(step.session)
+        elif step.verb in ("commit", "rollback", "leave"):
+            in_block.discard(step.session)
+            holder = None if holder == step.session else holder
+        elif step.verb == "fail" and holder == step.session:
+            holder = None
+        elif writes and step.session in in_block:
+            holder = step.session
+    return kept
+
+
+@pytest.fixture(name="naive", scope="module")
+def _naive():
+    with local.running(local.Shape(endpoints=1, proxies=0)) as running:
+        server = running.servers["mail-0"]
+        port = server.endpoint.settings.address.port
+        yield f"host={local.HOST} port={port} user=app dbname=mail"
+
+
+def _fresh(url: str):
+    with psycopg.connect(url, autocommit=True) as conn:
+        conn.execute("DROP TABLE IF EXISTS m")
+        conn.execute(
+            "CREATE TABLE m (id INTEGER PRIMARY KEY, owner TEXT, n INT)"
+        )
+
+
+def compare(deployment, naive: str, steps: list[Step]):
+    _fresh(deployment.url(0))
+    _fresh(naive)
+
+    def through_proxy(step: Step):
+        conn = psycopg.connect(deployment.url(step.proxy), autocommit=True)
+        conn.execute("SET bronzehold.max_age = 0")
+        return conn
+
+    worlds = [
+        World(open=through_proxy),
+        World(open=lambda _step: psycopg.connect(naive, autocommit=True)),
+    ]
+    try:
+        for step in blocked(steps):
+            ours, plain = (run(world, step) for world in worlds)
+            assert ours == plain, step
+    finally:
+        for world in worlds:
+            world.close()
+
+
+@hypothesis.settings(max_examples=60)
+@hypothesis.given(steps=STEPS)
+def test_histories_come_out_as_in_the_naive_version(deployment, naive, steps):
+    compare(deployment, naive, steps)
+
+
+def test_version_that_hands_on_open_transactions_is_caught(
+    monkeypatch, deployment, naive
+):
+    monkeypatch.setattr(caller_lib, "_roll_back", lambda _pinned: True)
+    steps = [
+        Step(session=0, verb="begin"),
+        Step(session=0, verb="insert", key=1),
+        Step(session=0, verb="leave"),
+        Step(session=1, verb="insert", key=2),
+        Step(session=1, verb="rollback"),
+        Step(session=2, verb="count"),
+    ]
+    with pytest.raises(AssertionError):
+        compare(deployment, naive, steps)
+    for proxy in deployment.proxies:
+        for pool in proxy.catalog.find("mail").pools():
+            pool.drop_idle()
+
+
+def test_concurrent_transactions_keep_all_or_nothing(deployment):
+    """Each transaction writes three rows; readers never see a part of one."""
+    with psycopg.connect(deployment.url(0), autocommit=True) as conn:
+        conn.execute("CREATE TABLE a (block TEXT, part INT)")
+    torn = []
+
+    def work(number: int):
+        for i in range(12):
+            conn = psycopg.connect(deployment.url(number % 2))
+            block = f"{number}/{i}"
+            for part in range(3):
+                conn.execute(f"INSERT INTO a VALUES ('{block}', {part})")
+            match i % 4:
+                case 0:
+                    conn.rollback()
+                case 1:
+                    conn.pgconn.finish()
+                    continue
+                case _:
+                    conn.commit()
+            rows = conn.execute(
+                "SELECT block, count(*) FROM a GROUP BY block"
+            ).fetchall()
+            torn.extend(row for row in rows if row[1] != 3)
+            conn.close()
+
+    threads = [threading.Thread(target=work, args=(n,)) for n in range(6)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    assert torn == []
+    with psycopg.connect(deployment.url(0), autocommit=True) as conn:
+        conn.execute("SET bronzehold.max_age = 0")
+        rows = conn.execute(
+            "SELECT block, count(*) FROM a GROUP BY block"
+        ).fetchall()
+    assert {row[1] for row in rows} == {3}
+    assert len(rows) == 6 * 6
--- a/tests/primary_test.py
+++ b/tests/primary_test.py
@@ -277,7 +277,7 @@
     return change_lib.Change(
         attempt=attempt,
         store=proxy.platform,
-        dial=served.dial,
+        call=served.control,
         line=proxy.line,
     )
 
@@ -337,6 +337,8 @@
         second = _attempt(deployment, deployment.proxies[1])
         assert second.win(change_lib.read_record(deployment.store, "mail"))
         second.fence()
+        server = deployment.servers[chosen.name]
+        wait_for(lambda: server.endpoint.term == second.term)
         with pytest.raises(change_lib._StoppedError):
             first.promote(chosen)
 
