--- a/Makefile
+++ b/Makefile
@@ -27,6 +27,12 @@
 bench: $(READY)
 	$(BIN)/bronzehold bench
 
+soak: $(READY)
+	$(BIN)/bronzehold soak --seed $(or $(SEED),1) --seconds $(or $(SECONDS),60)
+
+slopes: $(READY)
+	$(BIN)/bronzehold slopes
+
 proto: $(READY)
 	$(BIN)/python -m grpc_tools.protoc -I. --python_out=. \
 	  --grpc_python_out=. bronzehold/proto/etcd.proto bronzehold/proto/peer.proto
--- a/bronzehold/connection/caller.py
+++ b/bronzehold/connection/caller.py
@@ -457,6 +457,11 @@
 
     # Reads outside of a pinned block.
 
+    def _check_spend(self) -> None:
+        service = self._served.service
+        if self._served.spend.reached(service):
+            raise errors.FailureError(errors.SpendReached(service=service.name))
+
     def _deadline(self, batch: batch_lib.Batch) -> float:
         return batch.arrived + (
             self._served.service.deadline_ms * data.MILLISECOND
@@ -465,6 +470,7 @@
     def _read(self, batch: batch_lib.Batch) -> str:
         served = self._served
         deadline = self._deadline(batch)
+        self._check_spend()
         served.budget.earn()
         wanted = reads.need(served, self._session, batch.arrived, deadline)
         avoid: frozenset[str] = frozenset()
@@ -551,6 +557,7 @@
             case Deferred(read_only=True):
                 return self._read(batch)
         deadline = self._deadline(batch)
+        self._check_spend()
         group = self._served.group
         while True:
             grant = group.start_write(deadline)
@@ -786,7 +793,9 @@
                 skipping=skipping,
             )
             plan = batch_lib.plan(batch, backend.prepared)
-            return exchange.run(plan, ahead)
+            answer = exchange.run(plan, ahead)
+            self._served.spend.add(self._served.service, answer.took)
+            return answer
         finally:
             with self._lock:
                 self._active = None
--- a/bronzehold/process/operator.py
+++ b/bronzehold/process/operator.py
@@ -38,6 +38,8 @@
     primary: str
     term: int
     granted: bool
+    spent_seconds: float
+    spend_cap: int
     endpoints: tuple[EndpointView, ...]
 
 
@@ -125,6 +127,8 @@
         primary=grant.primary if grant else "",
         term=grant.term if grant else 0,
         granted=served.group.grant() is not None,
+        spent_seconds=round(served.spend.total(served.service), 3),
+        spend_cap=served.service.spend_seconds,
         endpoints=tuple(
             _endpoint(served, ep) for ep in served.service.endpoints
         ),
--- a/bronzehold/process/peers.py
+++ b/bronzehold/process/peers.py
@@ -19,6 +19,7 @@
 from bronzehold.core import settings
 from bronzehold.process import catalog as catalog_lib
 from bronzehold.process import platform
+from bronzehold.process import spend
 from bronzehold.process import tasks as tasks_lib
 from bronzehold.process import timeline
 from bronzehold.proto import peer_pb2 as pb
@@ -208,8 +209,30 @@
             document=self._catalog.text if behind else b"",
             groups=self._views(),
             sequence=sequence,
+            spent=self._spent(),
         )
 
+    def _spent(self) -> list[pb.Spent]:
+        counts = []
+        for served in self._catalog.all():
+            own = served.spend.own()
+            if served.service.spend_seconds and own.seconds:
+                counts.append(
+                    pb.Spent(
+                        service=served.service.name,
+                        window=own.window,
+                        seconds=own.seconds,
+                    )
+                )
+        return counts
+
+    def _hear_spent(self, beat: pb.Heartbeat) -> None:
+        for one in beat.spent:
+            served = self._catalog.find(one.service)
+            if served is not None:
+                count = spend.Spent(window=one.window, seconds=one.seconds)
+                served.spend.hear(beat.proxy, count)
+
     def _views(self) -> list[pb.GroupView]:
         # A group that is well and quiet is not spoken of.
         views = []
@@ -261,6 +284,7 @@
         if beat.document:
             self._catalog.adopt(beat.document, f"peer {beat.proxy}")
         self._follow_holds(old, beat)
+        self._hear_spent(beat)
         self._talk_to(beat.address)
 
     def _follow_holds(self, old: Heard | None, beat: pb.Heartbeat) -> None:
--- /dev/null
+++ b/bronzehold/process/pool_test.py
@@ -0,0 +1,125 @@
+import threading
+import time
+
+import pytest
+
+from bronzehold.core import data
+from bronzehold.core import errors
+from bronzehold.process import pool as pool_lib
+
+ENDPOINT = data.Endpoint(
+    name="e",
+    host="127.0.0.1",
+    port=1,
+    zone="z",
+    region="r",
+    connections=4,
+    slots=2,
+)
+
+
+class FakeBackend:
+    def __init__(self):
+        self.closed = False
+        self.good = True
+        self.idle_since = time.monotonic()
+
+    def usable(self) -> bool:
+        return self.good
+
+    def detach(self):
+        return None
+
+    def close(self):
+        self.closed = True
+
+
+def make(connections: int = 2, slots: int = 2):
+    made = []
+
+    def dial(_endpoint):
+        made.append(FakeBackend())
+        return made[-1]
+
+    caps = pool_lib.Caps(connections=connections, slots=slots)
+    return pool_lib.Pool(endpoint=ENDPOINT, dial=dial, caps=caps), made
+
+
+def soon(seconds: float = 2.0) -> float:
+    return time.monotonic() + seconds
+
+
+def test_connections_are_used_again():
+    pool, made = make()
+    for _ in range(3):
+        backend = pool.enter(session="a", deadline=soon())
+        pool.rest(0.001)
+        pool.give_back(backend, good=True)
+    assert len(made) == 1
+
+
+def test_unusable_connection_is_not_handed_on():
+    pool, made = make()
+    backend = pool.enter(session="a", deadline=soon())
+    pool.rest(0.001)
+    backend.good = False
+    pool.give_back(backend, good=True)
+    assert pool.enter(session="b", deadline=soon()) is not backend
+    assert backend.closed and len(made) == 2
+
+
+def test_request_that_cannot_be_in_time_is_refused_at_once():
+    pool, _ = make(slots=1)
+    pool.enter(session="a", deadline=soon())
+    pool.rest(0.0)
+    pool._service_s = 10.0
+    pool.resume()
+    started = time.monotonic()
+    with pytest.raises(errors.FailureError) as caught:
+        pool.enter(session="b", deadline=soon(5.0))
+    assert isinstance(caught.value.failure, errors.Overloaded)
+    assert time.monotonic() - started < 1.0
+
+
+def test_waiting_ends_at_the_deadline():
+    pool, _ = make(slots=1)
+    pool.enter(session="a", deadline=soon())
+    with pytest.raises(errors.FailureError):
+        pool.enter(session="b", deadline=soon(0.1))
+    assert pool.load().waiting == 0
+
+
+def test_a_session_with_many_requests_does_not_hold_back_one_with_few():
+    pool, _ = make(connections=1, slots=1)
+    order = []
+    first = pool.enter(session="x", deadline=soon())
+
+    def work(session: str):
+        backend = pool.enter(session=session, deadline=soon(10))
+        order.append(session)
+        time.sleep(0.005)
+        pool.rest(0.005)
+        pool.give_back(backend, good=True)
+
+    threads = [threading.Thread(target=work, args=("many",)) for _ in range(10)]
+    for thread in threads:
+        thread.start()
+    time.sleep(0.1)
+    last = threading.Thread(target=work, args=("few",))
+    last.start()
+    time.sleep(0.1)
+    pool.rest(0.001)
+    pool.give_back(first, good=True)
+    for thread in [*threads, last]:
+        thread.join()
+    assert order.index("few") <= 2
+
+
+def test_smaller_share_closes_idle_connections():
+    pool, made = make()
+    backends = [pool.enter(session=s, deadline=soon()) for s in "ab"]
+    for backend in backends:
+        pool.rest(0.001)
+        pool.give_back(backend, good=True)
+    pool.resize(pool_lib.Caps(connections=1, slots=1))
+    assert sum(backend.closed for backend in made) == 1
--- a/bronzehold/process/served.py
+++ b/bronzehold/process/served.py
@@ -12,6 +12,7 @@
 from bronzehold.process import group as group_lib
 from bronzehold.process import metrics
 from bronzehold.process import pool as pool_lib
+from bronzehold.process import spend
 from bronzehold.process import timeline
 from bronzehold.process import watcher as watcher_lib
 
@@ -50,6 +51,7 @@
             service=service, timing=env.cfg.timing, line=env.line
         )
         self.budget = budget.Budget()
+        self.spend = spend.Spend()
         self._pools: dict[str, pool_lib.Pool] = {}
         self._watchers: dict[str, watcher_lib.Watcher] = {}
         self._apply(service)
--- a/bronzehold/tools/main.py
+++ b/bronzehold/tools/main.py
@@ -16,6 +16,7 @@
 from bronzehold.standin import launch
 from bronzehold.tools import demo as demo_lib
 from bronzehold.tools import operators
+from bronzehold.tools import soak as soak_lib
 
 OK = 0
 BAD_INPUT = 2
@@ -189,7 +190,8 @@
         granted = "granted" if one["granted"] else "no grant"
         _say(
             f"  {one['service']}: primary {one['primary'] or 'unknown'}, "
-            f"term {one['term']}, {granted}"
+            f"term {one['term']}, {granted}, spent "
+            f"{one['spent_seconds']}/{one['spend_cap'] or 'any'} s"
         )
         for ep in one["endpoints"]:
             leaving = ", leaving" if ep["leaving"] else ""
@@ -281,6 +283,26 @@
     return OK if demo_lib.run(_say) else NOT_DONE
 
 
+def soak(*, seed: int = 1, seconds: float = 60.0) -> int:
+    """Draw random faults under load from a seed, and check the promises.
+
+    Args:
+        seed: What the faults are drawn from.
+        seconds: For how long.
+    """
+    report = soak_lib.run(
+        seed=seed,
+        seconds=seconds,
+        transactions=seed % 2 == 0,
+        carry=seed % 3 == 0,
+        say=_say,
+    )
+    _say(f"seed {seed}: writes {report.writes}, reads {report.reads}")
+    for violation in report.violations:
+        _complain(str(violation))
+    return NOT_DONE if report.violations else OK
+
+
 def main() -> None:
     """Runs the program."""
     commands = {
@@ -293,6 +315,7 @@
         "promote": promote,
         "timeline": timeline,
         "demo": demo,
+        "soak": soak,
     }
     try:
         code = defopt.run(commands, argparse_kwargs={"prog": "bronzehold"})
--- a/tests/limits_test.py
+++ b/tests/limits_test.py
@@ -6,6 +6,7 @@
 
 import psycopg
 
+from bronzehold.process import operator
 from bronzehold.process import served as served_lib
 from bronzehold.tools import local
 
@@ -152,3 +153,29 @@
     found, errors, _ = run(shape, during)
     assert max(found.values()) <= LIMIT
     assert all("not run" in text for text in errors)
+
+
+def test_spending_cap_holds_over_all_proxies_and_is_shown():
+    service = dataclasses.replace(
+        SHAPE.service, spend_seconds=2, spend_window_s=3600
+    )
+    shape = dataclasses.replace(SHAPE, service=service)
+    with local.running(shape) as deployment:
+        conns = [
+            psycopg.connect(deployment.url(i), autocommit=True)
+            for i in range(3)
+        ]
+        told = []
+        for i in range(60):
+            try:
+                conns[i % 3].execute("SELECT pg_sleep(0.1)")
+            except psycopg.Error as exc:
+                told.append(exc)
+                time.sleep(0.05)
+        assert 60 - len(told) <= 30
+        assert {exc.sqlstate for exc in told} == {"53400"}
+        assert all(str(exc).startswith("not run") for exc in told)
+        shown = operator.status(deployment.proxies[0]).groups[0]
+        assert shown.spend_cap == 2 and shown.spent_seconds >= 2
+        for conn in conns:
+            conn.close()
--- /dev/null
+++ b/tests/soak_test.py
@@ -0,0 +1,19 @@
+"""A short soak with fixed seeds; `make soak` runs longer ones."""
+
+import pytest
+
+from bronzehold.tools import soak
+
+SECONDS = 12.0
+
+
+@pytest.mark.parametrize(
+    ("seed", "transactions", "carry"),
+    [(1, False, False), (2, True, False), (3, False, True)],
+)
+def test_random_faults_break_no_promise(seed, transactions, carry):
+    report = soak.run(
+        seed=seed, seconds=SECONDS, transactions=transactions, carry=carry
+    )
+    assert report.violations == (), report.faults
+    assert report.writes["done"] > 20
