bench: the four measures side by side, open-loop, on both deployments

Change: `make bench` starts each variant as separate processes: naive (straight to the primary), plain (least connections, first come first served, no admission) and bronzehold; demand swings by ten, one request in a hundred is 50 times longer, lag wanders, one primary is changed, one killed, one frozen.

--- a/Makefile
+++ b/Makefile
@@ -25,13 +25,13 @@
 	$(BIN)/ruff check --fix .
 
 bench: $(READY)
-	$(BIN)/bronzehold bench
+	$(BIN)/python -m bench.run
 
 soak: $(READY)
 	$(BIN)/bronzehold soak --seed $(or $(SEED),1) --seconds $(or $(SECONDS),60)
 
 slopes: $(READY)
-	$(BIN)/bronzehold slopes
+	$(BIN)/python -m bench.slopes
 
 proto: $(READY)
 	$(BIN)/python -m grpc_tools.protoc -I. --python_out=. \
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Starts the system as separate processes, and measures it."""
--- /dev/null
+++ b/bench/figures.py
@@ -0,0 +1,94 @@
+"""The measures that users weigh, from the results of a load."""
+
+import collections.abc
+import dataclasses
+
+from hdrh import histogram
+
+from bench import load
+
+HIGHEST_MS = 3_600_000
+SUSTAINED_S = 1.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Figures:
+    """One phase of one variant.
+
+    Attributes:
+        asked: Requests that were due.
+        goodput: Requests answered well within the deadline, a second.
+        p50_ms: Of the short requests answered, from their intended start.
+        p99_ms: The same.
+        refused: Requests told "not run".
+        other: Requests that failed in another way or came too late.
+    """
+
+    asked: int
+    goodput: float
+    p50_ms: float
+    p99_ms: float
+    refused: int
+    other: int
+
+
+NOT_RUN = ("53300", "57P03", "57P01", "53400")
+
+
+def phase(
+    results: collections.abc.Iterable[load.Result],
+    wanted: load.Phase,
+    deadline_s: float,
+) -> Figures:
+    """Returns the figures of a phase."""
+    own = [r for r in results if r.phase == wanted.name]
+    good = [r for r in own if is_good(r, deadline_s)]
+    refused = sum(r.outcome in NOT_RUN for r in own)
+    hist = histogram.HdrHistogram(1, HIGHEST_MS, 3)
+    for result in own:
+        if result.kind != "long" and result.outcome == "ok":
+            millis = int((result.end - result.due) * 1000)
+            hist.record_value(max(1, millis))
+    return Figures(
+        asked=len(own),
+        goodput=round(len(good) / wanted.seconds, 1),
+        p50_ms=hist.get_value_at_percentile(50),
+        p99_ms=hist.get_value_at_percentile(99),
+        refused=refused,
+        other=len(own) - len(good) - refused,
+    )
+
+
+def is_good(result: load.Result, deadline_s: float) -> bool:
+    """Whether a request was answered well, and in time."""
+    return result.outcome == "ok" and result.end - result.due <= deadline_s
+
+
+def gap_s(
+    results: collections.abc.Iterable[load.Result],
+    begin: float,
+    end: float,
+) -> float:
+    """Returns the longest pause between writes done in a stretch of time."""
+    times = sorted(
+        r.end
+        for r in results
+        if r.kind == "write" and r.outcome == "ok" and begin <= r.end <= end
+    )
+    edges = [begin, *times, end]
+    return round(max(b - a for a, b in zip(edges, edges[1:], strict=False)), 2)
+
+
+def recovery_s(
+    results: collections.abc.Iterable[load.Result],
+    after: load.Phase,
+    begin: float,
+    deadline_s: float,
+) -> float:
+    """Returns how long after a crest requests still came out badly."""
+    bad = [
+        r.due - begin
+        for r in results
+        if r.phase == after.name and not is_good(r, deadline_s)
+    ]
+    return round(max(bad, default=0.0), 2)
--- /dev/null
+++ b/bench/plain_proxy.py
@@ -0,0 +1,47 @@
+"""The plain baseline: least connections, first come first served.
+
+It is the proxy without its policy: no admission by deadline, no fairness
+between sessions, no bound on statements in flight but the connections, and
+reads go to whichever endpoint has the fewest in flight.
+"""
+
+from bronzehold.process import pool as pool_lib
+from bronzehold.process import served as served_lib
+from bronzehold.request import reads
+from bronzehold.tools import main
+
+NO_LIMIT = 1 << 30
+
+
+def _caps(self, ep) -> pool_lib.Caps:
+    share = max(1, self.env.share())
+    connections = ep.connections // share - served_lib.CONTROL_CONNECTIONS
+    return pool_lib.Caps(connections=max(1, connections), slots=NO_LIMIT)
+
+
+def _queue(self, session: str, deadline: float) -> pool_lib.Waiter:
+    del session, deadline
+    waiter = pool_lib.Waiter(tag=0.0, order=next(self._order))
+    self._waiters.append(waiter)
+    return waiter
+
+
+def _cost(served, name: str) -> float | None:
+    pool = served.pool(name)
+    if pool is None:
+        return None
+    load = pool.load()
+    return float(load.running + load.waiting)
+
+
+def install() -> None:
+    """Takes the policy out of the proxy."""
+    served_lib.Served._caps = _caps
+    pool_lib.Pool._queue = _queue
+    reads._cost = _cost
+    reads.PRIMARY_PENALTY_S = 0.0
+
+
+if __name__ == "__main__":
+    install()
+    main.main()
--- /dev/null
+++ b/bench/run.py
@@ -0,0 +1,325 @@
+"""`make bench`: the four measures, side by side for three variants.
+
+Each deployment has the sizes of the brief, on stand-ins whose statements take
+a set time; the load is open-loop, with fixed seeds. Prints JSON lines and a
+table.
+"""
+
+import collections.abc
+import dataclasses
+import json
+import pathlib
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+
+import psycopg
+
+from bench import cluster as cluster_lib
+from bench import figures
+from bench import hop
+from bench import load
+from bronzehold.connection import client
+from bronzehold.tools import local
+
+STATEMENT_MS = 40.0
+LONG_FACTOR = 50
+WRITE_SHARE = 0.1
+LONG_SHARE = 0.01
+DEADLINE_S = 2.0
+SEED = 7
+SESSIONS = 160
+LAGS_S = (0.02, 0.1, 0.4, 0.05, 0.2)
+LEAD_S = 4.0
+FAULT_AFTER_S = 1.5
+QUIET, LONG, CREST, AFTER = "quiet", "long", "crest", "after"
+FAULTS = ("planned", "killed", "frozen")
+VARIANTS = ("naive", "plain", "bronzehold")
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Deployment:
+    """The sizes of one of the users."""
+
+    name: str
+    shape: cluster_lib.Shape
+
+    @property
+    def capacity(self) -> float:
+        """Statements a second that one group's slots can run."""
+        slots = self.shape.group["slots"] * 3
+        return slots / (STATEMENT_MS / 1000)
+
+
+def _deployment(name, services, regions, **group) -> Deployment:
+    zones = tuple(
+        local.Zone(name=f"{region}-1", region=region) for region in regions
+    )
+    return Deployment(
+        name=name,
+        shape=cluster_lib.Shape(
+            services=tuple(services),
+            proxies=4,
+            zones=zones,
+            group={"statement_ms": STATEMENT_MS, **group},
+            deadline_ms=int(DEADLINE_S * 1000),
+        ),
+    )
+
+
+ANDINO = _deployment(
+    "Correo Andino",
+    ("inbox1", "inbox2", "inbox3"),
+    ("lima", "arequipa", "trujillo"),
+    connections=16,
+    slots=2,
+    connect_ms=12.0,
+    zone_ms=1.5,
+    region_ms=8.0,
+)
+KHUVTSAS = _deployment(
+    "Tsagaan Khuvtsas",
+    ("ledger1", "ledger2", "ledger3"),
+    ("ulaanbaatar", "darkhan", "erdenet"),
+    connections=40,
+    slots=3,
+    connect_ms=25.0,
+    zone_ms=0.5,
+    region_ms=12.0,
+)
+
+
+def phases(capacity: float) -> tuple[load.Phase, ...]:
+    """Returns the stretches of the load; the crest is ten times the quiet."""
+    quiet = 0.3 * capacity
+    return (
+        load.Phase(name=QUIET, seconds=5, rate=quiet),
+        load.Phase(name=LONG, seconds=8, rate=quiet, long_share=LONG_SHARE),
+        load.Phase(
+            name=CREST, seconds=6, rate=3 * capacity, long_share=LONG_SHARE / 10
+        ),
+        load.Phase(name=AFTER, seconds=6, rate=quiet),
+        *(load.Phase(name=name, seconds=7, rate=quiet) for name in FAULTS),
+    )
+
+
+class Run:
+    """One variant on one deployment."""
+
+    def __init__(
+        self,
+        *,
+        folder: pathlib.Path,
+        deployment: Deployment,
+        variant: str,
+    ):
+        self.folder = folder
+        self.deployment = deployment
+        self.variant = variant
+        program = "bench.plain_proxy" if variant == "plain" else "bronzehold"
+        shape = dataclasses.replace(deployment.shape, program=program)
+        self.cluster = cluster_lib.Cluster(folder=folder, shape=shape)
+        self.phases = phases(deployment.capacity)
+        self.start_at = 0.0
+
+    def run(self) -> dict:
+        """Runs the load with its faults and returns the figures."""
+        try:
+            self.cluster.start()
+            self._make_tables()
+            self.start_at = time.time() + LEAD_S
+            loads = self._start_loads()
+            self._wander_and_break()
+            results = {s: self._collect(p) for s, p in loads.items()}
+            return self._figures(results)
+        finally:
+            self.cluster.close()
+
+    def _make_tables(self) -> None:
+        for service in self.deployment.shape.services:
+            with self.cluster.connect("proxy-0", dbname=service) as conn:
+                conn.execute("CREATE TABLE work (id INT)")
+        time.sleep(0.5)
+
+    def _urls(self, service: str) -> tuple[str, ...]:
+        head = f"host={local.HOST} user=app dbname={service}"
+        if self.variant == "naive":
+            return (f"{head} port={self.cluster.endpoints[f'{service}-0']}",)
+        ports = [self.cluster.ports[n] for n in self.cluster.proxy_names]
+        return tuple(f"{head} port={port}" for port in ports)
+
+    def _start_loads(self) -> dict[str, subprocess.Popen]:
+        started = {}
+        for number, service in enumerate(self.deployment.shape.services):
+            cfg = load.LoadSettings(
+                urls=self._urls(service),
+                start_at=self.start_at,
+                phases=self.phases,
+                sessions=SESSIONS,
+                write_share=WRITE_SHARE,
+                long_s=STATEMENT_MS * LONG_FACTOR / 1000,
+                seed=SEED + number,
+            )
+            path = self.folder / f"load-{service}.json"
+            path.write_text(json.dumps(dataclasses.asdict(cfg)))
+            out = (self.folder / f"load-{service}.out").open("w")
+            command = [sys.executable, "-m", "bench.load", str(path)]
+            started[service] = subprocess.Popen(command, stdout=out)
+        return started
+
+    def begin_of(self, name: str) -> float:
+        """Returns when a phase begins, on the wall clock."""
+        at = self.start_at
+        for phase in self.phases:
+            if phase.name == name:
+                return at
+            at += phase.seconds
+        raise KeyError(name)
+
+    def _wander_and_break(self) -> None:
+        moments = [
+            (self.start_at + i * 3.0, lambda i=i: self._set_lag(i))
+            for i in range(8)
+        ]
+        for name in FAULTS:
+            at = self.begin_of(name) + FAULT_AFTER_S
+            moments.append((at, lambda name=name: self._break(name)))
+        for at, action in sorted(moments, key=lambda m: m[0]):
+            time.sleep(max(0.0, at - time.time()))
+            action()
+
+    def _set_lag(self, i: int) -> None:
+        lag = LAGS_S[i % len(LAGS_S)]
+        for name in self.cluster.endpoints:
+            try:
+                conn = self.cluster.control(name)
+                conn.rows(f"SELECT bronzehold_fault('{{\"lag_s\": {lag}}}')")
+                conn.close()
+            except client.ClientError:
+                continue
+
+    def _break(self, name: str) -> None:
+        # Each fault has a group of its own, so that none spoils the next.
+        service = self.deployment.shape.services[FAULTS.index(name)]
+        primary = f"{service}-0"
+        match name:
+            case "planned" if self.variant != "naive":
+                self.cluster.cli("promote", service)
+            case "killed":
+                self.cluster.kill(primary)
+            case "frozen":
+                self.cluster.signal(primary, signal.SIGSTOP)
+
+    def _collect(self, process: subprocess.Popen) -> list[load.Result]:
+        process.wait(timeout=120)
+        service = process.args[-1].rsplit("load-", 1)[1].removesuffix(".json")
+        lines = (self.folder / f"load-{service}.out").read_text().splitlines()
+        return [load.Result(**json.loads(line)) for line in lines]
+
+    def _figures(self, results: dict[str, list[load.Result]]) -> dict:
+        everything = [r for rs in results.values() for r in rs]
+        row: dict = {"variant": self.variant, "seed": SEED}
+        row["replica_share"] = self._replica_share()
+        for phase in self.phases:
+            if phase.name not in FAULTS:
+                found = figures.phase(everything, phase, DEADLINE_S)
+                row[phase.name] = dataclasses.asdict(found)
+        after = next(p for p in self.phases if p.name == AFTER)
+        begin = self.begin_of(AFTER)
+        row["recovery_s"] = figures.recovery_s(
+            everything, after, begin, DEADLINE_S
+        )
+        for name, service in zip(FAULTS, results, strict=True):
+            begin = self.begin_of(name)
+            row[f"gap_{name}_s"] = figures.gap_s(
+                results[service], begin + 1.0, begin + 7.0
+            )
+        return row
+
+    def _replica_share(self) -> float | None:
+        if self.variant == "naive":
+            return 0.0
+        counts = {"replica": 0, "primary": 0}
+        found = self.cluster.cli("status", "--as-json")
+        for line in found.stdout.splitlines():
+            for one in json.loads(line)["latencies"]:
+                served = one["work"] == "read" and one["outcome"] == "ok"
+                if served and one["place"] in counts:
+                    counts[one["place"]] += one["count"]
+        total = sum(counts.values())
+        return round(counts["replica"] / total, 3) if total else None
+
+
+COLUMNS: tuple[tuple[str, collections.abc.Callable[[dict], object]], ...] = (
+    ("reads on replicas", lambda r: r["replica_share"]),
+    ("short p50/p99 quiet, ms", lambda r: _pair(r[QUIET])),
+    ("short p50/p99 beside long, ms", lambda r: _pair(r[LONG])),
+    ("goodput quiet, /s", lambda r: r[QUIET]["goodput"]),
+    ("goodput at crest, /s", lambda r: r[CREST]["goodput"]),
+    ("short p50/p99 at crest, ms", lambda r: _pair(r[CREST])),
+    ("refused at crest", lambda r: r[CREST]["refused"]),
+    ("late or failed at crest", lambda r: r[CREST]["other"]),
+    ("recovery after crest, s", lambda r: r["recovery_s"]),
+    ("write gap planned, s", lambda r: r["gap_planned_s"]),
+    ("write gap killed, s", lambda r: r["gap_killed_s"]),
+    ("write gap frozen, s", lambda r: r["gap_frozen_s"]),
+)
+
+
+def _pair(found: dict) -> str:
+    return f"{found['p50_ms']}/{found['p99_ms']}"
+
+
+def table(rows: list[dict]) -> str:
+    """Returns the figures as a table, a variant a column."""
+    heads = [row["variant"] for row in rows]
+    lines = ["| measure | " + " | ".join(heads) + " |"]
+    lines.append("| --- |" + " --- |" * len(rows))
+    for name, value in COLUMNS:
+        cells = " | ".join(str(value(row)) for row in rows)
+        lines.append(f"| {name} | {cells} |")
+    return "\n".join(lines)
+
+
+def bench(deployment: Deployment, variants: tuple[str, ...]) -> list[dict]:
+    """Runs the variants on one deployment, one after the other."""
+    rows = []
+    for variant in variants:
+        with tempfile.TemporaryDirectory() as folder:
+            run = Run(
+                folder=pathlib.Path(folder),
+                deployment=deployment,
+                variant=variant,
+            )
+            try:
+                row = run.run()
+            except (psycopg.Error, AssertionError) as exc:
+                print(f"{deployment.name}, {variant}: failed: {exc}")
+                continue
+        print(json.dumps({"deployment": deployment.name, **row}), flush=True)
+        rows.append(row)
+    return rows
+
+
+def main() -> None:
+    """Runs everything, or what the arguments name."""
+    wanted = sys.argv[1:]
+    variants = tuple(v for v in VARIANTS if v in wanted) or VARIANTS
+    if not wanted or "hop" in wanted:
+        print(hop.table(hop.run()), flush=True)
+    for deployment in (ANDINO, KHUVTSAS):
+        short = deployment.name.split()[-1].lower()
+        names = {"andino", "khuvtsas"} & set(wanted)
+        if wanted == ["hop"] or (names and short not in names):
+            continue
+        rows = bench(deployment, variants)
+        total = deployment.capacity * len(deployment.shape.services)
+        print(f"\n{deployment.name}, capacity {total:.0f} statements/s, seed")
+        print(f"{SEED}, crest at 3 times capacity\n")
+        print(table(rows), flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- a/bronzehold/process/pool.py
+++ b/bronzehold/process/pool.py
@@ -53,7 +53,7 @@
     service_s: float
 
 
-class _Waiter:
+class Waiter:
     """One request in the queue."""
 
     __slots__ = ("granted", "order", "tag")
@@ -81,7 +81,7 @@
         self._idle: list[backend_lib.Backend] = []
         self._leased = 0
         self._running = 0
-        self._waiters: list[_Waiter] = []
+        self._waiters: list[Waiter] = []
         self._order = itertools.count()
         self._virtual = 0.0
         self._tags: dict[str, float] = {}
@@ -147,7 +147,7 @@
             self._give_up(waiter)
         return self._connect()
 
-    def _queue(self, session: str, deadline: float) -> _Waiter:
+    def _queue(self, session: str, deadline: float) -> Waiter:
         expected = self._expected()
         if time.monotonic() + expected > deadline:
             raise self._overloaded(expected)
@@ -157,7 +157,7 @@
             }
         tag = max(self._virtual, self._tags.get(session, 0.0)) + 1
         self._tags[session] = tag
-        waiter = _Waiter(tag=tag, order=next(self._order))
+        waiter = Waiter(tag=tag, order=next(self._order))
         self._waiters.append(waiter)
         return waiter
 
@@ -169,7 +169,7 @@
             )
         )
 
-    def _give_up(self, waiter: _Waiter) -> None:
+    def _give_up(self, waiter: Waiter) -> None:
         with self._lock:
             if waiter.granted.is_set():
                 return
--- a/tests/processes_test.py
+++ b/tests/processes_test.py
@@ -10,7 +10,7 @@
 import psycopg
 import pytest
 
-from tests import cluster as cluster_lib
+from bench import cluster as cluster_lib
 
 GAP_BOUND_S = 6.0
 
