Queues before endpoints are bounded, not only by the deadline

Cause: at 3 times capacity every request waited almost its whole deadline of 2 s in the proxy's queue, so most answers came too late for their callers. Change: a request that would have to wait longer than queue_ms (250) is refused at once, as not run. Long work still holds slots; that comes next.

--- a/bronzehold/core/settings.py
+++ b/bronzehold/core/settings.py
@@ -33,6 +33,8 @@
         takeover_ms: How long a change of primary may stand still.
         lease_s: Life of the proxy's registration in the platform.
         reread_s: Between two readings of the configuration.
+        queue_ms: How long a request may expect to wait for an endpoint; a
+            longer queue would only make more callers wait.
         replica_wait_ms: How long a read waits for a replica to be fresh
             before it goes to the primary.
         announce_ms: How long a stopping proxy keeps taking connections.
@@ -49,6 +51,7 @@
     takeover_ms: int = 2000
     lease_s: int = 3
     reread_s: int = 10
+    queue_ms: int = 250
     replica_wait_ms: int = 30
     announce_ms: int = 1000
     stop_ms: int = 20000
--- a/bronzehold/process/pool.py
+++ b/bronzehold/process/pool.py
@@ -5,7 +5,8 @@
 wait for what the transaction holds. The queue is fair between sessions: each
 statement gets a tag one beyond its session's last, and the lowest tag goes
 first, so a session with many statements cannot hold back one with few. A
-request that cannot be served before its deadline is refused at once.
+request that cannot be served before its deadline is refused at once, and so is
+one that would make the queue longer than its bound.
 """
 
 import collections.abc
@@ -20,6 +21,7 @@
 from bronzehold.core import errors
 
 EWMA_WEIGHT = 0.1
+PATIENCE = 2
 FIRST_GUESS_S = 0.005
 IDLE_LIMIT_S = 60.0
 MAX_SESSIONS_KEPT = 4096
@@ -73,10 +75,12 @@
         endpoint: data.Endpoint,
         dial: collections.abc.Callable[[data.Endpoint], backend_lib.Backend],
         caps: Caps,
+        queue_s: float,
     ):
         self.endpoint = endpoint
         self._dial = dial
         self._caps = caps
+        self._queue_s = queue_s
         self._lock = threading.Lock()
         self._idle: list[backend_lib.Backend] = []
         self._leased = 0
@@ -143,13 +147,16 @@
         with self._lock:
             waiter = self._queue(session, deadline)
             self._dispatch()
-        if not waiter.granted.wait(max(0.0, deadline - time.monotonic())):
+        now = time.monotonic()
+        patience = min(deadline - now, self._queue_s * PATIENCE)
+        if not waiter.granted.wait(max(0.0, patience)):
             self._give_up(waiter)
         return self._connect()
 
     def _queue(self, session: str, deadline: float) -> Waiter:
         expected = self._expected()
-        if time.monotonic() + expected > deadline:
+        late = time.monotonic() + expected > deadline
+        if late or expected > self._queue_s:
             raise self._overloaded(expected)
         if len(self._tags) > MAX_SESSIONS_KEPT:
             self._tags = {
--- a/bronzehold/process/pool_test.py
+++ b/bronzehold/process/pool_test.py
@@ -42,7 +42,9 @@
         return made[-1]
 
     caps = pool_lib.Caps(connections=connections, slots=slots)
-    return pool_lib.Pool(endpoint=ENDPOINT, dial=dial, caps=caps), made
+    return pool_lib.Pool(
+        endpoint=ENDPOINT, dial=dial, caps=caps, queue_s=1.0
+    ), made
 
 
 def soon(seconds: float = 2.0) -> float:
--- a/bronzehold/process/served.py
+++ b/bronzehold/process/served.py
@@ -80,7 +80,10 @@
 
     def _add(self, ep: data.Endpoint) -> None:
         self._pools[ep.name] = pool_lib.Pool(
-            endpoint=ep, dial=self._dial, caps=self._caps(ep)
+            endpoint=ep,
+            dial=self._dial,
+            caps=self._caps(ep),
+            queue_s=self.env.cfg.timing.queue_ms * data.MILLISECOND,
         )
         watcher = watcher_lib.Watcher(
             group=self.group, endpoint=ep, dial=self.dial
--- a/bronzehold/request/reads.py
+++ b/bronzehold/request/reads.py
@@ -11,7 +11,7 @@
 RECHECK_S = 0.02
 SAME_REGION_S = 0.002
 OTHER_REGION_S = 0.02
-PRIMARY_PENALTY_S = 0.25
+PRIMARY_PENALTY_S = 0.1
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
