Long work runs in lanes, handed out over all proxies together

Cause: statements 50 times longer took both slots of an endpoint, and short ones already sent there waited up to 2 s. Change: shapes of statements are known by how long they took, heard from peers too; long work waits for a lane (slots - 1 on each endpoint, over all proxies, handed out by one proxy for each group); work that turns out long while it runs is counted so at once and takes up a lane.

--- a/bench/load.py
+++ b/bench/load.py
@@ -123,11 +123,13 @@
         self._conn: psycopg.Connection | None = None
         self._retry_at = 0.0
         self.work: queue.SimpleQueue[Request | None] = queue.SimpleQueue()
+        self.pending = 0
 
     def run(self) -> None:
         self._connect()
         while (request := self.work.get()) is not None:
             self._do(request)
+            self.pending -= 1
 
     def _connect(self) -> None:
         try:
@@ -196,7 +198,8 @@
         time.sleep(max(0.0, request.due - time.time()))
         # A caller that still waits for an answer does not ask again; another
         # caller does.
-        session = min(rng.sample(sessions, 8), key=lambda s: s.work.qsize())
+        session = min(rng.sample(sessions, 8), key=lambda s: s.pending)
+        session.pending += 1
         session.work.put(request)
     for session in sessions:
         session.work.put(None)
--- a/bronzehold/connection/caller.py
+++ b/bronzehold/connection/caller.py
@@ -26,6 +26,9 @@
 from bronzehold.process import served as served_lib
 from bronzehold.request import batch as batch_lib
 from bronzehold.request import classify
+from bronzehold.request import effort
+from bronzehold.request import lane
+from bronzehold.request import lengths
 from bronzehold.request import reads
 from bronzehold.request import relay
 from bronzehold.version import grant as grant_lib
@@ -110,6 +113,7 @@
         self._stopping = False
         self._counted = False
         self._place = "none"
+        self._effort: effort.Effort | None = None
 
     # Life of the connection.
 
@@ -475,16 +479,11 @@
         wanted = reads.need(served, self._session, batch.arrived, deadline)
         avoid: frozenset[str] = frozenset()
         while True:
-            place = reads.choose(
-                served, wanted, self._session.freshness.mark, deadline, avoid
-            )
             try:
-                return self._read_at(batch, place, deadline)
-            except pool_lib.DialError:
-                avoid |= {place.endpoint}
-            except _RetryError:
-                avoid |= {place.endpoint}
-                if not served.budget.spend():
+                return self._read_once(batch, wanted, deadline, avoid)
+            except _ElsewhereError as exc:
+                avoid |= {exc.endpoint}
+                if exc.sent and not served.budget.spend():
                     raise errors.FailureError(
                         errors.NoFreshEndpoint(group=served.group.name)
                     ) from None
@@ -492,11 +491,43 @@
                 avoid = frozenset()
                 time.sleep(PAUSE_S)
 
+    def _read_once(
+        self,
+        batch: batch_lib.Batch,
+        wanted: reads.Need,
+        deadline: float,
+        avoid: frozenset[str],
+    ) -> str:
+        served = self._served
+        own = self._session.freshness.mark
+        place = reads.choose(served, wanted, own, deadline, avoid)
+        shape = lengths.shape(batch.text)
+        if served.lengths.length(shape) is data.Length.SHORT:
+            return self._read_or_elsewhere(batch, place, deadline)
+        with lane.hold(
+            served,
+            lambda: reads.candidates(served, wanted, avoid),
+            deadline,
+            served.lengths.expected(shape),
+        ) as endpoint:
+            place = reads.place(served, endpoint)
+            return self._read_or_elsewhere(batch, place, deadline)
+
+    def _read_or_elsewhere(
+        self, batch: batch_lib.Batch, place: reads.Place, deadline: float
+    ) -> str:
+        try:
+            return self._read_at(batch, place, deadline)
+        except pool_lib.DialError as exc:
+            raise _ElsewhereError(place.endpoint, sent=False) from exc
+        except _RetryError as exc:
+            raise _ElsewhereError(place.endpoint, sent=True) from exc
+
     def _read_at(
         self, batch: batch_lib.Batch, place: reads.Place, deadline: float
     ) -> str:
         pool = self._pool(place)
-        backend = self._enter(pool, deadline)
+        backend = self._enter(pool, deadline, batch)
         ahead: tuple[bytes, ...] = ()
         if isinstance(self._block, Deferred):
             ahead = (BEGIN_READ_ONLY,)
@@ -518,7 +549,7 @@
         except BaseException:
             self._let_go(pool, backend, good=False)
             raise
-        pool.rest(answer.took)
+        self._effort.end(answer.took)
         prefix = self._is_prefix()
         pinned = Pinned(backend=backend, pool=pool, place=place, prefix=prefix)
         self._settle(pinned, answer)
@@ -558,6 +589,20 @@
                 return self._read(batch)
         deadline = self._deadline(batch)
         self._check_spend()
+        shape = lengths.shape(batch.text)
+        known = self._served.lengths
+        if known.length(shape) is data.Length.SHORT:
+            return self._write_until(batch, deadline)
+        with lane.hold(
+            self._served, self._primaries, deadline, known.expected(shape)
+        ):
+            return self._write_until(batch, deadline)
+
+    def _primaries(self) -> list[str]:
+        grant = self._served.group.grant()
+        return [grant.primary] if grant is not None else []
+
+    def _write_until(self, batch: batch_lib.Batch, deadline: float) -> str:
         group = self._served.group
         while True:
             grant = group.start_write(deadline)
@@ -579,7 +624,7 @@
             endpoint=grant.primary, primary=True, term=grant.term
         )
         pool = self._pool(place)
-        backend = self._enter(pool, deadline)
+        backend = self._enter(pool, deadline, batch)
         in_block = isinstance(self._block, Deferred)
         self._place = "primary"
         try:
@@ -600,7 +645,7 @@
         except BaseException:
             self._let_go(pool, backend, good=False)
             raise
-        pool.rest(answer.took)
+        self._effort.end(answer.took)
         pinned = Pinned(backend=backend, pool=pool, place=place, prefix=False)
         self._settle(pinned, answer)
         return self._conclude(batch, place, answer)
@@ -695,6 +740,9 @@
         )
         self._place = "primary" if place.primary else "replica"
         pinned.pool.resume()
+        # A statement of an open transaction runs in no lane.
+        short = data.Length.SHORT
+        self._effort = self._make_effort(pinned.pool, batch, short)
         try:
             answer = self._relay(
                 pinned.backend,
@@ -705,14 +753,14 @@
                 skipping=pinned.skipping,
             )
         except BaseException as exc:
-            pinned.pool.rest(None)
+            self._effort.end(None)
             self._block = dataclasses.replace(pinned, broken=True)
             if not isinstance(exc, relay.BrokenError):
                 raise
             raise errors.FailureError(
                 self._lost_pinned(place, exc, may_commit=may_commit)
             ) from exc
-        pinned.pool.rest(answer.took)
+        self._effort.end(answer.took)
         if place.primary and not (may_commit or self._in_office(place)):
             raise errors.FailureError(
                 errors.TransactionLost(endpoint=place.endpoint)
@@ -749,10 +797,22 @@
             raise _RetryError
         return pool
 
+    def _make_effort(
+        self, pool: pool_lib.Pool, batch: batch_lib.Batch, length: data.Length
+    ) -> effort.Effort:
+        return effort.Effort(
+            served=self._served,
+            pool=pool,
+            shape=lengths.shape(batch.text),
+            length=length,
+        )
+
     def _enter(
-        self, pool: pool_lib.Pool, deadline: float
+        self, pool: pool_lib.Pool, deadline: float, batch: batch_lib.Batch
     ) -> backend_lib.Backend:
-        backend = pool.enter(session=self._id, deadline=deadline)
+        length = self._served.lengths.length(lengths.shape(batch.text))
+        backend = pool.enter(session=self._id, deadline=deadline, length=length)
+        self._effort = self._make_effort(pool, batch, length)
         backend.attach(self._id)
         try:
             backend.set_variables(self._session.statements())
@@ -769,7 +829,7 @@
     def _let_go(
         self, pool: pool_lib.Pool, backend: backend_lib.Backend, *, good: bool
     ) -> None:
-        pool.rest(None)
+        self._effort.end(None)
         pool.give_back(backend, good=good)
 
     def _relay(
@@ -793,6 +853,7 @@
                 skipping=skipping,
             )
             plan = batch_lib.plan(batch, backend.prepared)
+            self._effort.start()
             answer = exchange.run(plan, ahead)
             self._served.spend.add(self._served.service, answer.took)
             return answer
@@ -805,6 +866,7 @@
         deadline_s = self._served.service.deadline_ms * data.MILLISECOND
 
         def why() -> str:
+            self._effort.check()
             if not group.is_silent(place.endpoint):
                 return ""
             if not place.primary or group.replaced(place.term):
@@ -855,6 +917,20 @@
     """The request has not run, or was a read, and may go elsewhere."""
 
 
+class _ElsewhereError(Exception):
+    """A read did not come through on one endpoint, and may on another.
+
+    Attributes:
+        endpoint: The endpoint.
+        sent: Whether the read had been sent to it.
+    """
+
+    def __init__(self, endpoint: str, *, sent: bool):
+        super().__init__(endpoint)
+        self.endpoint = endpoint
+        self.sent = sent
+
+
 def _may_commit(statement: classify.Statement) -> bool:
     match statement:
         case classify.Commit() | classify.Write(ends=True):
--- a/bronzehold/process/peers.py
+++ b/bronzehold/process/peers.py
@@ -7,6 +7,7 @@
 
 import collections.abc
 from concurrent import futures
+import contextlib
 import dataclasses
 import threading
 import time
@@ -18,6 +19,7 @@
 from bronzehold.core import events
 from bronzehold.core import settings
 from bronzehold.process import catalog as catalog_lib
+from bronzehold.process import lanes
 from bronzehold.process import platform
 from bronzehold.process import spend
 from bronzehold.process import tasks as tasks_lib
@@ -77,6 +79,7 @@
         self._talking: dict[str, futures.Future] = {}
         self._channels: dict[str, grpc.Channel] = {}
         self._announced: dict[str, str] = {}
+        self.lanes = lanes.Lanes()
         self._sequence = 0
         self._stopping = False
         self._server: grpc.Server | None = None
@@ -210,8 +213,24 @@
             groups=self._views(),
             sequence=sequence,
             spent=self._spent(),
+            long_shapes=self._long_shapes(),
         )
 
+    def _long_shapes(self) -> list[pb.LongShape]:
+        return [
+            pb.LongShape(
+                service=served.service.name, shape=shape, seconds=seconds
+            )
+            for served in self._catalog.all()
+            for shape, seconds in served.lengths.long_shapes().items()
+        ]
+
+    def _hear_long_shapes(self, beat: pb.Heartbeat) -> None:
+        for one in beat.long_shapes:
+            served = self._catalog.find(one.service)
+            if served is not None:
+                served.lengths.hear(one.shape, one.seconds)
+
     def _spent(self) -> list[pb.Spent]:
         counts = []
         for served in self._catalog.all():
@@ -285,6 +304,7 @@
             self._catalog.adopt(beat.document, f"peer {beat.proxy}")
         self._follow_holds(old, beat)
         self._hear_spent(beat)
+        self._hear_long_shapes(beat)
         self._talk_to(beat.address)
 
     def _follow_holds(self, old: Heard | None, beat: pb.Heartbeat) -> None:
@@ -390,6 +410,44 @@
         names = [self._cfg.name, *self.live()]
         return rendezvous(key, names).index(self._cfg.name)
 
+    def take_lane(self, group: str, wanted: lanes.Wanted) -> str:
+        """Returns the endpoint of a free lane, "" when none is free.
+
+        When the proxy that hands the lanes out does not answer, this one
+        counts its own.
+        """
+        address = self._lane_keeper(group)
+        if not address:
+            return self.lanes.take(group, wanted)
+        req = pb.LaneRequest(
+            proxy=self._cfg.name,
+            group=group,
+            request=wanted.request,
+            hold_ms=int(wanted.hold_s / data.MILLISECOND),
+            endpoints=[name for name, _ in wanted.endpoints],
+            lanes=[most for _, most in wanted.endpoints],
+        )
+        try:
+            answer = self.stub(address).TakeLane(req, timeout=CALL_TIMEOUT_S)
+        except (grpc.RpcError, ValueError):
+            return self.lanes.take(group, wanted)
+        return answer.endpoint
+
+    def give_lane(self, group: str, request: str) -> None:
+        """Gives a lane back."""
+        self.lanes.give(group, request)
+        address = self._lane_keeper(group)
+        if not address:
+            return
+        req = pb.LaneRelease(request=request, group=group)
+        with contextlib.suppress(grpc.RpcError, ValueError):
+            self.stub(address).GiveLane(req, timeout=CALL_TIMEOUT_S)
+
+    def _lane_keeper(self, group: str) -> str:
+        live = self.live()
+        first = rendezvous(f"lanes {group}", [self._cfg.name, *live])[0]
+        return "" if first == self._cfg.name else live[first].address
+
     def cancel(self, pid: int, secret: int) -> None:
         """Hands a cancel request on, since its caller may be elsewhere."""
         req = pb.CancelRequest(pid=pid, secret=secret)
@@ -419,6 +477,19 @@
         self._peers.hear(request, time.monotonic())
         return self._peers.beat(request.revision)
 
+    def TakeLane(self, request, context):
+        wanted = lanes.Wanted(
+            request=request.request,
+            endpoints=tuple(zip(request.endpoints, request.lanes, strict=True)),
+            hold_s=request.hold_ms * data.MILLISECOND,
+        )
+        endpoint = self._peers.lanes.take(request.group, wanted)
+        return pb.LaneReply(endpoint=endpoint)
+
+    def GiveLane(self, request, context):
+        self._peers.lanes.give(request.group, request.request)
+        return pb.Empty()
+
     def Cancel(self, request, context):
         self._peers.cancel_here(request.pid, request.secret)
         return pb.Empty()
--- a/bronzehold/process/pool.py
+++ b/bronzehold/process/pool.py
@@ -58,11 +58,12 @@
 class Waiter:
     """One request in the queue."""
 
-    __slots__ = ("granted", "order", "tag")
+    __slots__ = ("granted", "long", "order", "tag")
 
-    def __init__(self, *, tag: float, order: int):
+    def __init__(self, *, tag: float, order: int, long: bool = False):
         self.tag = tag
         self.order = order
+        self.long = long
         self.granted = threading.Event()
 
 
@@ -85,6 +86,7 @@
         self._idle: list[backend_lib.Backend] = []
         self._leased = 0
         self._running = 0
+        self._running_long = 0
         self._waiters: list[Waiter] = []
         self._order = itertools.count()
         self._virtual = 0.0
@@ -105,7 +107,7 @@
         """Returns how busy the pool is."""
         with self._lock:
             return Load(
-                running=self._running,
+                running=self._running + self._running_long,
                 waiting=len(self._waiters),
                 open=self._leased + len(self._idle),
                 caps=self._caps,
@@ -130,12 +132,19 @@
         with self._lock:
             self._running += 1
 
-    def enter(self, *, session: str, deadline: float) -> backend_lib.Backend:
+    def enter(
+        self,
+        *,
+        session: str,
+        deadline: float,
+        length: data.Length = data.Length.SHORT,
+    ) -> backend_lib.Backend:
         """Waits for a slot and a connection.
 
         Args:
             session: Whose turn it is, for fairness.
             deadline: Until when it makes sense to start.
+            length: Long work has a lane, and waits for a connection only.
 
         Returns:
             The connection to use.
@@ -145,13 +154,16 @@
             DialError: A new connection could not be opened.
         """
         with self._lock:
-            waiter = self._queue(session, deadline)
+            if length is data.Length.LONG:
+                waiter = self._queue_long()
+            else:
+                waiter = self._queue(session, deadline)
             self._dispatch()
         now = time.monotonic()
         patience = min(deadline - now, self._queue_s * PATIENCE)
         if not waiter.granted.wait(max(0.0, patience)):
             self._give_up(waiter)
-        return self._connect()
+        return self._connect(length)
 
     def _queue(self, session: str, deadline: float) -> Waiter:
         expected = self._expected()
@@ -168,6 +180,11 @@
         self._waiters.append(waiter)
         return waiter
 
+    def _queue_long(self) -> Waiter:
+        waiter = Waiter(tag=self._virtual, order=next(self._order), long=True)
+        self._waiters.append(waiter)
+        return waiter
+
     def _overloaded(self, expected: float) -> errors.FailureError:
         expected_ms = int(expected / data.MILLISECOND)
         return errors.FailureError(
@@ -185,21 +202,22 @@
         raise self._overloaded(expected)
 
     def _dispatch(self) -> None:
-        while self._waiters and self._has_room():
-            waiter = min(self._waiters, key=lambda w: (w.tag, w.order))
+        while self._waiters and self._leased < self._caps.connections:
+            full = self._running >= self._caps.slots
+            ready = [w for w in self._waiters if w.long or not full]
+            if not ready:
+                return
+            waiter = min(ready, key=lambda w: (w.tag, w.order))
             self._waiters.remove(waiter)
-            self._running += 1
             self._leased += 1
-            self._virtual = max(self._virtual, waiter.tag - 1)
+            if waiter.long:
+                self._running_long += 1
+            else:
+                self._running += 1
+                self._virtual = max(self._virtual, waiter.tag - 1)
             waiter.granted.set()
 
-    def _has_room(self) -> bool:
-        return (
-            self._running < self._caps.slots
-            and self._leased < self._caps.connections
-        )
-
-    def _connect(self) -> backend_lib.Backend:
+    def _connect(self, length: data.Length) -> backend_lib.Backend:
         while True:
             with self._lock:
                 backend = self._idle.pop() if self._idle else None
@@ -211,26 +229,37 @@
         try:
             return self._dial(self.endpoint)
         except client.ClientError as exc:
-            self.abandon()
+            self._abandon(length)
             raise DialError(str(exc)) from exc
 
-    def abandon(self) -> None:
-        """Gives back the slot and connection of a request without either."""
+    def _abandon(self, length: data.Length) -> None:
         with self._lock:
-            self._running -= 1
             self._leased -= 1
+        self.rest(None, length)
+
+    def lengthen(self) -> None:
+        """Counts a statement that runs as long from now on, not as short."""
+        with self._lock:
+            self._running -= 1
+            self._running_long += 1
             self._dispatch()
 
-    def rest(self, took: float | None) -> None:
+    def rest(
+        self, took: float | None, length: data.Length = data.Length.SHORT
+    ) -> None:
         """Gives back the slot, and keeps the connection.
 
         Args:
             took: How long the statement ran in seconds, None if it did not.
+            length: What the statement counts as by now.
         """
         with self._lock:
-            self._running -= 1
-            if took is not None:
-                self._learn(took)
+            if length is data.Length.LONG:
+                self._running_long -= 1
+            else:
+                self._running -= 1
+                if took is not None:
+                    self._learn(took)
             self._dispatch()
 
     def _learn(self, took: float) -> None:
--- a/bronzehold/process/proxy.py
+++ b/bronzehold/process/proxy.py
@@ -50,6 +50,8 @@
             spawn_lasting=self.tasks.spawn_lasting,
             # The peers are made later than the environment.
             share=lambda: self.peers.share(),  # noqa: PLW0108
+            take_lane=lambda *args: self.peers.take_lane(*args),  # noqa: PLW0108
+            give_lane=lambda *args: self.peers.give_lane(*args),  # noqa: PLW0108
         )
         self.catalog = catalog.Catalog(env=env)
         self.peers = peers.Peers(
--- a/bronzehold/process/served.py
+++ b/bronzehold/process/served.py
@@ -10,11 +10,13 @@
 from bronzehold.core import settings
 from bronzehold.process import budget
 from bronzehold.process import group as group_lib
+from bronzehold.process import lanes
 from bronzehold.process import metrics
 from bronzehold.process import pool as pool_lib
 from bronzehold.process import spend
 from bronzehold.process import timeline
 from bronzehold.process import watcher as watcher_lib
+from bronzehold.request import lengths
 
 CONTROL_CONNECTIONS = 1
 SLOT_OVERCOMMIT = 2
@@ -32,6 +34,8 @@
         measures: Its latencies and counts.
         spawn_lasting: Starts a task that goes on after an error.
         share: Returns by how many proxies the limits are shared.
+        take_lane: Takes a lane for long work of a group.
+        give_lane: Gives it back.
     """
 
     cfg: settings.Settings
@@ -39,6 +43,8 @@
     measures: metrics.Metrics
     spawn_lasting: collections.abc.Callable[..., object]
     share: collections.abc.Callable[[], int]
+    take_lane: collections.abc.Callable[[str, lanes.Wanted], str]
+    give_lane: collections.abc.Callable[[str, str], None]
 
 
 class Served:
@@ -52,6 +58,7 @@
         )
         self.budget = budget.Budget()
         self.spend = spend.Spend()
+        self.lengths = lengths.Lengths()
         self._pools: dict[str, pool_lib.Pool] = {}
         self._watchers: dict[str, watcher_lib.Watcher] = {}
         self._apply(service)
--- a/bronzehold/request/classify.py
+++ b/bronzehold/request/classify.py
@@ -218,11 +218,20 @@
     """Returns what a text asks for; several statements count as one."""
     if len(text) > MAX_CACHED_TEXT:
         return _parse(text)
-    if _UNSURE.search(text) or not text[:7].upper().startswith(
-        ("SELECT", "INSERT", "UPDATE", "DELETE")
-    ):
+    if not _has_shape(text):
         return _cached(text)
-    return _cached_shape(_LITERAL.sub("0", text), _Text(text))
+    return _cached_shape(shape_of(text), _Text(text))
+
+
+def _has_shape(text: str) -> bool:
+    return not _UNSURE.search(text) and text[:7].upper().startswith(
+        ("SELECT", "INSERT", "UPDATE", "DELETE")
+    )
+
+
+def shape_of(text: str) -> str:
+    """Returns a text with its literals set aside, where that is certain."""
+    return _LITERAL.sub("0", text) if _has_shape(text) else text
 
 
 class _Text(str):
--- a/bronzehold/request/reads.py
+++ b/bronzehold/request/reads.py
@@ -101,9 +101,9 @@
             names, _ = group.readable(wanted.mark, wanted.max_age)
             names = [name for name in names if name not in avoid]
             now = time.monotonic()
-            place = _best(served, names, allow_primary=now >= turn)
-            if place is not None:
-                return place
+            found = _best(served, names, allow_primary=now >= turn)
+            if found is not None:
+                return found
             if now >= deadline:
                 raise errors.FailureError(_why_none(served, wanted))
             if not waiting:
@@ -118,6 +118,29 @@
             group.applied_waiters -= 1
 
 
+def candidates(
+    served: served_lib.Served, wanted: Need, avoid: frozenset[str]
+) -> list[str]:
+    """Returns the endpoints where a read may run now, replicas first."""
+    names, _ = served.group.readable(wanted.mark, wanted.max_age)
+    grant = served.group.grant()
+    primary = grant.primary if grant else ""
+    costs = {
+        name: cost
+        for name in names
+        if name not in avoid and (cost := _cost(served, name)) is not None
+    }
+    return sorted(costs, key=lambda name: (name == primary, costs[name]))
+
+
+def place(served: served_lib.Served, endpoint: str) -> Place:
+    """Returns the place that an endpoint is now."""
+    grant = served.group.grant()
+    primary = grant is not None and grant.primary == endpoint
+    term = grant.term if grant is not None and primary else 0
+    return Place(endpoint=endpoint, primary=primary, term=term)
+
+
 def _why_none(served: served_lib.Served, wanted: Need) -> errors.Failure:
     if wanted.mark is not None:
         return errors.MarkAhead(mark=str(wanted.mark))
@@ -142,10 +165,7 @@
             best = (cost, name)
     if best is None:
         return None
-    name = best[1]
-    on_primary = name == primary
-    term = grant.term if grant and on_primary else 0
-    return Place(endpoint=name, primary=on_primary, term=term)
+    return place(served, best[1])
 
 
 def _cost(served: served_lib.Served, name: str) -> float | None:
