Reads go by how fast endpoints answered, not by their place alone

Cause: with long work on both replicas each had one slot left, 50 statements a second for 45 asked, and reads queued there though the primary had room: its penalty of 100 ms stood against queues that the cost did not see. Ruled out: the lanes, which held (one long statement on each endpoint). Change: the cost of an endpoint is what it took lately, from the proxy's own answers, plus the wait in the proxy's queue; a figure older than 2 s counts no more and the distance stands in; the primary's penalty is 50 ms.

--- a/bronzehold/process/pool.py
+++ b/bronzehold/process/pool.py
@@ -22,6 +22,7 @@
 
 EWMA_WEIGHT = 0.1
 PATIENCE = 2
+MEASURE_LIFE_S = 2.0
 FIRST_GUESS_S = 0.005
 IDLE_LIMIT_S = 60.0
 MAX_SESSIONS_KEPT = 4096
@@ -53,6 +54,7 @@
     open: int
     caps: Caps
     service_s: float
+    measured: bool
 
 
 class Waiter:
@@ -92,6 +94,7 @@
         self._virtual = 0.0
         self._tags: dict[str, float] = {}
         self._service_s = FIRST_GUESS_S
+        self._learned_at = -MEASURE_LIFE_S
         self._closed = False
 
     def resize(self, caps: Caps) -> None:
@@ -112,8 +115,14 @@
                 open=self._leased + len(self._idle),
                 caps=self._caps,
                 service_s=self._service_s,
+                measured=self._is_measured(),
             )
 
+    def _is_measured(self) -> bool:
+        # What was measured long ago says little; such an endpoint is tried
+        # again by its distance.
+        return time.monotonic() - self._learned_at < MEASURE_LIFE_S
+
     def expected_wait(self) -> float:
         """Returns how long a request that came now would wait, in seconds."""
         with self._lock:
@@ -263,6 +272,7 @@
             self._dispatch()
 
     def _learn(self, took: float) -> None:
+        self._learned_at = time.monotonic()
         self._service_s += EWMA_WEIGHT * (took - self._service_s)
 
     def give_back(self, backend: backend_lib.Backend, *, good: bool) -> None:
--- a/bronzehold/request/reads.py
+++ b/bronzehold/request/reads.py
@@ -11,7 +11,7 @@
 RECHECK_S = 0.02
 SAME_REGION_S = 0.002
 OTHER_REGION_S = 0.02
-PRIMARY_PENALTY_S = 0.1
+PRIMARY_PENALTY_S = 0.05
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -172,7 +172,9 @@
     pool = served.pool(name)
     if pool is None:
         return None
-    return _distance(served, pool.endpoint) + pool.expected_wait()
+    load = pool.load()
+    seen = load.service_s if load.measured else _distance(served, pool.endpoint)
+    return seen + pool.expected_wait()
 
 
 def _distance(served: served_lib.Served, ep: data.Endpoint) -> float:
