--- a/bench/load.py
+++ b/bench/load.py
@@ -79,6 +79,7 @@
 
     Attributes:
         due: When it should have started, on the wall clock.
+        sent: When it did start.
         end: When its caller had the answer.
         phase: The phase it was due in.
         kind: "read", "write" or "long".
@@ -86,6 +87,7 @@
     """
 
     due: float
+    sent: float
     end: float
     phase: str
     kind: str
@@ -142,6 +144,7 @@
 
     def _do(self, request: Request) -> None:
         outcome = "no connection"
+        sent = time.time()
         if time.time() - request.due > self._cfg.patience_s:
             outcome = "left"
         elif self._connected():
@@ -149,6 +152,7 @@
         self._results.append(
             Result(
                 due=request.due,
+                sent=sent,
                 end=time.time(),
                 phase=request.phase,
                 kind=request.kind,
--- a/bronzehold/connection/client.py
+++ b/bronzehold/connection/client.py
@@ -4,6 +4,7 @@
 endpoints go through it. Callers use their own drivers.
 """
 
+import contextlib
 import socket
 
 import scramp
@@ -18,6 +19,10 @@
     """The connection could not be opened or has been lost."""
 
 
+class RefusedError(ClientError):
+    """Nothing listens at the address."""
+
+
 class ServerError(ClientError):
     """The server answered with an error.
 
@@ -54,6 +59,8 @@
             self.sock = socket.create_connection((host, port), timeout)
             frames.tune(self.sock)
             self.reader = frames.Reader(sock=self.sock)
+        except ConnectionRefusedError as exc:
+            raise RefusedError(str(exc)) from exc
         except OSError as exc:
             raise ClientError(str(exc)) from exc
         try:
@@ -156,6 +163,11 @@
         """Runs a query and returns its one value as text."""
         return (self.rows(sql)[0][0] or b"").decode()
 
+    def shut(self) -> None:
+        """Ends the connection under whoever waits for an answer on it."""
+        with contextlib.suppress(OSError):
+            self.sock.shutdown(socket.SHUT_RDWR)
+
     def close(self) -> None:
         """Closes the connection."""
         self.sock.close()
--- a/bronzehold/core/settings.py
+++ b/bronzehold/core/settings.py
@@ -26,6 +26,7 @@
         poll_ms: Between two polls of an endpoint.
         poll_timeout_ms: Until a poll counts as unanswered.
         detect_ms: Silence after which a primary counts as gone.
+        refused_ms: The same, when nothing listens at its address.
         grant_ms: How long a grant lasts from the start of its round.
         heartbeat_ms: Between two heartbeats to a peer.
         peer_silence_ms: Silence after which a peer counts as gone.
@@ -44,7 +45,8 @@
     poll_ms: int = 100
     poll_timeout_ms: int = 500
     detect_ms: int = 800
-    grant_ms: int = 1000
+    refused_ms: int = 400
+    grant_ms: int = 800
     heartbeat_ms: int = 200
     peer_silence_ms: int = 1000
     stall_ms: int = 2000
--- a/bronzehold/process/changes.py
+++ b/bronzehold/process/changes.py
@@ -140,12 +140,15 @@
         return change_lib.NotPromoted(term=term, why=why)
 
     def _begin(
-        self, served: served_lib.Served, why: str, target: str
+        self,
+        served: served_lib.Served,
+        why: str,
+        target: str,
+        found: platform.Versioned,
     ) -> change_lib.Change | None:
         """Wins the next term, unless another's attempt is under way."""
         group = served.group
         timing = self._cfg.timing
-        found = change_lib.read_record(self._store, group.name)
         record = change_lib.parse_record(found)
         if self._under_way(group.name, record, group.term()):
             return None
@@ -161,6 +164,7 @@
             proxy=self._cfg.name,
             why=why,
             pass_over=why == group_lib.STALLED,
+            silent=why == group_lib.SILENT,
         )
         change = self.prepare(
             change_lib.Change(
@@ -180,6 +184,9 @@
             return False
         if record.term < observed or not record.attempt:
             return False
+        if record.proxy == self._cfg.name:
+            # This proxy makes one change at a time, so that one is over.
+            return False
         now = time.monotonic()
         seen = self._seen_records.get(group)
         if seen is None or seen[0] != record.attempt:
@@ -190,7 +197,11 @@
     def _unplanned(
         self, served: served_lib.Served, why: str
     ) -> change_lib.Result | None:
-        change = self._begin(served, why, "")
+        found = change_lib.read_record(self._store, served.group.name)
+        if not served.group.primary_trouble():
+            # Another's change was over while this one read the record.
+            return None
+        change = self._begin(served, why, "", found)
         return change.run() if change is not None else None
 
     # Planned changes.
@@ -245,7 +256,8 @@
                     waited_ms=int(waited / data.MILLISECOND),
                 )
             )
-            change = self._begin(served, "planned", target)
+            found = change_lib.read_record(self._store, group.name)
+            change = self._begin(served, "planned", target, found)
             if change is None:
                 return self._fail(group.name, 0, "another change was first")
             result = change.run()
--- a/bronzehold/process/group.py
+++ b/bronzehold/process/group.py
@@ -19,6 +19,7 @@
 RECHECK_S = 0.05
 HOLD_S = 2.0
 STALLED = "stalled"
+SILENT = "silent"
 
 
 class Group:
@@ -37,6 +38,7 @@
         self._line = line
         self.cond = threading.Condition()
         self._seen: dict[str, grant_lib.Observation] = {}
+        self._refusing: set[str] = set()
         self._grant: grant_lib.Grant | None = None
         self._granted = False
         self._asked_at = 0.0
@@ -56,6 +58,7 @@
         with self.cond:
             old = self._seen.get(seen.endpoint)
             self._seen[seen.endpoint] = seen
+            self._refusing.discard(seen.endpoint)
             self._note_progress(old, seen)
             self._note_discarded(old, seen)
             self._renew()
@@ -78,6 +81,9 @@
             self.timing.grant_ms * data.MILLISECOND,
         )
         if found is not None and self._may_replace(found):
+            if self._grant is None or found.term != self._grant.term:
+                # A new primary has all the time that a stall may take.
+                self._progress_at = time.monotonic()
             self._grant = found
         grant = self._grant
         if grant is not None and self._replaced(grant.term):
@@ -171,8 +177,15 @@
 
     def is_silent(self, endpoint: str) -> bool:
         """Whether an endpoint counts as gone."""
-        bound = self.timing.detect_ms * data.MILLISECOND
-        return self.silent_for(endpoint) > bound
+        refused = endpoint in self._refusing
+        timing = self.timing
+        bound_ms = timing.refused_ms if refused else timing.detect_ms
+        return self.silent_for(endpoint) > bound_ms * data.MILLISECOND
+
+    def note_refused(self, endpoint: str) -> None:
+        """Notes that nothing listens at an endpoint's address."""
+        with self.cond:
+            self._refusing.add(endpoint)
 
     def primary_trouble(self) -> str:
         """Returns why the primary should be replaced, "" if it need not be."""
@@ -180,7 +193,7 @@
         if grant is None:
             return self._orphaned()
         if self.is_silent(grant.primary):
-            return "silent"
+            return SILENT
         seen = self._seen.get(grant.primary)
         if seen is None:
             return ""
--- a/bronzehold/process/watcher.py
+++ b/bronzehold/process/watcher.py
@@ -52,6 +52,9 @@
             try:
                 self.call(self._poll)
                 self._pause()
+            except client.RefusedError:
+                self._group.note_refused(self._endpoint.name)
+                self._stop.wait(RETRY_S)
             except client.ClientError:
                 self._group.tick()
                 self._stop.wait(RETRY_S)
--- a/bronzehold/standin/endpoint.py
+++ b/bronzehold/standin/endpoint.py
@@ -18,7 +18,7 @@
 from bronzehold.standin import storage
 
 PULL_WAIT_S = 0.1
-PULL_TIMEOUT_S = 1.0
+PULL_TIMEOUT_S = 0.3
 PULL_RETRY_S = 0.05
 PULL_BATCH = 500
 APPLY_CHECK_S = 0.002
@@ -107,6 +107,7 @@
         self.log_term = 1
         self.following = "" if self._is_primary() else settings.primary
         self.epoch = 0
+        self._source: client.Client | None = None
         self._fresh_at = time.monotonic()
         self._checkpoints: collections.deque[_Checkpoint] = collections.deque()
         self._arrivals: collections.deque[float] = collections.deque()
@@ -180,9 +181,15 @@
             self.role = data.Role.REPLICA
             self.following = primary
             self._abort_writers()
+            self._stop_pulling()
             self.changed.notify_all()
             return self.status()
 
+    def _stop_pulling(self) -> None:
+        # A call to the old source may hang for long.
+        if self._source is not None:
+            self._source.shut()
+
     def _abort_writers(self) -> None:
         # An open write transaction would keep the data locked against the
         # log of the new primary.
@@ -277,7 +284,9 @@
                 continue
             try:
                 if conn is None or source != self.following:
-                    conn, source = self._dial(conn), self.following
+                    source = self.following
+                    conn = self._dial(conn)
+                    self._source = conn
                 self._pull(conn)
             except (OSError, client.ClientError):
                 if conn is not None:
--- a/bronzehold/version/change.py
+++ b/bronzehold/version/change.py
@@ -24,6 +24,7 @@
 
 CALL_TIMEOUT_S = 0.5
 POLL_S = 0.02
+GRACE_S = 0.1
 CLOCK_MARGIN = 1.05
 PROMOTE_TRIES = 3
 
@@ -45,6 +46,7 @@
         pass_over: The primary answers but its log reaches no replica, and
             nothing is acknowledged that no replica holds, so it need not be
             the endpoint that holds the most.
+        silent: The primary does not answer.
     """
 
     group: str
@@ -57,6 +59,7 @@
     proxy: str
     why: str
     pass_over: bool = False
+    silent: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -119,6 +122,8 @@
     ):
         self.attempt = attempt
         self.term = 0
+        self._fenced_at = 0.0
+        self._asked: dict[str, futures.Future] = {}
         self.id = f"{attempt.proxy}/{uuid.uuid4().hex[:12]}"
         self._store = store
         self._control = call
@@ -174,22 +179,38 @@
         self,
         call: Ask,
         enough: collections.abc.Callable[[dict], bool],
+        grace_s: float = CALL_TIMEOUT_S * 2,
     ) -> dict[str, data.EndpointStatus]:
-        """Calls all endpoints at once, until enough have answered."""
-        started = [
-            self._pool.submit(self._call, ep, call)
-            for ep in self.attempt.endpoints
-        ]
+        """Calls all endpoints at once, until enough have answered.
+
+        Args:
+            call: The call.
+            enough: Says whether no further answer is needed.
+            grace_s: How long to wait for more once a majority has answered.
+        """
+        hard_end = time.monotonic() + CALL_TIMEOUT_S * 2
+        started: list[futures.Future] = []
+        # An endpoint that still hangs in an earlier call is not asked again,
+        # so the calls to it never use up the workers.
+        for ep in self.attempt.endpoints:
+            if ep.name not in self._asked or self._asked[ep.name].done():
+                self._asked[ep.name] = self._pool.submit(self._call, ep, call)
+                started.append(self._asked[ep.name])
         answers: dict[str, data.EndpointStatus] = {}
-        try:
-            for done in futures.as_completed(started, CALL_TIMEOUT_S * 2):
-                name, status = done.result()
+        waiting = set(started)
+        end = hard_end
+        while waiting and not enough(answers):
+            left = end - time.monotonic()
+            done, waiting = futures.wait(
+                waiting, max(0.0, left), futures.FIRST_COMPLETED
+            )
+            if not done:
+                break
+            for name, status in (item.result() for item in done):
                 if status is not None:
                     answers[name] = status
-                if enough(answers):
-                    break
-        except TimeoutError:
-            pass
+            if len(answers) >= self._majority():
+                end = min(hard_end, time.monotonic() + grace_s)
         return answers
 
     def _call(
@@ -214,8 +235,9 @@
             return len(answers) >= majority and primary in answers
 
         answers = self._each(
-            lambda conn: control.fence(conn, self.term), enough
+            lambda conn: control.fence(conn, self.term), enough, self._grace_s()
         )
+        self._fenced_at = time.monotonic()
         if len(answers) < majority:
             raise _StoppedError(
                 f"only {len(answers)} endpoints promised the term"
@@ -229,13 +251,17 @@
         )
         return answers
 
+    def _grace_s(self) -> float:
+        # A primary that is silent will hardly answer now.
+        return GRACE_S if self.attempt.silent else CALL_TIMEOUT_S * 2
+
     def wait(self, fenced: dict[str, data.EndpointStatus]) -> None:
         """Waits until nothing more can be acknowledged in an older term.
 
         When the old primary has promised the term itself, its log is final,
         and it is enough that another endpoint holds all of it.
         """
-        started = time.monotonic()
+        started = self._fenced_at
         end = started + self.attempt.grant_s * CLOCK_MARGIN
         old = fenced.get(self.attempt.primary)
         while time.monotonic() < end:
@@ -268,16 +294,22 @@
         return same and status.received >= old.received
 
     def _statuses(
-        self, enough: collections.abc.Callable[[dict], bool]
+        self,
+        enough: collections.abc.Callable[[dict], bool],
+        grace_s: float = CALL_TIMEOUT_S * 2,
     ) -> dict[str, data.EndpointStatus]:
         return self._each(
-            lambda conn: control.status(conn, after=-1, wait_ms=0), enough
+            lambda conn: control.status(conn, after=-1, wait_ms=0),
+            enough,
+            grace_s,
         )
 
     def choose(self) -> data.Endpoint:
         """Returns the endpoint that holds the most, once nothing can change."""
         total = len(self.attempt.endpoints)
-        answers = self._statuses(lambda found: len(found) == total)
+        answers = self._statuses(
+            lambda found: len(found) == total, self._grace_s()
+        )
         promised = {n: s for n, s in answers.items() if s.term == self.term}
         if len(promised) < self._majority():
             raise _StoppedError(f"only {len(promised)} endpoints answer")
--- a/tests/primary_test.py
+++ b/tests/primary_test.py
@@ -480,3 +480,11 @@
 def test_group_record_is_read_from_its_text():
     found = platform.Versioned(key="k", value=b"", revision=0)
     assert change_lib.parse_record(found) == change_lib.Record()
+
+
+def test_late_suspicion_does_not_replace_a_primary_in_office():
+    with local.running(SHAPE) as deployment:
+        proxy = deployment.proxies[1]
+        served = proxy.catalog.find("mail")
+        assert proxy.changes._unplanned(served, group_lib.SILENT) is None
+        assert term(deployment) == 1
