--- a/bronzehold/connection/backend.py
+++ b/bronzehold/connection/backend.py
@@ -12,6 +12,8 @@
 
 RECEIVE_TIMEOUT_S = 0.1
 CANCEL_TIMEOUT_S = 2.0
+SEND_TIMEOUT_S = 2.0
+SLOWEST_BYTES_PER_S = 1 << 20
 DIAL_TIMEOUT_S = 2.0
 MAX_PREPARED = 500
 
@@ -46,7 +48,8 @@
             frames.ClosedError: The connection was lost.
             TimeoutError: The endpoint takes nothing any more.
         """
-        self.conn.sock.settimeout(CANCEL_TIMEOUT_S)
+        allowed = SEND_TIMEOUT_S + len(out) / SLOWEST_BYTES_PER_S
+        self.conn.sock.settimeout(allowed)
         try:
             frames.send(self.conn.sock, out)
         finally:
