bench says how much processor time the machine was not given

Change: each row carries that share, so that no figure is read without it. A branch that stood twice in the executor is gone. Conclusion: figures from runs with a large share say little of the policy.

--- a/bench/run.py
+++ b/bench/run.py
@@ -35,6 +35,8 @@
 LAGS_S = (0.02, 0.1, 0.4, 0.05, 0.2)
 LEAD_S = 4.0
 FAULT_AFTER_S = 1.5
+# Where the kernel counts time that the machine was not given.
+STOLEN = 7
 QUIET, LONG, CREST, AFTER = "quiet", "long", "crest", "after"
 FAULTS = ("planned", "killed", "frozen")
 VARIANTS = ("naive", "plain", "bronzehold")
@@ -124,6 +126,7 @@
         self.cluster = cluster_lib.Cluster(folder=folder, shape=shape)
         self.phases = phases(deployment.capacity)
         self.start_at = 0.0
+        self._ticks: list[int] = []
 
     def run(self) -> dict:
         """Runs the load with its faults and returns the figures."""
@@ -131,6 +134,7 @@
             self.cluster.start()
             self._make_tables()
             self.start_at = time.time() + LEAD_S
+            self._ticks = _processor_ticks()
             loads = self._start_loads()
             self._wander_and_break()
             results = {s: self._collect(p) for s, p in loads.items()}
@@ -138,6 +142,13 @@
         finally:
             self.cluster.close()
 
+    def _stolen_share(self) -> float:
+        spent = [
+            now - then
+            for now, then in zip(_processor_ticks(), self._ticks, strict=True)
+        ]
+        return round(spent[STOLEN] / max(1, sum(spent)), 3)
+
     def _make_tables(self) -> None:
         for service in self.deployment.shape.services:
             with self.cluster.connect("proxy-0", dbname=service) as conn:
@@ -222,6 +233,7 @@
     def _figures(self, results: dict[str, list[load.Result]]) -> dict:
         everything = [r for rs in results.values() for r in rs]
         row: dict = {"variant": self.variant, "seed": SEED}
+        row["processor_stolen"] = self._stolen_share()
         row["replica_share"] = self._replica_share()
         for phase in self.phases:
             if phase.name not in FAULTS:
@@ -253,7 +265,14 @@
         return round(counts["replica"] / total, 3) if total else None
 
 
+def _processor_ticks() -> list[int]:
+    """Returns the machine's processor time so far, by what it went on."""
+    first = pathlib.Path("/proc/stat").read_text().splitlines()[0]
+    return [int(cell) for cell in first.split()[1:9]]
+
+
 COLUMNS: tuple[tuple[str, collections.abc.Callable[[dict], object]], ...] = (
+    ("processor taken by other machines", lambda r: r["processor_stolen"]),
     ("reads on replicas", lambda r: r["replica_share"]),
     ("short p50/p99 quiet, ms", lambda r: _pair(r[QUIET])),
     ("short p50/p99 beside long, ms", lambda r: _pair(r[LONG])),
--- a/bronzehold/connection/executor.py
+++ b/bronzehold/connection/executor.py
@@ -189,9 +189,6 @@
                     errors.AnswerCut(endpoint=place.endpoint)
                 ) from exc
             raise _RetryError from exc
-        except _RetryError:
-            self._let_go(pool, backend, good=False)
-            raise
         except BaseException:
             self._let_go(pool, backend, good=False)
             raise
