--- a/bronzehold/process/peers.py
+++ b/bronzehold/process/peers.py
@@ -30,6 +30,7 @@
 CALL_TIMEOUT_S = 0.5
 SERVER_WORKERS = 24
 SHARE_SILENCE_S = 3.0
+REUSE_S = 3.0
 MAX_MESSAGE_BYTES = platform.MAX_MESSAGE_BYTES
 _OPTIONS = [
     ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
@@ -76,6 +77,7 @@
         self._heard: dict[str, Heard] = {}
         self._answering: set[str] = set()
         self._members: dict[str, Member] = {}
+        self._departed: dict[str, float] = {}
         self._talking: dict[str, futures.Future] = {}
         self._channels: dict[str, grpc.Channel] = {}
         self._announced: dict[str, str] = {}
@@ -126,10 +128,12 @@
 
     def set_members(self, members: dict[str, Member]) -> None:
         """Takes the registrations that the platform holds."""
+        now = time.monotonic()
         with self._lock:
-            self._members = {
-                k: v for k, v in members.items() if k != self._cfg.name
-            }
+            others = {k: v for k, v in members.items() if k != self._cfg.name}
+            for name in self._members.keys() - others.keys():
+                self._departed[name] = now
+            self._members = others
             addresses = [m.address for m in self._members.values()]
         for address in addresses:
             self._talk_to(address)
@@ -360,7 +364,11 @@
             return 1 + len(live | set(self._members))
 
     def share(self) -> int:
-        """Returns by how many proxies the limits are shared."""
+        """Returns by how many proxies the connections are shared.
+
+        A registration can lapse while its proxy is alive and slow; it is back
+        within a renewal, so a share is used again only some time later.
+        """
         now = time.monotonic()
         with self._lock:
             recent = {
@@ -368,7 +376,19 @@
                 for name, heard in self._heard.items()
                 if now - heard.at < SHARE_SILENCE_S
             }
-            return 1 + len(recent | set(self._members))
+            departed = {
+                name
+                for name, at in self._departed.items()
+                if now - at < REUSE_S
+            }
+            return 1 + len(recent | departed | set(self._members))
+
+    def sharers(self) -> int:
+        """Returns by how many proxies the slots are shared.
+
+        The endpoint queues what is too much, so those that answer count.
+        """
+        return 1 + len(self.live())
 
     def gone_votes(self, group: str, primary: str) -> int:
         """Returns how many peers say that a primary is in trouble."""
--- a/bronzehold/process/pool.py
+++ b/bronzehold/process/pool.py
@@ -87,6 +87,8 @@
         self._lock = threading.Lock()
         self._idle: list[backend_lib.Backend] = []
         self._leased = 0
+        # Of those leased, the ones whose connection is not chosen yet.
+        self._granted = 0
         self._running = 0
         self._running_long = 0
         self._waiters: list[Waiter] = []
@@ -112,7 +114,7 @@
             return Load(
                 running=self._running + self._running_long,
                 waiting=len(self._waiters),
-                open=self._leased + len(self._idle),
+                open=self._leased - self._granted + len(self._idle),
                 caps=self._caps,
                 service_s=self._service_s,
                 measured=self._is_measured(),
@@ -219,6 +221,7 @@
             waiter = min(ready, key=lambda w: (w.tag, w.order))
             self._waiters.remove(waiter)
             self._leased += 1
+            self._granted += 1
             if waiter.long:
                 self._running_long += 1
             else:
@@ -227,20 +230,25 @@
             waiter.granted.set()
 
     def _connect(self, length: data.Length) -> backend_lib.Backend:
-        while True:
-            with self._lock:
-                backend = self._idle.pop() if self._idle else None
-            if backend is None:
-                break
+        backend = self._take_idle()
+        while backend is not None:
             if backend.usable():
                 return backend
             backend.close()
+            with self._lock:
+                self._granted += 1
+            backend = self._take_idle()
         try:
             return self._dial(self.endpoint)
         except client.ClientError as exc:
             self._abandon(length)
             raise DialError(str(exc)) from exc
 
+    def _take_idle(self) -> backend_lib.Backend | None:
+        with self._lock:
+            self._granted -= 1
+            return self._idle.pop() if self._idle else None
+
     def _abandon(self, length: data.Length) -> None:
         with self._lock:
             self._leased -= 1
--- a/bronzehold/process/proxy.py
+++ b/bronzehold/process/proxy.py
@@ -50,6 +50,7 @@
             spawn_lasting=self.tasks.spawn_lasting,
             # The peers are made later than the environment.
             share=lambda: self.peers.share(),  # noqa: PLW0108
+            sharers=lambda: self.peers.sharers(),  # noqa: PLW0108
             take_lane=lambda *args: self.peers.take_lane(*args),  # noqa: PLW0108
             give_lane=lambda *args: self.peers.give_lane(*args),  # noqa: PLW0108
         )
@@ -171,10 +172,12 @@
             key=(number, secrets.randbits(SECRET_BITS)),
             proxy=self.cfg.name,
         )
-        caller.open(params)
+        # It is known before it is told its key, so that it can be cancelled
+        # and is not overlooked by a planned stop.
         with self._lock:
             self._callers[number] = caller
             last = self._listener is None
+        caller.open(params)
         if last:
             caller.stop()
         return caller
--- a/bronzehold/process/served.py
+++ b/bronzehold/process/served.py
@@ -33,7 +33,8 @@
         line: Its time line.
         measures: Its latencies and counts.
         spawn_lasting: Starts a task that goes on after an error.
-        share: Returns by how many proxies the limits are shared.
+        share: Returns by how many proxies the connections are shared.
+        sharers: Returns by how many proxies the slots are shared.
         take_lane: Takes a lane for long work of a group.
         give_lane: Gives it back.
     """
@@ -43,6 +44,7 @@
     measures: metrics.Metrics
     spawn_lasting: collections.abc.Callable[..., object]
     share: collections.abc.Callable[[], int]
+    sharers: collections.abc.Callable[[], int]
     take_lane: collections.abc.Callable[[str, lanes.Wanted], str]
     give_lane: collections.abc.Callable[[str, str], None]
 
@@ -108,7 +110,8 @@
     def _caps(self, ep: data.Endpoint) -> pool_lib.Caps:
         share = max(1, self.env.share())
         connections = ep.connections // share - CONTROL_CONNECTIONS
-        slots = -(-ep.slots * SLOT_OVERCOMMIT // share)
+        sharers = max(1, self.env.sharers())
+        slots = -(-ep.slots * SLOT_OVERCOMMIT // sharers)
         return pool_lib.Caps(
             connections=max(1, connections), slots=max(1, slots)
         )
--- a/bronzehold/version/change.py
+++ b/bronzehold/version/change.py
@@ -128,7 +128,9 @@
         self._store = store
         self._control = call
         self._line = line
-        self._pool = futures.ThreadPoolExecutor(max(1, len(attempt.endpoints)))
+        self._workers = {
+            ep.name: futures.ThreadPoolExecutor(1) for ep in attempt.endpoints
+        }
 
     def win(self, found: platform.Versioned) -> bool:
         """Takes the next term; returns whether this attempt has it.
@@ -172,7 +174,8 @@
             )
             return NotPromoted(term=self.term, why=why)
         finally:
-            self._pool.shutdown(wait=False)
+            for worker in self._workers.values():
+                worker.shutdown(wait=False)
         return Promoted(term=self.term, primary=primary)
 
     def _each(
@@ -180,22 +183,28 @@
         call: Ask,
         enough: collections.abc.Callable[[dict], bool],
         grace_s: float = CALL_TIMEOUT_S * 2,
+        skip_busy: bool = False,
     ) -> dict[str, data.EndpointStatus]:
         """Calls all endpoints at once, until enough have answered.
 
+        Each endpoint has a worker of its own, so one that hangs holds up no
+        call to another.
+
         Args:
             call: The call.
             enough: Says whether no further answer is needed.
             grace_s: How long to wait for more once a majority has answered.
+            skip_busy: Whether to leave out endpoints whose last call has not
+                ended.
         """
         hard_end = time.monotonic() + CALL_TIMEOUT_S * 2
         started: list[futures.Future] = []
-        # An endpoint that still hangs in an earlier call is not asked again,
-        # so the calls to it never use up the workers.
         for ep in self.attempt.endpoints:
-            if ep.name not in self._asked or self._asked[ep.name].done():
-                self._asked[ep.name] = self._pool.submit(self._call, ep, call)
-                started.append(self._asked[ep.name])
+            if skip_busy and not self._is_free(ep):
+                continue
+            worker = self._workers[ep.name]
+            self._asked[ep.name] = worker.submit(self._call, ep, call)
+            started.append(self._asked[ep.name])
         answers: dict[str, data.EndpointStatus] = {}
         waiting = set(started)
         end = hard_end
@@ -213,6 +222,10 @@
                 end = min(hard_end, time.monotonic() + grace_s)
         return answers
 
+    def _is_free(self, ep: data.Endpoint) -> bool:
+        asked = self._asked.get(ep.name)
+        return asked is None or asked.done()
+
     def _call(
         self, ep: data.Endpoint, call: Ask
     ) -> tuple[str, data.EndpointStatus | None]:
@@ -279,7 +292,8 @@
 
     def _held_elsewhere(self, old: data.EndpointStatus) -> bool:
         answers = self._statuses(
-            lambda found: any(self._holds(n, s, old) for n, s in found.items())
+            lambda found: any(self._holds(n, s, old) for n, s in found.items()),
+            skip_busy=True,
         )
         return any(self._holds(n, s, old) for n, s in answers.items())
 
@@ -297,11 +311,14 @@
         self,
         enough: collections.abc.Callable[[dict], bool],
         grace_s: float = CALL_TIMEOUT_S * 2,
+        *,
+        skip_busy: bool = False,
     ) -> dict[str, data.EndpointStatus]:
         return self._each(
             lambda conn: control.status(conn, after=-1, wait_ms=0),
             enough,
             grace_s,
+            skip_busy=skip_busy,
         )
 
     def choose(self) -> data.Endpoint:
@@ -362,7 +379,7 @@
     def _follow(self, primary: str) -> None:
         for ep in self.attempt.endpoints:
             if ep.name != primary:
-                self._pool.submit(
+                self._workers[ep.name].submit(
                     self._call,
                     ep,
                     lambda conn: control.follow(conn, primary, self.term),
--- a/bronzehold/version/change_test.py
+++ b/bronzehold/version/change_test.py
@@ -76,6 +76,17 @@
         release.set()
 
 
+def test_slow_endpoints_are_still_asked_by_the_next_step():
+    def call(_name, _ask):
+        time.sleep(0.15)
+        return status(5)
+
+    made = make(call)
+    # The first step goes on with the first answer; the next needs them all.
+    made._statuses(lambda found: len(found) > 0, skip_busy=True)
+    assert made.choose().name in NAMES
+
+
 def test_longest_log_of_the_newest_term_is_chosen():
     found = {"a": status(9), "b": status(7, log_term=2), "c": status(8)}
     made = make(lambda name, _ask: found[name])
