--- a/bronzehold/tools/local.py
+++ b/bronzehold/tools/local.py
@@ -48,7 +48,8 @@
     zones: tuple[Zone, ...] = (Zone(name="zone-1", region="region-1"),)
     group: launch.GroupSettings = launch.GroupSettings(group="", endpoints={})
     service: data.Service = data.Service(name="", endpoints=(), max_age_ms=2000)
-    timing: settings.Timing = settings.Timing()
+    # Everything shares one interpreter here, so queues may be longer.
+    timing: settings.Timing = settings.Timing(queue_ms=5000)
 
 
 def free_port() -> int:
