--- a/tests/limits_test.py
+++ b/tests/limits_test.py
@@ -66,10 +66,12 @@
     def _run(self):
         while not self._stop.wait(0.002):
             for name in self._deployment.servers:
-                pools = [
-                    p.catalog.find("mail").pool(name)
+                found = [
+                    p.catalog.find("mail")
                     for p in list(self._deployment.proxies)
                 ]
+                # A proxy that has just joined knows no service yet.
+                pools = [s.pool(name) for s in found if s is not None]
                 held = sum(
                     pool.load().open + served_lib.CONTROL_CONNECTIONS
                     for pool in pools
