One piece where logic stood twice, and nothing that nobody uses

Cause: a reading of the whole change. Behaviour is as it was. - The shape of a statement was worked out three times for each request, twice more than needed, and whether it is long was asked twice, so it could change in between; both are settled once and handed on. - Looking for a lost mark built a list of endpoints and dropped it; it is asked by itself. A pool's load and its wait took two locks; they come together. - Two functions ranked endpoints; both now rank by one table of costs.

--- a/bench/figures.py
+++ b/bench/figures.py
@@ -8,7 +8,6 @@
 from bench import load
 
 HIGHEST_MS = 3_600_000
-SUSTAINED_S = 1.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/bench/plain_proxy.py
+++ b/bench/plain_proxy.py
@@ -26,10 +26,8 @@
     return waiter
 
 
-def _cost(served, name: str) -> float | None:
-    pool = served.pool(name)
-    if pool is None:
-        return None
+def _cost(served, pool: pool_lib.Pool) -> float:
+    del served
     load = pool.load()
     return float(load.running + load.waiting)
 
--- a/bench/run.py
+++ b/bench/run.py
@@ -137,7 +137,7 @@
             self._ticks = _processor_ticks()
             loads = self._start_loads()
             self._wander_and_break()
-            results = {s: self._collect(p) for s, p in loads.items()}
+            results = {s: self._collect(s, p) for s, p in loads.items()}
             return self._figures(results)
         finally:
             self.cluster.close()
@@ -224,9 +224,10 @@
             case "frozen":
                 self.cluster.signal(primary, signal.SIGSTOP)
 
-    def _collect(self, process: subprocess.Popen) -> list[load.Result]:
+    def _collect(
+        self, service: str, process: subprocess.Popen
+    ) -> list[load.Result]:
         process.wait(timeout=120)
-        service = process.args[-1].rsplit("load-", 1)[1].removesuffix(".json")
         lines = (self.folder / f"load-{service}.out").read_text().splitlines()
         return [load.Result(**json.loads(line)) for line in lines]
 
--- a/bronzehold/connection/caller.py
+++ b/bronzehold/connection/caller.py
@@ -19,6 +19,7 @@
 from bronzehold.process import served as served_lib
 from bronzehold.request import batch as batch_lib
 from bronzehold.request import classify
+from bronzehold.request import lengths
 
 LINGER_S = 2.0
 
@@ -220,7 +221,7 @@
             ending=batch_lib.Ending.QUERY,
             statement=classify.classify(text),
             executes=True,
-            text=text,
+            shape=lengths.shape(text),
             arrived=time.monotonic(),
         )
 
@@ -233,7 +234,7 @@
             ending=batch_lib.Ending.FLUSH if flush else batch_lib.Ending.SYNC,
             statement=batch_lib.combine(batch_lib.statements(items)),
             executes=any(i.frame.kind == b"E" for i in items),
-            text=text,
+            shape=lengths.shape(text),
             arrived=time.monotonic(),
         )
 
@@ -291,6 +292,6 @@
         ending=batch_lib.Ending.SYNC,
         statement=classify.Nothing(),
         executes=False,
-        text="",
+        shape=0,
         arrived=time.monotonic(),
     )
--- a/bronzehold/connection/executor.py
+++ b/bronzehold/connection/executor.py
@@ -23,7 +23,6 @@
 from bronzehold.request import classify
 from bronzehold.request import effort
 from bronzehold.request import lane
-from bronzehold.request import lengths
 from bronzehold.request import reads
 from bronzehold.request import relay
 from bronzehold.version import grant as grant_lib
@@ -147,33 +146,41 @@
         served = self._served
         own = self._session.freshness.mark
         place = reads.choose(served, wanted, own, deadline, avoid)
-        shape = lengths.shape(batch.text)
-        if served.lengths.length(shape) is data.Length.SHORT:
-            return self._read_or_elsewhere(batch, place, deadline)
+        length = served.lengths.length(batch.shape)
+        if length is data.Length.SHORT:
+            return self._read_or_elsewhere(batch, place, deadline, length)
         with lane.hold(
             served,
             lambda: reads.candidates(served, wanted, avoid),
             deadline,
-            served.lengths.expected(shape),
+            served.lengths.expected(batch.shape),
         ) as endpoint:
             place = reads.place(served, endpoint)
-            return self._read_or_elsewhere(batch, place, deadline)
+            return self._read_or_elsewhere(batch, place, deadline, length)
 
     def _read_or_elsewhere(
-        self, batch: batch_lib.Batch, place: reads.Place, deadline: float
+        self,
+        batch: batch_lib.Batch,
+        place: reads.Place,
+        deadline: float,
+        length: data.Length,
     ) -> str:
         try:
-            return self._read_at(batch, place, deadline)
+            return self._read_at(batch, place, deadline, length)
         except pool_lib.DialError as exc:
             raise _ElsewhereError(place.endpoint, sent=False) from exc
         except _RetryError as exc:
             raise _ElsewhereError(place.endpoint, sent=True) from exc
 
     def _read_at(
-        self, batch: batch_lib.Batch, place: reads.Place, deadline: float
+        self,
+        batch: batch_lib.Batch,
+        place: reads.Place,
+        deadline: float,
+        length: data.Length,
     ) -> str:
         pool = self._pool(place)
-        backend = self._enter(pool, deadline, batch)
+        backend = self._enter(pool, deadline, batch, length)
         ahead: tuple[bytes, ...] = ()
         if isinstance(self.block, blocks.Deferred):
             ahead = (BEGIN_READ_ONLY,)
@@ -215,12 +222,7 @@
             raise _RetryError
 
     def _check_read(self, place: reads.Place, answer: relay.Answer) -> None:
-        if not place.primary:
-            return
-        vouched = self._served.group.wait_grant(
-            place.endpoint, place.term, time.monotonic() + VOUCH_S
-        )
-        if vouched:
+        if not place.primary or self._in_office(place):
             return
         if answer.handed:
             raise errors.FailureError(errors.AnswerCut(endpoint=place.endpoint))
@@ -239,26 +241,27 @@
                 return self.read(batch)
         deadline = self._deadline(batch)
         self._check_spend()
-        shape = lengths.shape(batch.text)
         known = self._served.lengths
-        if known.length(shape) is data.Length.SHORT:
-            return self._write_until(batch, deadline)
-        with lane.hold(
-            self._served, self._primaries, deadline, known.expected(shape)
-        ):
-            return self._write_until(batch, deadline)
+        length = known.length(batch.shape)
+        if length is data.Length.SHORT:
+            return self._write_until(batch, deadline, length)
+        expected_s = known.expected(batch.shape)
+        with lane.hold(self._served, self._primaries, deadline, expected_s):
+            return self._write_until(batch, deadline, length)
 
     def _primaries(self) -> list[str]:
         grant = self._served.group.grant()
         return [grant.primary] if grant is not None else []
 
-    def _write_until(self, batch: batch_lib.Batch, deadline: float) -> str:
+    def _write_until(
+        self, batch: batch_lib.Batch, deadline: float, length: data.Length
+    ) -> str:
         group = self._served.group
         while True:
             grant = group.start_write(deadline)
             self._counted = True
             try:
-                return self._write_at(batch, grant, deadline)
+                return self._write_at(batch, grant, deadline, length)
             except (pool_lib.DialError, _RetryError):
                 self._uncount()
                 if time.monotonic() >= deadline:
@@ -268,13 +271,17 @@
             time.sleep(PAUSE_S)
 
     def _write_at(
-        self, batch: batch_lib.Batch, grant: grant_lib.Grant, deadline: float
+        self,
+        batch: batch_lib.Batch,
+        grant: grant_lib.Grant,
+        deadline: float,
+        length: data.Length,
     ) -> str:
         place = reads.Place(
             endpoint=grant.primary, primary=True, term=grant.term
         )
         pool = self._pool(place)
-        backend = self._enter(pool, deadline, batch)
+        backend = self._enter(pool, deadline, batch, length)
         in_block = isinstance(self.block, blocks.Deferred)
         self.place = "primary"
         try:
@@ -435,14 +442,17 @@
         return effort.Effort(
             served=self._served,
             pool=pool,
-            shape=lengths.shape(batch.text),
+            shape=batch.shape,
             length=length,
         )
 
     def _enter(
-        self, pool: pool_lib.Pool, deadline: float, batch: batch_lib.Batch
+        self,
+        pool: pool_lib.Pool,
+        deadline: float,
+        batch: batch_lib.Batch,
+        length: data.Length,
     ) -> backend_lib.Backend:
-        length = self._served.lengths.length(lengths.shape(batch.text))
         backend = pool.enter(session=self._id, deadline=deadline, length=length)
         self._effort = self._make_effort(pool, batch, length)
         backend.attach(self._id)
--- a/bronzehold/connection/session.py
+++ b/bronzehold/connection/session.py
@@ -9,7 +9,6 @@
 from bronzehold.request import classify
 
 OWN_PREFIX = classify.OWN_PREFIX
-SESSION_VARIABLE = OWN_PREFIX + "session"
 MARK_VARIABLE = OWN_PREFIX + "mark"
 AGE_VARIABLE = OWN_PREFIX + "max_age"
 
--- a/bronzehold/core/data.py
+++ b/bronzehold/core/data.py
@@ -191,13 +191,6 @@
     lineage: tuple[str, ...] = ()
 
 
-class Work(enum.Enum):
-    """How a request is routed."""
-
-    READ = "read"
-    WRITE = "write"
-
-
 class Length(enum.Enum):
     """How long a request is expected to run."""
 
--- a/bronzehold/process/changes.py
+++ b/bronzehold/process/changes.py
@@ -160,7 +160,6 @@
             primary=grant.primary if grant else "",
             target=target,
             grant_s=timing.grant_ms * data.MILLISECOND,
-            takeover_s=timing.takeover_ms * data.MILLISECOND,
             proxy=self._cfg.name,
             why=why,
             pass_over=why == group_lib.STALLED,
--- a/bronzehold/process/group.py
+++ b/bronzehold/process/group.py
@@ -277,11 +277,6 @@
         with self.cond:
             return bool(self.held()) and self.writes_in_flight == 0
 
-    def idle_for_leaving(self) -> bool:
-        """Whether no write is in flight to a primary that leaves."""
-        with self.cond:
-            return self._writable() is None and self.writes_in_flight == 0
-
     # What callers wait for.
 
     def start_write(self, deadline: float) -> grant_lib.Grant:
@@ -420,7 +415,7 @@
 
     def readable(
         self, mark: data.Mark | None, max_age: float | None
-    ) -> tuple[list[str], bool]:
+    ) -> list[str]:
         """Returns the endpoints whose readers see enough now.
 
         Args:
@@ -428,21 +423,24 @@
             max_age: The oldest data tolerated in seconds, None for any.
 
         Returns:
-            The endpoints' names, replicas and primary alike; and whether the
-            mark is known to be lost.
+            The endpoints' names, replicas and primary alike.
         """
         now = time.monotonic()
-        grant = self._grant
-        if grant is None:
-            return [], False
-        names = []
         with self.cond:
-            if mark is not None and self._lost(mark, grant):
-                return [], True
-            for seen in self._seen.values():
-                if self._is_readable(seen, grant, mark, max_age, now):
-                    names.append(seen.endpoint)
-        return names, False
+            grant = self._grant
+            if grant is None or self._lost(mark, grant):
+                return []
+            return [
+                seen.endpoint
+                for seen in self._seen.values()
+                if self._is_readable(seen, grant, mark, max_age, now)
+            ]
+
+    def mark_lost(self, mark: data.Mark | None) -> bool:
+        """Whether a mark is known not to be in the primary's log."""
+        with self.cond:
+            grant = self._grant
+            return grant is not None and self._lost(mark, grant)
 
     def _primary_has(
         self,
@@ -474,9 +472,9 @@
             self._asked_at = time.monotonic()
             self.cond.notify_all()
 
-    def _lost(self, mark: data.Mark, grant: grant_lib.Grant) -> bool:
+    def _lost(self, mark: data.Mark | None, grant: grant_lib.Grant) -> bool:
         seen = self._seen.get(grant.primary)
-        if seen is None or seen.status.log_term != grant.term:
+        if mark is None or seen is None or seen.status.log_term != grant.term:
             return False
         return data.judge_mark(mark, seen.status) is data.MarkState.LOST
 
--- a/bronzehold/process/group_test.py
+++ b/bronzehold/process/group_test.py
@@ -8,23 +8,13 @@
 from bronzehold.process import group as group_lib
 from bronzehold.process import timeline
 from bronzehold.version import grant as grant_lib
+from tests import helpers
 
 TIMING = settings.Timing(stall_ms=200)
 
 
 def make() -> group_lib.Group:
-    endpoints = tuple(
-        data.Endpoint(
-            name=name,
-            host="127.0.0.1",
-            port=1,
-            zone="z",
-            region="r",
-            connections=4,
-            slots=2,
-        )
-        for name in "abc"
-    )
+    endpoints = tuple(helpers.endpoint(name) for name in "abc")
     service = data.Service(name="g", endpoints=endpoints)
     line = timeline.Timeline(proxy="p", zone="z")
     return group_lib.Group(service=service, timing=TIMING, line=line)
--- a/bronzehold/process/pool.py
+++ b/bronzehold/process/pool.py
@@ -55,6 +55,7 @@
     caps: Caps
     service_s: float
     measured: bool
+    wait_s: float
 
 
 class Waiter:
@@ -118,6 +119,7 @@
                 caps=self._caps,
                 service_s=self._service_s,
                 measured=self._is_measured(),
+                wait_s=self._expected(),
             )
 
     def _is_measured(self) -> bool:
@@ -125,11 +127,6 @@
         # again by its distance.
         return time.monotonic() - self._learned_at < MEASURE_LIFE_S
 
-    def expected_wait(self) -> float:
-        """Returns how long a request that came now would wait, in seconds."""
-        with self._lock:
-            return self._expected()
-
     def _expected(self) -> float:
         ahead = self._running + len(self._waiters)
         free = max(0, self._caps.slots - ahead)
--- a/bronzehold/process/pool_test.py
+++ b/bronzehold/process/pool_test.py
@@ -3,19 +3,11 @@
 
 import pytest
 
-from bronzehold.core import data
 from bronzehold.core import errors
 from bronzehold.process import pool as pool_lib
+from tests import helpers
 
-ENDPOINT = data.Endpoint(
-    name="e",
-    host="127.0.0.1",
-    port=1,
-    zone="z",
-    region="r",
-    connections=4,
-    slots=2,
-)
+ENDPOINT = helpers.endpoint("e")
 
 
 class FakeBackend:
--- a/bronzehold/process/watcher.py
+++ b/bronzehold/process/watcher.py
@@ -40,7 +40,6 @@
         self._lock = threading.Lock()
         self._conn: client.Client | None = None
         self._urgent = 0
-        self.polls = 0
 
     def stop(self) -> None:
         """Makes the task end."""
@@ -113,7 +112,6 @@
             wait_ms = 0 if busy else LONG_POLL_MS
         sent = time.monotonic()
         status = control.status(conn, after=after, wait_ms=wait_ms)
-        self.polls += 1
         self._group.observe(
             grant_lib.Observation(
                 endpoint=self._endpoint.name,
--- a/bronzehold/request/batch.py
+++ b/bronzehold/request/batch.py
@@ -78,7 +78,8 @@
         ending: How it ends.
         statement: What all of it asks for together.
         executes: Whether anything in it runs.
-        text: The text of the first statement, for learning how long it takes.
+        shape: Key of the first statement's text without its literals, for
+            learning how long it takes.
         arrived: When it had been read, on the monotonic clock.
     """
 
@@ -86,7 +87,7 @@
     ending: Ending
     statement: classify.Statement
     executes: bool
-    text: str
+    shape: int
     arrived: float
 
 
--- a/bronzehold/request/reads.py
+++ b/bronzehold/request/reads.py
@@ -6,6 +6,7 @@
 from bronzehold.connection import session as session_lib
 from bronzehold.core import data
 from bronzehold.core import errors
+from bronzehold.process import pool as pool_lib
 from bronzehold.process import served as served_lib
 
 RECHECK_S = 0.02
@@ -96,12 +97,10 @@
     waiting = False
     try:
         while True:
-            if own_mark is not None and group.readable(own_mark, None)[1]:
+            if group.mark_lost(own_mark):
                 raise errors.FailureError(errors.MarkLost(mark=str(own_mark)))
-            names, _ = group.readable(wanted.mark, wanted.max_age)
-            names = [name for name in names if name not in avoid]
             now = time.monotonic()
-            found = _best(served, names, allow_primary=now >= turn)
+            found = _best(served, wanted, avoid, allow_primary=now >= turn)
             if found is not None:
                 return found
             if now >= deadline:
@@ -122,14 +121,8 @@
     served: served_lib.Served, wanted: Need, avoid: frozenset[str]
 ) -> list[str]:
     """Returns the endpoints where a read may run now, replicas first."""
-    names, _ = served.group.readable(wanted.mark, wanted.max_age)
-    grant = served.group.grant()
-    primary = grant.primary if grant else ""
-    costs = {
-        name: cost
-        for name in names
-        if name not in avoid and (cost := _cost(served, name)) is not None
-    }
+    costs = _costs(served, wanted, avoid)
+    primary = _primary(served)
     return sorted(costs, key=lambda name: (name == primary, costs[name]))
 
 
@@ -148,33 +141,45 @@
 
 
 def _best(
-    served: served_lib.Served, names: list[str], *, allow_primary: bool
+    served: served_lib.Served,
+    wanted: Need,
+    avoid: frozenset[str],
+    *,
+    allow_primary: bool,
 ) -> Place | None:
-    grant = served.group.grant()
-    primary = grant.primary if grant else ""
-    best: tuple[float, str] | None = None
-    for name in names:
-        if name == primary and not allow_primary:
-            continue
-        cost = _cost(served, name)
-        if cost is None:
-            continue
-        if name == primary:
-            cost += PRIMARY_PENALTY_S
-        if best is None or cost < best[0]:
-            best = (cost, name)
-    if best is None:
+    costs = _costs(served, wanted, avoid)
+    primary = _primary(served)
+    if primary in costs:
+        costs[primary] += PRIMARY_PENALTY_S
+        if not allow_primary:
+            del costs[primary]
+    if not costs:
         return None
-    return place(served, best[1])
+    return place(served, min(costs, key=costs.__getitem__))
 
 
-def _cost(served: served_lib.Served, name: str) -> float | None:
-    pool = served.pool(name)
-    if pool is None:
-        return None
+def _primary(served: served_lib.Served) -> str:
+    grant = served.group.grant()
+    return grant.primary if grant is not None else ""
+
+
+def _costs(
+    served: served_lib.Served, wanted: Need, avoid: frozenset[str]
+) -> dict[str, float]:
+    """Returns what a read may expect to take, for each fresh endpoint."""
+    names = served.group.readable(wanted.mark, wanted.max_age)
+    pools = {name: served.pool(name) for name in names if name not in avoid}
+    return {
+        name: _cost(served, pool)
+        for name, pool in pools.items()
+        if pool is not None
+    }
+
+
+def _cost(served: served_lib.Served, pool: pool_lib.Pool) -> float:
     load = pool.load()
     seen = load.service_s if load.measured else _distance(served, pool.endpoint)
-    return seen + pool.expected_wait()
+    return seen + load.wait_s
 
 
 def _distance(served: served_lib.Served, ep: data.Endpoint) -> float:
--- a/bronzehold/standin/endpoint.py
+++ b/bronzehold/standin/endpoint.py
@@ -96,7 +96,6 @@
         self.writers: set[sqlite3.Connection] = set()
         self.connections = 0
         self.peak_connections = 0
-        self.refused_connections = 0
         self.discarded = 0
         self.statements_run = 0
         self.role = (
--- a/bronzehold/standin/platform.py
+++ b/bronzehold/standin/platform.py
@@ -20,7 +20,6 @@
 LEASE_CHECK_S = 0.05
 WATCH_POLL_S = 0.1
 CONTROL_PREFIX = b"/platform/fault"
-INSTANCES_KEY = b"/platform/instances"
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/bronzehold/standin/server.py
+++ b/bronzehold/standin/server.py
@@ -133,7 +133,6 @@
                 ep.connections += 1
                 ep.peak_connections = max(ep.peak_connections, ep.connections)
                 return True
-            ep.refused_connections += 1
         refusal = messages.error(
             control.TOO_MANY_SQLSTATE, "too many connections", fatal=True
         )
--- a/bronzehold/standin/session.py
+++ b/bronzehold/standin/session.py
@@ -40,7 +40,6 @@
     ("division", "22012"),
 )
 FLUSH_BYTES = 65536
-CUT_POLL_S = 0.05
 
 
 class StatementError(Exception):
@@ -96,7 +95,6 @@
         self._epoch = -1
         self._block = messages.IDLE
         self._read_only = False
-        self._implicit = False
         self._wrote: list[storage.Statement] = []
         self._holds_writer = False
         self._prepared: dict[bytes, _Prepared] = {}
--- a/bronzehold/tools/history.py
+++ b/bronzehold/tools/history.py
@@ -165,7 +165,6 @@
             if done and earlier and write.key not in read.keys:
                 yield Stale(session=read.session, key=write.key, at=read.start)
         for key in read.keys - {write.key for write in own}:
-            # A write that was still under way when the history ended.
             yield Torn(session=read.session, key=key)
 
 
--- a/bronzehold/tools/local.py
+++ b/bronzehold/tools/local.py
@@ -176,6 +176,10 @@
         port = self.proxies[proxy].port
         return f"host={HOST} port={port} user=app dbname={name}"
 
+    def urls(self) -> tuple[str, ...]:
+        """Returns how a driver connects, through each proxy."""
+        return tuple(self.url(i) for i in range(len(self.proxies)))
+
     def close(self) -> None:
         """Ends everything."""
         for proxy in self.proxies:
--- a/bronzehold/tools/operators.py
+++ b/bronzehold/tools/operators.py
@@ -22,9 +22,7 @@
 CALL_TIMEOUT_S = 2.0
 PROMOTE_TIMEOUT_S = 30.0
 POLL_S = 0.1
-APPLY_TRIES = 3
 MAX_DOCUMENT_BYTES = 1 << 20
-NANOSECONDS = 1_000_000_000
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/bronzehold/tools/soak.py
+++ b/bronzehold/tools/soak.py
@@ -186,7 +186,7 @@
             time.sleep(CALM_S)
 
         plan = workload.Plan(
-            urls=tuple(deployment.url(i) for i in range(PROXIES)),
+            urls=deployment.urls(),
             transactions=transactions,
             carry=carry,
             seed=seed,
--- a/bronzehold/version/change.py
+++ b/bronzehold/version/change.py
@@ -40,7 +40,6 @@
         primary: The primary to replace, "" if none is known.
         target: The endpoint that should take over, "" for the best.
         grant_s: How long a grant lasts on every proxy.
-        takeover_s: How long another's attempt may stand still.
         proxy: Who makes the change.
         why: Why it is made.
         pass_over: The primary answers but its log reaches no replica, and
@@ -55,7 +54,6 @@
     primary: str
     target: str
     grant_s: float
-    takeover_s: float
     proxy: str
     why: str
     pass_over: bool = False
--- a/bronzehold/version/change_test.py
+++ b/bronzehold/version/change_test.py
@@ -1,3 +1,4 @@
+import dataclasses
 import threading
 import time
 
@@ -5,22 +6,11 @@
 from bronzehold.core import data
 from bronzehold.process import timeline
 from bronzehold.version import change
+from tests import helpers
 
 NAMES = ("a", "b", "c")
 
 
-def endpoint(name: str) -> data.Endpoint:
-    return data.Endpoint(
-        name=name,
-        host="127.0.0.1",
-        port=1,
-        zone="z",
-        region="r",
-        connections=4,
-        slots=2,
-    )
-
-
 def status(received: int, log_term: int = 1) -> data.EndpointStatus:
     return data.EndpointStatus(
         role=data.Role.REPLICA,
@@ -37,12 +27,11 @@
 def make(call, **fields) -> change.Change:
     plain = {
         "group": "g",
-        "endpoints": tuple(endpoint(name) for name in NAMES),
+        "endpoints": tuple(helpers.endpoint(name) for name in NAMES),
         "observed_term": 1,
         "primary": "a",
         "target": "",
         "grant_s": 0.2,
-        "takeover_s": 1.0,
         "proxy": "p",
         "why": "test",
     }
@@ -107,13 +96,8 @@
 
 
 def test_leaving_endpoint_is_chosen_only_if_it_holds_more():
-    endpoints = tuple(endpoint(name) for name in NAMES)
-    leaving = data.Endpoint(
-        **{
-            **{f: getattr(endpoints[2], f) for f in _fields()},
-            "leaving": True,
-        }
-    )
+    endpoints = tuple(helpers.endpoint(name) for name in NAMES)
+    leaving = dataclasses.replace(endpoints[2], leaving=True)
     equal = {"a": status(8), "b": status(8), "c": status(8)}
     ahead = {"a": status(8), "b": status(8), "c": status(9)}
     group = (*endpoints[:2], leaving)
@@ -121,7 +105,3 @@
     assert made.choose().name == "b"
     made = make(lambda name, _ask: ahead[name], endpoints=group)
     assert made.choose().name == "c"
-
-
-def _fields() -> list[str]:
-    return list(data.Endpoint.__dataclass_fields__)
--- a/bronzehold/version/sheet_test.py
+++ b/bronzehold/version/sheet_test.py
@@ -2,6 +2,7 @@
 
 from bronzehold.core import data
 from bronzehold.version import sheet
+from tests import helpers
 
 ZONES = {"lima-1": "lima", "lima-2": "lima", "arequipa-1": "arequipa"}
 HEADER = "service,endpoint,host,port,zone,connections,slots"
@@ -89,18 +90,7 @@
 def service(*names: str) -> data.Service:
     return data.Service(
         name="mail",
-        endpoints=tuple(
-            data.Endpoint(
-                name=name,
-                host="10.0.0.1",
-                port=1,
-                zone="lima-1",
-                region="lima",
-                connections=1,
-                slots=1,
-            )
-            for name in names
-        ),
+        endpoints=tuple(helpers.endpoint(name) for name in names),
     )
 
 
--- a/tests/config_test.py
+++ b/tests/config_test.py
@@ -15,6 +15,7 @@
 from bronzehold.tools import local
 from bronzehold.tools import operators
 from bronzehold.version import config
+from tests import helpers
 
 IN_FORCE_BOUND_S = 10.0
 SHAPE = local.Shape(proxies=3)
@@ -42,11 +43,8 @@
     return None
 
 
-def wait_for(check, seconds: float = IN_FORCE_BOUND_S):
-    end = time.monotonic() + seconds
-    while not check():
-        assert time.monotonic() < end, "not in force in time"
-        time.sleep(0.02)
+def wait_for(check):
+    helpers.wait_for(check, IN_FORCE_BOUND_S)
 
 
 def in_force(deployment, revision: int):
--- a/tests/drivers_test.py
+++ b/tests/drivers_test.py
@@ -34,15 +34,6 @@
     )
 
 
-def eventually(check, seconds: float = 10.0) -> bool:
-    end = time.monotonic() + seconds
-    while time.monotonic() < end:
-        if check():
-            return True
-        time.sleep(0.02)
-    return False
-
-
 @pytest.mark.usefixtures("table")
 class TestAnswers:
     def test_nulls_and_empty_results(self, conn, deployment):
--- a/tests/leaving_test.py
+++ b/tests/leaving_test.py
@@ -20,10 +20,6 @@
 SHAPE = local.Shape(proxies=2)
 
 
-def urls(deployment) -> tuple[str, ...]:
-    return tuple(deployment.url(i) for i in range(len(deployment.proxies)))
-
-
 def leave(deployment, name: str):
     service = deployment.services[0]
     endpoints = tuple(
@@ -58,7 +54,7 @@
             assert statements(deployment, "mail-1") == before
 
         operations, violations = workload.run(
-            workload.Plan(urls=urls(deployment)), during
+            workload.Plan(urls=deployment.urls()), during
         )
         assert violations == []
         assert {
@@ -79,7 +75,7 @@
             assert deployment.primary("mail") != "mail-0"
 
         operations, violations = workload.run(
-            workload.Plan(urls=urls(deployment), transactions=True), during
+            workload.Plan(urls=deployment.urls(), transactions=True), during
         )
         assert violations == []
         assert {
--- a/tests/primary_test.py
+++ b/tests/primary_test.py
@@ -16,22 +16,12 @@
 from bronzehold.tools import local
 from bronzehold.tools import workload
 from bronzehold.version import change as change_lib
+from tests import helpers
 
 GAP_BOUND_S = 6.0
 SHAPE = local.Shape(proxies=3)
 
 
-def urls(deployment) -> tuple[str, ...]:
-    return tuple(deployment.url(i) for i in range(len(deployment.proxies)))
-
-
-def wait_for(check, seconds: float = 10.0):
-    end = time.monotonic() + seconds
-    while not check():
-        assert time.monotonic() < end, "it did not come to pass"
-        time.sleep(0.02)
-
-
 def term(deployment) -> int:
     return max(s.endpoint.term for s in deployment.servers.values())
 
@@ -93,20 +83,20 @@
             victim = deployment.servers["mail-0"]
             moment.append(time.monotonic())
             fault(deployment, victim)
-            wait_for(new_primary(deployment, "mail-0"))
+            helpers.wait_for(new_primary(deployment, "mail-0"))
             time.sleep(1.5)
             victim.endpoint.faults.change(
                 frozen=False, cut_in=frozenset(), cut_out=frozenset()
             )
             time.sleep(1.5)
 
-        plan = workload.Plan(urls=urls(deployment), transactions=transactions)
+        plan = workload.Plan(urls=deployment.urls(), transactions=transactions)
         operations, violations = workload.run(plan, during)
         assert violations == []
         gap = history.longest_gap(operations, moment[0])
         assert gap is not None and gap < GAP_BOUND_S
         if fault is not kill:
-            wait_for(lambda: _follows(deployment, "mail-0"))
+            helpers.wait_for(lambda: _follows(deployment, "mail-0"))
 
 
 def _follows(deployment, name: str) -> bool:
@@ -159,7 +149,7 @@
         victim.faults.change(frozen=True)
         thread = threading.Thread(target=write, args=(conn,))
         thread.start()
-        wait_for(new_primary(deployment, "mail-0"))
+        helpers.wait_for(new_primary(deployment, "mail-0"))
         victim.faults.change(cut_in=frozenset(others))
         victim.faults.change(frozen=False)
         thread.join(10)
@@ -214,12 +204,12 @@
         def during(_work):
             time.sleep(0.5)
             deployment.servers["mail-0"].kill()
-            wait_for(died.is_set)
-            wait_for(new_primary(deployment, "mail-0"), 15)
+            helpers.wait_for(died.is_set)
+            helpers.wait_for(new_primary(deployment, "mail-0"), 15)
             time.sleep(1.0)
 
         _, violations = workload.run(
-            workload.Plan(urls=urls(deployment)), during
+            workload.Plan(urls=deployment.urls()), during
         )
         assert violations == []
 
@@ -248,14 +238,14 @@
         def during(_work):
             time.sleep(0.5)
             deployment.servers["mail-0"].kill()
-            wait_for(frozen.is_set)
-            wait_for(new_primary(deployment, "mail-0"), 15)
+            helpers.wait_for(frozen.is_set)
+            helpers.wait_for(new_primary(deployment, "mail-0"), 15)
             time.sleep(0.5)
             thaw.set()
             time.sleep(2.0)
 
         _, violations = workload.run(
-            workload.Plan(urls=urls(deployment)), during
+            workload.Plan(urls=deployment.urls()), during
         )
         assert violations == []
 
@@ -269,7 +259,6 @@
         primary="mail-0",
         target=target,
         grant_s=1.0,
-        takeover_s=2.0,
         proxy=proxy.cfg.name,
         why="test",
     )
@@ -338,7 +327,7 @@
         assert second.win(change_lib.read_record(deployment.store, "mail"))
         second.fence()
         server = deployment.servers[chosen.name]
-        wait_for(lambda: server.endpoint.term == second.term)
+        helpers.wait_for(lambda: server.endpoint.term == second.term)
         with pytest.raises(change_lib._StoppedError):
             first.promote(chosen)
 
@@ -353,11 +342,11 @@
             time.sleep(3.0)
             assert deployment.primary("mail") == "mail-0"
             deployment.platform.store.change(absent=False)
-            wait_for(new_primary(deployment, "mail-0"), 10)
+            helpers.wait_for(new_primary(deployment, "mail-0"), 10)
             time.sleep(1.0)
 
         operations, violations = workload.run(
-            workload.Plan(urls=urls(deployment)), during
+            workload.Plan(urls=deployment.urls()), during
         )
         assert violations == []
         assert history.longest_gap(operations, 0) < 10
@@ -383,11 +372,11 @@
         def during(_work):
             time.sleep(0.5)
             deployment.servers["mail-0"].kill()
-            wait_for(new_primary(deployment, "mail-0"))
+            helpers.wait_for(new_primary(deployment, "mail-0"))
             time.sleep(1.0)
 
         _, violations = workload.run(
-            workload.Plan(urls=urls(deployment)), during
+            workload.Plan(urls=deployment.urls()), during
         )
         assert violations == []
 
@@ -415,7 +404,7 @@
             time.sleep(12.0)
 
         operations, violations = workload.run(
-            workload.Plan(urls=urls(deployment)), during
+            workload.Plan(urls=deployment.urls()), during
         )
         assert violations == []
         assert history.longest_gap(operations, 0) < 2 * GAP_BOUND_S
@@ -433,13 +422,13 @@
             for i in range(5):
                 conn.execute(f"INSERT INTO t VALUES ({i})")
             cut_from_all(deployment, deployment.servers["mail-0"])
-            wait_for(new_primary(deployment, "mail-0"))
+            helpers.wait_for(new_primary(deployment, "mail-0"))
             deployment.servers["mail-0"].endpoint.faults.change(
                 cut_in=frozenset()
             )
             victim = deployment.servers["mail-0"].endpoint
-            wait_for(lambda: victim.discarded == 5)
-            wait_for(lambda: _follows(deployment, "mail-0"))
+            helpers.wait_for(lambda: victim.discarded == 5)
+            helpers.wait_for(lambda: _follows(deployment, "mail-0"))
 
             def counted():
                 return any(
@@ -449,7 +438,7 @@
                     for e in p.line.after(0)
                 )
 
-            wait_for(counted)
+            helpers.wait_for(counted)
             # The session that wrote them is told, and gets no older read.
             with pytest.raises(psycopg.Error, match="was lost") as caught:
                 conn.execute("SELECT count(*) FROM t")
@@ -468,7 +457,7 @@
                 time.sleep(0.5)
 
         operations, violations = workload.run(
-            workload.Plan(urls=urls(deployment)), during
+            workload.Plan(urls=deployment.urls()), during
         )
         assert violations == []
         writes = [op for op in operations if isinstance(op, history.Write)]
--- a/tests/sessions_test.py
+++ b/tests/sessions_test.py
@@ -11,15 +11,12 @@
 from bronzehold.tools import history
 from bronzehold.tools import local
 from bronzehold.tools import workload
+from tests import helpers
 
 LAG_S = 0.3
 SHAPE = local.Shape(proxies=2)
 
 
-def urls(deployment) -> tuple[str, ...]:
-    return tuple(deployment.url(i) for i in range(len(deployment.proxies)))
-
-
 def lag(deployment, seconds: float):
     for server in deployment.servers.values():
         server.endpoint.faults.change(lag_s=seconds)
@@ -28,7 +25,7 @@
 def work(seconds: float = 3.0, **fields):
     with local.running(SHAPE) as deployment:
         lag(deployment, LAG_S)
-        plan = workload.Plan(urls=urls(deployment), **fields)
+        plan = workload.Plan(urls=deployment.urls(), **fields)
         operations, violations = workload.run(
             plan, lambda _work: time.sleep(seconds)
         )
@@ -42,10 +39,9 @@
     """Waits until the first proxy has seen that replicas are up to date."""
     group = deployment.proxies[0].catalog.find("mail").group
     held = deployment.servers["mail-0"].endpoint.storage.received
-    end = time.monotonic() + 10
-    while any(o.status.applied < held for o in group.all_seen()):
-        assert time.monotonic() < end
-        time.sleep(0.02)
+    helpers.wait_for(
+        lambda: all(o.status.applied >= held for o in group.all_seen())
+    )
 
 
 def _replica_reads(deployment) -> int:
