A read on a primary whose grant lapses meanwhile is still vouched for

Cause: found while two rankings of endpoints were made one. Which endpoints are fresh, and which of them is the primary, were asked one after the other; if the grant lapsed in between, the primary passed for a replica, and what it answered was handed on without a grant. The wait for a lane made the gap longer. Ruled out: writes, which take place and term from the grant itself. Change: the group answers both at once, from one grant, as a place (endpoint, primary, term); lanes and reads hand that on. A lane that was granted for an endpoint no longer fresh is given back.

--- a/bronzehold/connection/blocks.py
+++ b/bronzehold/connection/blocks.py
@@ -5,8 +5,8 @@
 from bronzehold.connection import backend as backend_lib
 from bronzehold.connection import client
 from bronzehold.connection import messages
+from bronzehold.core import data
 from bronzehold.process import pool as pool_lib
-from bronzehold.request import reads
 
 IN_BLOCK = (messages.IN_TRANSACTION, messages.IN_FAILED_TRANSACTION)
 
@@ -39,7 +39,7 @@
 
     backend: backend_lib.Backend
     pool: pool_lib.Pool
-    place: reads.Place
+    place: data.Place
     prefix: bool
     state: bytes = messages.IN_TRANSACTION
     skipping: bool = False
--- a/bronzehold/connection/executor.py
+++ b/bronzehold/connection/executor.py
@@ -154,14 +154,13 @@
             lambda: reads.candidates(served, wanted, avoid),
             deadline,
             served.lengths.expected(batch.shape),
-        ) as endpoint:
-            place = reads.place(served, endpoint)
+        ) as place:
             return self._read_or_elsewhere(batch, place, deadline, length)
 
     def _read_or_elsewhere(
         self,
         batch: batch_lib.Batch,
-        place: reads.Place,
+        place: data.Place,
         deadline: float,
         length: data.Length,
     ) -> str:
@@ -175,7 +174,7 @@
     def _read_at(
         self,
         batch: batch_lib.Batch,
-        place: reads.Place,
+        place: data.Place,
         deadline: float,
         length: data.Length,
     ) -> str:
@@ -215,13 +214,13 @@
             case _:
                 return False
 
-    def _check_place(self, place: reads.Place) -> None:
+    def _check_place(self, place: data.Place) -> None:
         # The endpoint may have begun to leave while the request waited.
         ep = self._served.group.endpoint(place.endpoint)
         if ep is None or ep.leaving:
             raise _RetryError
 
-    def _check_read(self, place: reads.Place, answer: relay.Answer) -> None:
+    def _check_read(self, place: data.Place, answer: relay.Answer) -> None:
         if not place.primary or self._in_office(place):
             return
         if answer.handed:
@@ -249,9 +248,9 @@
         with lane.hold(self._served, self._primaries, deadline, expected_s):
             return self._write_until(batch, deadline, length)
 
-    def _primaries(self) -> list[str]:
+    def _primaries(self) -> list[data.Place]:
         grant = self._served.group.grant()
-        return [grant.primary] if grant is not None else []
+        return [_place_of(grant)] if grant is not None else []
 
     def _write_until(
         self, batch: batch_lib.Batch, deadline: float, length: data.Length
@@ -277,9 +276,7 @@
         deadline: float,
         length: data.Length,
     ) -> str:
-        place = reads.Place(
-            endpoint=grant.primary, primary=True, term=grant.term
-        )
+        place = _place_of(grant)
         pool = self._pool(place)
         backend = self._enter(pool, deadline, batch, length)
         in_block = isinstance(self.block, blocks.Deferred)
@@ -312,7 +309,7 @@
     def _lost(
         self,
         batch: batch_lib.Batch,
-        place: reads.Place,
+        place: data.Place,
         exc: relay.BrokenError,
         *,
         in_block: bool,
@@ -322,7 +319,7 @@
         return errors.OutcomeUnknown(endpoint=place.endpoint, why=exc.why)
 
     def _conclude(
-        self, batch: batch_lib.Batch, place: reads.Place, answer: relay.Answer
+        self, batch: batch_lib.Batch, place: data.Place, answer: relay.Answer
     ) -> str:
         """Vouches for what may have been committed, and answers."""
         over = answer.state == messages.IDLE
@@ -332,7 +329,7 @@
         return answer.sqlstate
 
     def _vouch(
-        self, batch: batch_lib.Batch, place: reads.Place, answer: relay.Answer
+        self, batch: batch_lib.Batch, place: data.Place, answer: relay.Answer
     ) -> None:
         group = self._served.group
         now = time.monotonic()
@@ -413,13 +410,13 @@
         self._send(answer.rest)
         return answer.sqlstate
 
-    def _in_office(self, place: reads.Place) -> bool:
+    def _in_office(self, place: data.Place) -> bool:
         return self._served.group.wait_grant(
             place.endpoint, place.term, time.monotonic() + VOUCH_S
         )
 
     def _lost_pinned(
-        self, place: reads.Place, exc: relay.BrokenError, *, may_commit: bool
+        self, place: data.Place, exc: relay.BrokenError, *, may_commit: bool
     ) -> errors.Failure:
         if may_commit:
             # A commit ends the block whatever became of it.
@@ -430,7 +427,7 @@
 
     # Endpoint connections.
 
-    def _pool(self, place: reads.Place) -> pool_lib.Pool:
+    def _pool(self, place: data.Place) -> pool_lib.Pool:
         pool = self._served.pool(place.endpoint)
         if pool is None:
             raise _RetryError
@@ -477,7 +474,7 @@
     def _relay(
         self,
         backend: backend_lib.Backend,
-        place: reads.Place,
+        place: data.Place,
         batch: batch_lib.Batch,
         ahead: tuple[bytes, ...],
         *,
@@ -503,7 +500,7 @@
             with self._lock:
                 self._active = None
 
-    def _give_up(self, place: reads.Place) -> collections.abc.Callable[[], str]:
+    def _give_up(self, place: data.Place) -> collections.abc.Callable[[], str]:
         group = self._served.group
         deadline_s = self._served.service.deadline_ms * data.MILLISECOND
 
@@ -563,6 +560,10 @@
         self.sent = sent
 
 
+def _place_of(grant: grant_lib.Grant) -> data.Place:
+    return data.Place(endpoint=grant.primary, primary=True, term=grant.term)
+
+
 def _may_commit(statement: classify.Statement) -> bool:
     match statement:
         case classify.Commit() | classify.Write(ends=True):
--- a/bronzehold/core/data.py
+++ b/bronzehold/core/data.py
@@ -191,6 +191,21 @@
     lineage: tuple[str, ...] = ()
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Place:
+    """The endpoint that a request goes to.
+
+    Attributes:
+        endpoint: Its name.
+        primary: Whether it is the primary.
+        term: The primary's term, 0 on a replica.
+    """
+
+    endpoint: str
+    primary: bool
+    term: int
+
+
 class Length(enum.Enum):
     """How long a request is expected to run."""
 
--- a/bronzehold/process/group.py
+++ b/bronzehold/process/group.py
@@ -415,15 +415,18 @@
 
     def readable(
         self, mark: data.Mark | None, max_age: float | None
-    ) -> list[str]:
+    ) -> list[data.Place]:
         """Returns the endpoints whose readers see enough now.
 
+        Which of them is the primary goes by the same grant, so that it is
+        still vouched for when the grant lapses a moment later.
+
         Args:
             mark: What the session must see, None for nothing.
             max_age: The oldest data tolerated in seconds, None for any.
 
         Returns:
-            The endpoints' names, replicas and primary alike.
+            The endpoints, replicas and primary alike.
         """
         now = time.monotonic()
         with self.cond:
@@ -431,7 +434,7 @@
             if grant is None or self._lost(mark, grant):
                 return []
             return [
-                seen.endpoint
+                _place(seen.endpoint, grant)
                 for seen in self._seen.values()
                 if self._is_readable(seen, grant, mark, max_age, now)
             ]
@@ -506,3 +509,9 @@
     if mark is None:
         return True
     return data.judge_mark(mark, seen.status) is data.MarkState.SEEN
+
+
+def _place(endpoint: str, grant: grant_lib.Grant) -> data.Place:
+    primary = endpoint == grant.primary
+    term = grant.term if primary else 0
+    return data.Place(endpoint=endpoint, primary=primary, term=term)
--- a/bronzehold/request/lane.py
+++ b/bronzehold/request/lane.py
@@ -17,15 +17,15 @@
 @contextlib.contextmanager
 def hold(
     served: served_lib.Served,
-    names: collections.abc.Callable[[], list[str]],
+    find: collections.abc.Callable[[], list[data.Place]],
     deadline: float,
     expected_s: float,
-) -> collections.abc.Iterator[str]:
-    """Holds a lane for the length of a block, and yields its endpoint.
+) -> collections.abc.Iterator[data.Place]:
+    """Holds a lane for the length of a block, and yields its place.
 
     Args:
         served: The service.
-        names: Returns the endpoints where the work may run, best first.
+        find: Returns the places where the work may run, best first.
         deadline: Until when to wait.
         expected_s: How long the work is expected to run.
 
@@ -35,23 +35,24 @@
     request = uuid.uuid4().hex
     group = served.group.name
     env = served.env
-    while True:
-        wanted = lanes.Wanted(
-            request=request,
-            endpoints=tuple(_with_lanes(served, names())),
-            hold_s=expected_s * HOLD_FACTOR,
-        )
-        endpoint = env.take_lane(group, wanted) if wanted.endpoints else ""
-        if endpoint:
-            break
-        if time.monotonic() + RETRY_S > deadline:
-            expected_ms = int(expected_s / data.MILLISECOND)
-            raise errors.FailureError(
-                errors.Overloaded(endpoint=group, expected_ms=expected_ms)
-            )
-        time.sleep(RETRY_S)
     try:
-        yield endpoint
+        while True:
+            places = {place.endpoint: place for place in find()}
+            wanted = lanes.Wanted(
+                request=request,
+                endpoints=tuple(_with_lanes(served, list(places))),
+                hold_s=expected_s * HOLD_FACTOR,
+            )
+            endpoint = env.take_lane(group, wanted) if places else ""
+            if endpoint in places:
+                break
+            if time.monotonic() + RETRY_S > deadline:
+                expected_ms = int(expected_s / data.MILLISECOND)
+                raise errors.FailureError(
+                    errors.Overloaded(endpoint=group, expected_ms=expected_ms)
+                )
+            time.sleep(RETRY_S)
+        yield places[endpoint]
     finally:
         env.give_lane(group, request)
 
--- a/bronzehold/request/reads.py
+++ b/bronzehold/request/reads.py
@@ -28,21 +28,6 @@
     max_age: float | None
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Place:
-    """The endpoint that a read goes to.
-
-    Attributes:
-        endpoint: Its name.
-        primary: Whether it is the primary, and if so in which term.
-        term: The primary's term, 0 on a replica.
-    """
-
-    endpoint: str
-    primary: bool
-    term: int
-
-
 def need(
     served: served_lib.Served,
     session: session_lib.Session,
@@ -75,7 +60,7 @@
     own_mark: data.Mark | None,
     deadline: float,
     avoid: frozenset[str],
-) -> Place:
+) -> data.Place:
     """Waits for an endpoint that a read may run on.
 
     Replicas go first. When none is fresh enough, the read waits for one for
@@ -119,19 +104,10 @@
 
 def candidates(
     served: served_lib.Served, wanted: Need, avoid: frozenset[str]
-) -> list[str]:
+) -> list[data.Place]:
     """Returns the endpoints where a read may run now, replicas first."""
     costs = _costs(served, wanted, avoid)
-    primary = _primary(served)
-    return sorted(costs, key=lambda name: (name == primary, costs[name]))
-
-
-def place(served: served_lib.Served, endpoint: str) -> Place:
-    """Returns the place that an endpoint is now."""
-    grant = served.group.grant()
-    primary = grant is not None and grant.primary == endpoint
-    term = grant.term if grant is not None and primary else 0
-    return Place(endpoint=endpoint, primary=primary, term=term)
+    return sorted(costs, key=lambda place: (place.primary, costs[place]))
 
 
 def _why_none(served: served_lib.Served, wanted: Need) -> errors.Failure:
@@ -146,34 +122,25 @@
     avoid: frozenset[str],
     *,
     allow_primary: bool,
-) -> Place | None:
-    costs = _costs(served, wanted, avoid)
-    primary = _primary(served)
-    if primary in costs:
-        costs[primary] += PRIMARY_PENALTY_S
-        if not allow_primary:
-            del costs[primary]
-    if not costs:
-        return None
-    return place(served, min(costs, key=costs.__getitem__))
-
-
-def _primary(served: served_lib.Served) -> str:
-    grant = served.group.grant()
-    return grant.primary if grant is not None else ""
+) -> data.Place | None:
+    costs = {
+        place: cost + (PRIMARY_PENALTY_S if place.primary else 0.0)
+        for place, cost in _costs(served, wanted, avoid).items()
+        if allow_primary or not place.primary
+    }
+    return min(costs, key=costs.__getitem__, default=None)
 
 
 def _costs(
     served: served_lib.Served, wanted: Need, avoid: frozenset[str]
-) -> dict[str, float]:
+) -> dict[data.Place, float]:
     """Returns what a read may expect to take, for each fresh endpoint."""
-    names = served.group.readable(wanted.mark, wanted.max_age)
-    pools = {name: served.pool(name) for name in names if name not in avoid}
-    return {
-        name: _cost(served, pool)
-        for name, pool in pools.items()
-        if pool is not None
-    }
+    costs = {}
+    for place in served.group.readable(wanted.mark, wanted.max_age):
+        pool = served.pool(place.endpoint)
+        if pool is not None and place.endpoint not in avoid:
+            costs[place] = _cost(served, pool)
+    return costs
 
 
 def _cost(served: served_lib.Served, pool: pool_lib.Pool) -> float:
