Two tests that raced with what they measured

Runs: one of three workers found its port taken by another's connection, and a count of reads was looked at before the proxy had counted. Causes: a free port was asked of the system and given back, which may then give it to an outgoing connection of another worker; the proxy counts a request after its answer, so the caller could be faster. Ruled out: the routing, since the read was on the replica as soon as the count was waited for. Change: each process takes ports of its own below those of outgoing connections; the tests let the proxy count, by one more request on the same connection, before they look. The checks are the same; the one that no replica was used is stricter, since a late count can no more pass it.

--- a/bronzehold/tools/local.py
+++ b/bronzehold/tools/local.py
@@ -2,6 +2,8 @@
 
 import contextlib
 import dataclasses
+import itertools
+import os
 import socket
 import time
 
@@ -18,6 +20,11 @@
 HOST = "127.0.0.1"
 READY_S = 20.0
 POLL_S = 0.02
+FIRST_PORT = 10_000
+PORTS_PER_SLICE = 1000
+SLICES = 20
+
+_ports = itertools.count()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -53,10 +60,19 @@
 
 
 def free_port() -> int:
-    """Returns a port that nothing listens on."""
-    with socket.socket() as sock:
-        sock.bind((HOST, 0))
-        return sock.getsockname()[1]
+    """Returns a port that nothing listens on.
+
+    Each process has ports of its own, below those that the system gives to
+    outgoing connections, so nobody takes the port before it is listened on.
+    """
+    first = FIRST_PORT + os.getpid() % SLICES * PORTS_PER_SLICE
+    while True:
+        port = first + next(_ports) % PORTS_PER_SLICE
+        with socket.socket() as sock:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            with contextlib.suppress(OSError):
+                sock.bind((HOST, port))
+                return port
 
 
 class Deployment:
--- a/tests/sessions_test.py
+++ b/tests/sessions_test.py
@@ -35,6 +35,14 @@
     return violations, shares
 
 
+def _wait_counted(conn):
+    """Waits until the proxy has counted what it has answered before.
+
+    It counts a request after its answer, and before it reads the next one.
+    """
+    conn.execute("SHOW bronzehold.mark")
+
+
 def _wait_applied(deployment):
     """Waits until the first proxy has seen that replicas are up to date."""
     group = deployment.proxies[0].catalog.find("mail").group
@@ -111,6 +119,7 @@
             assert row == ("0.5s",)
             before = _replica_reads(deployment)
             conn.execute("SELECT count(*) FROM t")
+            _wait_counted(conn)
             assert _replica_reads(deployment) == before
 
 
@@ -123,6 +132,7 @@
             _wait_applied(deployment)
             before = _replica_reads(deployment)
             assert conn.execute("SELECT count(*) FROM t").fetchone() == (0,)
+            _wait_counted(conn)
             assert _replica_reads(deployment) == before + 1
             conn.execute("INSERT INTO t VALUES (1)")
             assert conn.execute("SELECT count(*) FROM t").fetchone() == (1,)
