Reads leave a silent endpoint; what others can serve is refused at once

Ruled out: load (slots were free: 'busy for another 0 ms'). Change: silence counts from the last answer, a probe opens a connection of its own when the pool has none, a read waits 50 ms for a connection before it tries elsewhere, and a proxy that is cut off refuses at once and is not ready. The tries of a failed statement are in its log line.

--- a/bronzehold/connection/fenced_caller.py
+++ b/bronzehold/connection/fenced_caller.py
@@ -101,7 +101,7 @@
 
     def _answer(self, req: statements.Request) -> None:
         self._runner.endpoint = ""
-        self._runner.attempts = 0
+        self._runner.tries.clear()
         try:
             completed = self._run(req)
         except errors.FailureError as exc:
@@ -231,6 +231,14 @@
         if failure is not None:
             self._log(req, failure, service, took)
 
+    def _tried(self, req: statements.Request) -> str:
+        """Returns each try with the milliseconds since the request came."""
+        return ", ".join(
+            f"{one.endpoint} {_reason(one.failure)} "
+            f"+{int((one.at - req.arrived) * 1000)}"
+            for one in self._runner.tries
+        )
+
     def _log(
         self,
         req: statements.Request,
@@ -252,7 +260,7 @@
                 failure=type(failure).__name__,
                 detail=errors.report(failure).message,
                 endpoint=self._runner.endpoint,
-                attempts=self._runner.attempts,
+                tried=self._tried(req),
                 took_ms=int(took * 1000),
                 primary=leader.endpoint if leader else "",
                 term=leader.term if leader else 0,
@@ -262,6 +270,14 @@
         )
 
 
+def _reason(failure: errors.Failure) -> str:
+    match failure:
+        case errors.EndpointError(reason=reason):
+            return reason.value
+        case _:
+            return type(failure).__name__
+
+
 def _missing(name: str) -> errors.Failure:
     return errors.NameMissing(what="statement", name=name)
 
--- a/bronzehold/connection/fenced_runner.py
+++ b/bronzehold/connection/fenced_runner.py
@@ -30,7 +30,16 @@
 # The proof is chosen this much younger still, which leaves time for a queue.
 CHOICE_SLACK_S = 0.35
 # An endpoint that has said nothing for so long is asked whether it lives.
-DOUBT_S = 0.25
+DOUBT_S = 0.15
+# A read goes elsewhere when its endpoint has said nothing at all for so long;
+# the longest statements take half of it.
+GIVE_UP_S = 0.4
+# How long a read waits for a connection before it tries another endpoint.
+READ_PATIENCE_S = 0.05
+LONG_PATIENCE_S = 0.3
+# A primary that is out of reach for longer is not being replaced.
+CHANGE_S = 2.5
+MAX_TRIES_KEPT = 8
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -48,6 +57,19 @@
     deadline: float
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Need:
+    """What an ageing read needs of its endpoint.
+
+    Attributes:
+        since: The position that the endpoint's log must hold.
+        expires: Until when that is enough, in seconds of clock.now().
+    """
+
+    since: statements.LogPosition
+    expires: float
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Idle:
     """No transaction is open."""
@@ -91,6 +113,21 @@
 Block = Idle | Deferred | Pinned | Failed
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Try:
+    """A try at a statement that did not serve it.
+
+    Attributes:
+        endpoint: Where.
+        failure: Why not.
+        at: When that was known, in seconds of clock.now().
+    """
+
+    endpoint: str
+    failure: errors.Failure
+    at: float
+
+
 class _ElsewhereError(Exception):
     """The statement did not run here, or may run again on another endpoint.
 
@@ -111,15 +148,16 @@
     Attributes:
         block: What is open.
         endpoint: The endpoint that was tried last, for the logs.
-        attempts: How many were tried for the statement.
+        tries: What became of each try at the statement, for the logs.
     """
 
     def __init__(self, *, session: fenced_session.FencedSession):
         self._session = session
         self._writing: fenced.FencedGroup | None = None
         self.block: Block = Idle()
+        self._patience_s: float | None = None
         self.endpoint = ""
-        self.attempts = 0
+        self.tries: list[Try] = []
 
     # Transactions.
 
@@ -174,8 +212,8 @@
             use,
             max_age_s,
             own,
-            lambda target, proof, need: self._aged_read(
-                req, use, prepared, target, proof.at + max_age_s, need
+            lambda target, need: self._aged_read(
+                req, use, prepared, target, need
             ),
             lambda: self._guarded_read(req, use, prepared),
         )
@@ -194,6 +232,7 @@
             group=use.service.limits.name
         )
         use.service.budget.earn()
+        self._patience_s = READ_PATIENCE_S
         while True:
             proof = use.service.group.proofs.oldest_since(
                 clock.now() - max(max_age_s - CHOICE_SLACK_S, SEND_SLACK_S)
@@ -201,23 +240,34 @@
             if proof is None:
                 # Nobody has proved enough lately; the primary itself can.
                 return self._until_led(use, run_guarded)
-            need = freshness.needed(proof, own)
-            ranked = placement.order(use.service.candidates(avoid), need)
+            need = Need(
+                since=freshness.needed(proof, own),
+                expires=proof.at + max_age_s,
+            )
+            ranked = placement.order(use.service.candidates(avoid), need.since)
             if not ranked:
-                if avoid and self._has_time(use) and use.service.budget.spend():
-                    time.sleep(PAUSE_S)
-                    avoid = frozenset()
-                    continue
-                raise errors.FailureError(last)
+                if not (avoid and self._has_time(use)):
+                    raise errors.FailureError(last)
+                time.sleep(PAUSE_S)
+                avoid = frozenset()
+                self._patience_s = LONG_PATIENCE_S
+                continue
             target = ranked[0].endpoint
             try:
-                return run(target, proof, need)
+                return run(target, need)
             except _ElsewhereError as exc:
+                self._note_try(target, exc.failure)
                 avoid |= {target}
                 last = exc.failure
                 if exc.sent and not use.service.budget.spend():
                     raise errors.FailureError(last) from exc
 
+    def _note_try(self, target: str, failure: errors.Failure) -> None:
+        if len(self.tries) < MAX_TRIES_KEPT:
+            self.tries.append(
+                Try(endpoint=target, failure=failure, at=clock.now())
+            )
+
     def _has_time(self, use: Use) -> bool:
         return clock.now() + PAUSE_S < use.deadline
 
@@ -227,19 +277,18 @@
         use: Use,
         prepared: str,
         target: str,
-        expires: float,
-        need: statements.LogPosition,
+        need: Need,
     ) -> statements.Completed:
         pool, conn = self._enter(use, target)
         try:
-            self._set_up(conn, use)
-            if clock.now() > expires - SEND_SLACK_S:
+            self._set_up(conn, use, self._watch(use, target))
+            if clock.now() > need.expires - SEND_SLACK_S:
                 raise _ElsewhereError(
                     errors.NoFreshEndpoint(group=use.service.limits.name),
                     sent=False,
                 )
             forward = statements.Forwarded(
-                request=req, since=need, prepared=prepared
+                request=req, since=need.since, prepared=prepared
             )
             sent = clock.now()
             answer = self._ask(conn, forward, use, self._watch(use, target))
@@ -280,9 +329,10 @@
             contact = group.contact(target)
             if contact is None:
                 return True
-            if contact.heard_at >= sent or clock.now() - sent < DOUBT_S:
+            silent_s = clock.now() - max(sent, contact.heard_at)
+            if silent_s < DOUBT_S:
                 return False
-            if contact.failing_since > sent:
+            if contact.failing_since > sent or silent_s > GIVE_UP_S:
                 return True
             use.service.wake_probe(target)
             return False
@@ -339,7 +389,9 @@
         """
         group = use.service.group
         last: errors.Failure = errors.NoPrimary(group=group.name)
+        self._patience_s = None
         while True:
+            self._check_outlook(use)
             if writes:
                 leader = group.start_write(use.deadline)
                 self._writing = group if leader is not None else None
@@ -351,6 +403,7 @@
             try:
                 return run()
             except _ElsewhereError as exc:
+                self._note_try(self.endpoint, exc.failure)
                 self._end_write()
                 last = exc.failure
                 if not self._has_time(use):
@@ -359,6 +412,15 @@
                     raise errors.FailureError(last) from exc
             time.sleep(PAUSE_S)
 
+    def _check_outlook(self, use: Use) -> None:
+        """Refuses at once what this proxy cannot get to a primary in time."""
+        group = use.service.group
+        if not group.out_of_reach():
+            return
+        elsewhere = group.reached_by_peers() or use.service.env.cut_off()
+        if elsewhere or group.leaderless_s() > CHANGE_S:
+            raise errors.FailureError(errors.NoPrimary(group=group.name))
+
     def _guarded_read(
         self, req: statements.Request, use: Use, prepared: str
     ) -> statements.Completed:
@@ -393,8 +455,14 @@
         self, conn: ports.EndpointConn, use: Use, target: str
     ) -> None:
         sent = clock.now()
-        self._set_up(conn, use, statements.OpenTransaction(read_only=False))
-        answer = conn.receive(use.deadline)
+        given_up = self._watch(use, target)
+        self._set_up(
+            conn,
+            use,
+            given_up,
+            statements.OpenTransaction(read_only=False),
+        )
+        answer = conn.receive(use.deadline, given_up)
         match answer:
             case statements.Completed():
                 use.service.group.note_lead(target, answer.position, sent)
@@ -438,7 +506,7 @@
         pool, conn = self._enter(use, target)
         sent = 0.0
         try:
-            self._set_up(conn, use)
+            self._set_up(conn, use, self._watch(use, target))
             forward = statements.Forwarded(request=req, prepared=prepared)
             sent = clock.now()
             answer = self._ask(conn, forward, use, self._doubt(use, target))
@@ -521,9 +589,7 @@
             use,
             max_age_s,
             own,
-            lambda target, proof, need: self._pin_aged(
-                use, target, proof.at + max_age_s, need
-            ),
+            lambda target, need: self._pin_aged(use, target, need),
             lambda: self._pin_primary(use, read_only=True),
         )
 
@@ -552,19 +618,20 @@
         self,
         use: Use,
         target: str,
-        expires: float,
-        need: statements.LogPosition,
+        need: Need,
     ) -> Pinned:
         pool, conn = self._enter(use, target)
         try:
-            self._set_up(conn, use)
-            if clock.now() > expires - SEND_SLACK_S:
+            self._set_up(conn, use, self._watch(use, target))
+            if clock.now() > need.expires - SEND_SLACK_S:
                 raise _ElsewhereError(
                     errors.NoFreshEndpoint(group=use.service.limits.name),
                     sent=False,
                 )
-            conn.send((statements.OpenTransaction(read_only=True, since=need),))
-            answer = conn.receive(use.deadline)
+            conn.send(
+                (statements.OpenTransaction(read_only=True, since=need.since),)
+            )
+            answer = conn.receive(use.deadline, self._watch(use, target))
             if isinstance(answer, statements.Refused) and (
                 answer.state is not statements.State.IDLE
             ):
@@ -598,14 +665,14 @@
         prepared: str,
     ) -> statements.Completed:
         self.endpoint = pinned.endpoint
-        self.attempts += 1
         commits = isinstance(req.statement, statements.Commit)
         group = pinned.service.group
         pinned.pool.resume()
         sent = clock.now()
         took = None
         try:
-            self._set_up(pinned.conn, use)
+            given_up = self._watch(use, pinned.endpoint)
+            self._set_up(pinned.conn, use, given_up)
             forward = statements.Forwarded(request=req, prepared=prepared)
             sent = clock.now()
             doubt = self._doubt(use, pinned.endpoint)
@@ -666,7 +733,6 @@
     ) -> tuple[pool_lib.Pool, ports.EndpointConn]:
         pool = use.service.pool(target)
         self.endpoint = target
-        self.attempts += 1
         if pool is None:
             raise _ElsewhereError(
                 errors.NoPrimary(group=use.service.limits.name), sent=False
@@ -678,6 +744,7 @@
                 deadline=time.monotonic() + left,
                 priority=use.route.priority,
                 prefer=self._session.suits,
+                patience_s=self._patience_s,
             )
         except errors.FailureError as exc:
             raise _ElsewhereError(exc.failure, sent=False) from exc
@@ -691,6 +758,7 @@
         self,
         conn: ports.EndpointConn,
         use: Use,
+        given_up: collections.abc.Callable[[], bool],
         then: statements.Command | None = None,
     ) -> None:
         """Makes the connection hold the session's values.
@@ -698,6 +766,7 @@
         Args:
             conn: The connection.
             use: What the statement is run with.
+            given_up: Asked now and then whether waiting still makes sense.
             then: A command that may follow in the same breath; its answer is
                 left to the caller.
         """
@@ -706,7 +775,8 @@
         if commands or extra:
             conn.send((*commands, *extra))
         for _ in commands:
-            if isinstance(conn.receive(use.deadline), statements.Refused):
+            answer = conn.receive(use.deadline, given_up)
+            if isinstance(answer, statements.Refused):
                 raise ports.LinkError("session values were refused")
         if commands:
             fenced_session.note_setup(conn, commands, self._session.values)
--- a/bronzehold/core/events.py
+++ b/bronzehold/core/events.py
@@ -258,7 +258,8 @@
         failure: The failure's type.
         detail: What was known of it.
         endpoint: The last endpoint that was tried.
-        attempts: How many endpoints were tried.
+        tried: The tries before, each with why it did not serve the statement
+            and the milliseconds since the statement had come.
         took_ms: How long the statement took in all.
         primary: The primary believed in at the end.
         term: Its term.
@@ -274,7 +275,7 @@
     failure: str
     detail: str
     endpoint: str
-    attempts: int
+    tried: str
     took_ms: int
     primary: str
     term: int
--- a/bronzehold/platform/__main__.py
+++ b/bronzehold/platform/__main__.py
@@ -53,6 +53,7 @@
         line=line,
         dial=endpoint.dial,
         share=lambda: gossip.share(),  # noqa: PLW0108
+        cut_off=lambda: gossip.alone() and follower.away(),
     )
     seeds = [f"{_address(s)[0]}:{cfg.peer_port}" for s in cfg.seeds]
     gossip = gossip_lib.Gossip(
--- a/bronzehold/platform/endpoint.py
+++ b/bronzehold/platform/endpoint.py
@@ -12,11 +12,11 @@
 from bronzehold.platform import wire
 
 # A connection from another region takes about three round trips.
-DIAL_TIMEOUT_S = 0.5
+DIAL_TIMEOUT_S = 0.4
 # A peer that takes nothing for so long is as good as gone.
 SEND_TIMEOUT_S = 1.0
 # How often a waiting read asks whether its endpoint still answers.
-GIVE_UP_CHECK_S = 0.15
+GIVE_UP_CHECK_S = 0.1
 
 
 class Conn:
--- a/bronzehold/process/exchange.py
+++ b/bronzehold/process/exchange.py
@@ -114,6 +114,7 @@
         group = service.group
         if view.leader and view.reach == pb.HEARD:
             group.hear_leader(view.leader, view.term)
+            group.note_peer_reaches(view.leader)
         if view.reach == pb.GONE and view.leader:
             # One that is in touch with it tells the others soon.
             service.wake_probe(view.leader)
--- a/bronzehold/process/fenced.py
+++ b/bronzehold/process/fenced.py
@@ -71,6 +71,7 @@
         self._leader: Leader | None = None
         self._term = 0
         self._leaderless_since = clock.now()
+        self._peers_reach: dict[str, float] = {}
         self._held = ""
         self._held_until = 0.0
         self._writers = 0
@@ -323,11 +324,39 @@
         return self._contacts.get(endpoint)
 
     def leaderless_s(self) -> float:
-        """Returns for how long nobody has been known to lead, in seconds."""
+        """Returns for how long no primary has been in reach, in seconds."""
         with self.cond:
-            if self._leader is not None:
+            now = clock.now()
+            if self._leader is None:
+                return now - self._leaderless_since
+            contact = self._contacts.get(self._leader.endpoint)
+            if contact is None or not contact.failing_since:
                 return 0.0
-            return clock.now() - self._leaderless_since
+            return now - contact.failing_since
+
+    def out_of_reach(self) -> bool:
+        """Whether no primary is known, or the one that is cannot be reached."""
+        leader = self._leader
+        if leader is None:
+            return True
+        contact = self._contacts.get(leader.endpoint)
+        if contact is None:
+            return True
+        silent_s = clock.now() - contact.heard_at
+        return contact.failing_since > 0 and silent_s > HEARD_S
+
+    def note_peer_reaches(self, endpoint: str) -> None:
+        """Notes that a peer has just reached an endpoint that leads."""
+        with self.cond:
+            self._peers_reach[endpoint] = clock.now()
+
+    def reached_by_peers(self) -> bool:
+        """Whether a peer reaches the primary, so that it is not replaced."""
+        leader = self._leader
+        if leader is None:
+            return False
+        at = self._peers_reach.get(leader.endpoint, 0.0)
+        return clock.now() - at < HEARD_S
 
     def reach(self, endpoint: str) -> succession.Reach:
         """Returns how this proxy reaches an endpoint."""
--- a/bronzehold/process/fenced_service.py
+++ b/bronzehold/process/fenced_service.py
@@ -17,7 +17,9 @@
 from bronzehold.process import timeline
 from bronzehold.request import placement
 
-PROBE_TIMEOUT_S = 0.35
+PROBE_TIMEOUT_S = 0.3
+# A probe that waits longer for a connection of the pool opens its own.
+PROBE_PATIENCE_S = 0.02
 # Proofs must be much younger than the shortest age that routes allow.
 LEADER_PROBE_S = 0.6
 FAILING_PROBE_S = 0.3
@@ -41,6 +43,8 @@
         dial: Opens a connection to an endpoint.
         spawn_lasting: Starts a task that goes on after an error.
         share: Returns by how many proxies the connections are shared.
+        cut_off: Whether this proxy reaches neither its peers nor the store,
+            so that what it does not see may well be there.
     """
 
     zone: str
@@ -49,6 +53,7 @@
     dial: ports.Dial
     spawn_lasting: collections.abc.Callable[..., object]
     share: collections.abc.Callable[[], int]
+    cut_off: collections.abc.Callable[[], bool]
 
 
 class FencedService:
@@ -155,6 +160,7 @@
                     failing=contact.failing_since > 0,
                     took_s=load.service_s if load.measured else 0.0,
                     wait_s=load.wait_s,
+                    full=load.full,
                     position=contact.position,
                     position_age_s=now - contact.position_at,
                 )
@@ -200,35 +206,63 @@
     def probe(self, name: str) -> statements.Status | None:
         """Asks an endpoint for its status over one of its connections."""
         pool = self._pools.get(name)
-        if pool is None:
+        listing = self.group.listings().get(name)
+        if pool is None or listing is None:
             return None
-        deadline = time.monotonic() + PROBE_TIMEOUT_S
         try:
-            conn = pool.enter(
-                session="probe", deadline=deadline, priority=PROBE_PRIORITY
-            )
+            return self._probe_pooled(name, pool)
         except errors.FailureError:
-            # All connections are in use; what runs on them tells as much.
+            # All connections are in use, maybe since none is answered.
+            return self._probe_apart(name, listing)
+        except ports.DialError as exc:
+            self.note_dial(name, exc)
             return None
+
+    def _probe_pooled(
+        self, name: str, pool: pool_lib.Pool
+    ) -> statements.Status | None:
+        conn = pool.enter(
+            session="probe",
+            deadline=time.monotonic() + PROBE_TIMEOUT_S,
+            priority=PROBE_PRIORITY,
+            patience_s=PROBE_PATIENCE_S,
+        )
+        good = False
+        try:
+            good, status = self._ask(name, conn)
+            return status
+        finally:
+            pool.rest(None)
+            pool.give_back(conn, good=good)
+
+    def _probe_apart(
+        self, name: str, listing: routes.Listing
+    ) -> statements.Status | None:
+        try:
+            conn = self.env.dial(listing)
         except ports.DialError as exc:
             self.note_dial(name, exc)
             return None
+        try:
+            return self._ask(name, conn)[1]
+        finally:
+            conn.close()
+
+    def _ask(
+        self, name: str, conn: ports.EndpointConn
+    ) -> tuple[bool, statements.Status | None]:
+        """Returns whether the connection is good, and the status if told."""
         sent = clock.now()
-        good = False
         try:
             status = conn.status(sent + PROBE_TIMEOUT_S)
-            good = True
-            self.group.note_status(name, status, sent)
-            return status
         except ports.RefusedStatusError:
-            good = True
             self.group.note_heard(name)
+            return True, None
         except ports.LinkError:
             self.note_lost(name)
-        finally:
-            pool.rest(None)
-            pool.give_back(conn, good=good)
-        return None
+            return False, None
+        self.group.note_status(name, status, sent)
+        return True, status
 
     def note_lost(self, name: str) -> None:
         """Notes that a connection to an endpoint was lost or fell silent."""
--- a/bronzehold/process/gossip.py
+++ b/bronzehold/process/gossip.py
@@ -207,6 +207,11 @@
                 if now - heard.at < SILENT_S
             }
 
+    def alone(self) -> bool:
+        """Whether there are peers, and none of them answers."""
+        with self._lock:
+            return bool(self._members or self._heard) and not self._live
+
     def share(self) -> int:
         """Returns by how many proxies the connections are shared.
 
--- a/bronzehold/process/hosted.py
+++ b/bronzehold/process/hosted.py
@@ -48,6 +48,7 @@
         line: timeline.Timeline,
         dial: ports.Dial,
         share: collections.abc.Callable[[], int],
+        cut_off: collections.abc.Callable[[], bool],
     ):
         self.cfg = cfg
         self.name = cfg.name
@@ -63,6 +64,7 @@
             dial=dial,
             spawn_lasting=self.tasks.spawn_lasting,
             share=share,
+            cut_off=cut_off,
         )
         self._lock = threading.Lock()
         self._table = routes.EMPTY
@@ -157,6 +159,13 @@
             self.configured.is_set()
             and self.listed.is_set()
             and not self._stopping
+            and not self._useless()
+        )
+
+    def _useless(self) -> bool:
+        """Whether others can surely serve what this proxy cannot."""
+        return self._env.cut_off() and any(
+            service.group.out_of_reach() for service in self.services()
         )
 
     def serve(self, number: int, caller: Served) -> None:
--- a/bronzehold/process/mirror.py
+++ b/bronzehold/process/mirror.py
@@ -206,6 +206,10 @@
             self._told_leaving.clear()
         self._process.set_listings(listings)
 
+    def away(self) -> bool:
+        """Whether the store does not answer this proxy."""
+        return self._away
+
     # What peers tell, and are told.
 
     def leaving(self) -> list[str]:
--- a/bronzehold/process/pool.py
+++ b/bronzehold/process/pool.py
@@ -72,6 +72,7 @@
     service_s: float
     measured: bool
     wait_s: float
+    full: bool = False
 
 
 class Waiter:
@@ -144,6 +145,7 @@
                 service_s=self._service_s,
                 measured=self._is_measured(),
                 wait_s=self._expected(),
+                full=self._leased >= self._caps.connections,
             )
 
     def _is_measured(self) -> bool:
@@ -173,6 +175,7 @@
         length: data.Length = data.Length.SHORT,
         priority: int = 0,
         prefer: collections.abc.Callable[[Connection], bool] | None = None,
+        patience_s: float | None = None,
     ) -> Connection:
         """Waits for a slot and a connection.
 
@@ -183,6 +186,8 @@
             length: Long work has a lane, and waits for a connection only.
             priority: 0 goes first.
             prefer: Says which idle connections suit the caller best.
+            patience_s: How long to wait at most, for a request that may go
+                elsewhere.
 
         Returns:
             The connection to use.
@@ -199,6 +204,8 @@
             self._dispatch()
         now = time.monotonic()
         patience = min(deadline - now, self._queue_s * PATIENCE)
+        if patience_s is not None:
+            patience = min(patience, patience_s)
         if not waiter.granted.wait(max(0.0, patience)):
             self._give_up(waiter)
         return self._connect(length, prefer)
--- a/bronzehold/request/placement.py
+++ b/bronzehold/request/placement.py
@@ -23,6 +23,8 @@
 FAR_PENALTY_S = 0.03
 # After so long, a replica that was behind has caught up or says so itself.
 BEHIND_S = 0.04
+# What waiting for a connection takes; a transaction may rest on it.
+FULL_S = 0.1
 FAILING_S = 10.0
 
 
@@ -38,6 +40,7 @@
         failing: Whether the last attempt to reach it failed.
         took_s: What statements took there lately, 0 where nothing is known.
         wait_s: How long a statement would wait for a slot in this proxy.
+        full: Whether it would wait for a connection as well.
         position: The last position it told, None where nothing is known.
         position_age_s: How long ago that was.
     """
@@ -49,6 +52,7 @@
     failing: bool
     took_s: float
     wait_s: float
+    full: bool
     position: statements.LogPosition | None
     position_age_s: float
 
@@ -69,6 +73,8 @@
 def _cost(one: Candidate, need: statements.LogPosition) -> float:
     cost = one.took_s or _distance(one) + GUESS_S
     cost += one.wait_s
+    if one.full:
+        cost += FULL_S
     if not one.same_region:
         cost += FAR_PENALTY_S
     if one.leads:
