--- /dev/null
+++ b/bronzehold/platform/instance.py
@@ -0,0 +1,126 @@
+"""One proxy on the platform: puts the adapter and the process together."""
+
+import os
+
+from bronzehold.core import events
+from bronzehold.core import settings
+from bronzehold.platform import directory
+from bronzehold.platform import endpoint
+from bronzehold.platform import listener
+from bronzehold.platform import promoter
+from bronzehold.platform import readiness
+from bronzehold.platform import store
+from bronzehold.process import exchange as exchange_lib
+from bronzehold.process import gossip as gossip_lib
+from bronzehold.process import hosted
+from bronzehold.process import mirror as mirror_lib
+from bronzehold.process import promotions as promotions_lib
+from bronzehold.process import registration as registration_lib
+from bronzehold.process import timeline
+
+MEMBERS_PREFIX = "bronzehold/proxies/"
+INCARNATION_BYTES = 4
+
+
+def address(text: str) -> tuple[str, int]:
+    """Returns the parts of host:port."""
+    host, _, port = text.rpartition(":")
+    return host, int(port)
+
+
+class Instance:
+    """A proxy, from its start to its end."""
+
+    def __init__(self, *, cfg: settings.HostedSettings):
+        self.cfg = cfg
+        self.line = timeline.Timeline(proxy=cfg.name, zone=cfg.zone)
+        self.process = hosted.Process(
+            cfg=cfg,
+            line=self.line,
+            dial=endpoint.dial,
+            # The peers and the mirror are made later than the process.
+            share=lambda: self.gossip.share(),  # noqa: PLW0108
+            cut_off=lambda: self.gossip.alone() and self.mirror.away(),
+        )
+        tasks = self.process.tasks
+        self.gossip = gossip_lib.Gossip(
+            name=cfg.name,
+            address=(cfg.host, cfg.peer_port),
+            seeds=[f"{address(s)[0]}:{cfg.peer_port}" for s in cfg.seeds],
+            line=self.line,
+            tasks=tasks,
+        )
+        kept = store.Client(address=cfg.store)
+        self.registration = registration_lib.Registration(
+            process=self.process,
+            store=kept,
+            key=MEMBERS_PREFIX + cfg.name,
+            address=self.gossip.address,
+        )
+        self.promotions = promotions_lib.Promotions(
+            process=self.process,
+            store=kept,
+            promoter=promoter.Promoter(address=cfg.promoter),
+            gossip=self.gossip,
+            incarnation=os.urandom(INCARNATION_BYTES).hex(),
+        )
+        self.mirror = mirror_lib.Mirror(
+            process=self.process,
+            store=kept,
+            directory=directory.Directory(zones=frozenset(cfg.regions)),
+            members_prefix=MEMBERS_PREFIX,
+            on_members=self._on_members,
+            records_prefix=promotions_lib.RECORDS_PREFIX,
+            on_record=self.promotions.take_record,
+        )
+        exchange_lib.Exchange(
+            process=self.process,
+            gossip=self.gossip,
+            mirror=self.mirror,
+            promotions=self.promotions,
+        )
+        self._answers = readiness.serve(
+            address(cfg.readiness), self.process.ready
+        )
+        self._listener: listener.Listener | None = None
+
+    def _on_members(self, values: dict[str, bytes]) -> None:
+        self.gossip.set_members(exchange_lib.members(values))
+        if self.cfg.name not in values:
+            self.registration.note_lapsed()
+
+    def start(self) -> None:
+        """Starts to learn, and to serve once enough is known."""
+        host, port = address(self.cfg.callers)
+        self.line.add(events.ProxyStarted(port=port))
+        tasks = self.process.tasks
+        self.gossip.start()
+        tasks.spawn_lasting("readiness", self._answers.serve_forever)
+        tasks.spawn_lasting("mirror", self.mirror.run)
+        tasks.spawn_lasting("registration", self.registration.run)
+        tasks.spawn_lasting("promotions", self.promotions.run)
+        tasks.spawn("front", lambda: self._listen(host, port))
+
+    def _listen(self, host: str, port: int) -> None:
+        # A caller that is refused here would take a route for missing.
+        self.process.configured.wait()
+        self.process.listed.wait()
+        self._listener = listener.Listener(
+            host=host, port=port, process=self.process
+        )
+        self._listener.run()
+
+    def drain(self) -> None:
+        """Stops as planned, and returns once that is done."""
+        self.gossip.stopping = True
+        self.process.tasks.spawn("leave", self.registration.leave)
+        self.process.drain()
+
+    def close(self) -> None:
+        """Ends at once, whatever is under way."""
+        self.process.close()
+        if self._listener is not None:
+            self._listener.close()
+        self._answers.shutdown()
+        self._answers.server_close()
+        self.gossip.close()
--- a/bronzehold/process/gossip.py
+++ b/bronzehold/process/gossip.py
@@ -30,6 +30,8 @@
 FORGET_S = 4.0
 MAX_DATAGRAM_BYTES = 60_000
 MICROSECONDS = 1_000_000
+# How often the receiver looks whether the process stops.
+CHECK_S = 1.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -67,6 +69,7 @@
         self._tasks = tasks
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._sock.bind(address)
+        self._sock.settimeout(CHECK_S)
         self._lock = threading.Lock()
         self._members: dict[str, str] = {}
         self._heard: dict[str, Heard] = {}
@@ -89,6 +92,10 @@
         self._tasks.spawn_lasting("gossip", self._send_forever)
         self._tasks.spawn_lasting("gossip in", self._receive_forever)
 
+    def close(self) -> None:
+        """Stops listening."""
+        self._sock.close()
+
     def poke(self) -> None:
         """Has the peers told at once."""
         self._poke.set()
@@ -157,7 +164,14 @@
 
     def _receive_forever(self) -> None:
         while not self._tasks.stop.is_set():
-            data, _ = self._sock.recvfrom(1 << 16)
+            try:
+                data, _ = self._sock.recvfrom(1 << 16)
+            except TimeoutError:
+                continue
+            except OSError:
+                # Also the error of an earlier datagram comes here.
+                self._tasks.stop.wait(MIN_GAP_S)
+                continue
             at = clock.now()
             digest = pb.Digest()
             try:
--- a/bronzehold/process/hosted.py
+++ b/bronzehold/process/hosted.py
@@ -207,3 +207,11 @@
         cut = sum(caller.busy() for caller in self._all_callers())
         self.line.add(events.ProxyStopped(cut=cut))
         self.tasks.close()
+
+    def close(self) -> None:
+        """Ends at once, whatever is under way."""
+        self.tasks.close()
+        for caller in self._all_callers():
+            caller.stop()
+        for service in self.services():
+            service.close()
--- /dev/null
+++ b/bronzehold/standin/http_store.py
@@ -0,0 +1,287 @@
+"""A stand-in for the platform's store and calls, over HTTP and JSON."""
+
+import base64
+import http.server
+import itertools
+import json
+import threading
+import time
+import typing
+import urllib.parse
+
+from bronzehold.standin import line_endpoint
+
+WATCH_POLL_S = 0.01
+LEASE_CHECK_S = 0.05
+
+
+class Store:
+    """Keys with revisions, leases and history, and who may promote whom.
+
+    Attributes:
+        absent: No call is answered.
+        refuse: Callers' calls are answered with this status, 0 for none.
+        lose_answers: How many of the next changes take effect without their
+            answers arriving.
+        orders: The promotions ordered: service, endpoint, holder, token.
+        lose_orders: How many of the next orders are carried out, but not
+            answered.
+    """
+
+    def __init__(self, *, groups: dict[str, line_endpoint.Group]):
+        self.absent = False
+        self.refuse = 0
+        self.lose_answers = 0
+        self.lose_orders = 0
+        self.orders: list[tuple[str, str, str, int]] = []
+        self._groups = groups
+        self._lock = threading.Condition()
+        self._items: dict[str, dict] = {}
+        self._history: list[dict] = []
+        self._floor = 0
+        self._revision = 1
+        self._leases: dict[int, tuple[float, float]] = {}
+        self._numbers = itertools.count(1)
+        self._seen: dict[str, int] = {}
+        self._server = http.server.ThreadingHTTPServer(
+            ("127.0.0.1", 0), self._handler()
+        )
+        self._server.daemon_threads = True
+        self._closed = threading.Event()
+
+    @property
+    def address(self) -> str:
+        """Where it answers."""
+        return f"127.0.0.1:{self._server.server_address[1]}"
+
+    def start(self) -> None:
+        """Starts to answer."""
+        threading.Thread(target=self._server.serve_forever, daemon=True).start()
+        threading.Thread(target=self._lapse, daemon=True).start()
+
+    def close(self) -> None:
+        """Ends."""
+        self._closed.set()
+        self._server.shutdown()
+        self._server.server_close()
+
+    # As the operator and the endpoints use it.
+
+    def put(self, key: str, value: bytes, lease: int = 0) -> None:
+        """Writes a key."""
+        with self._lock:
+            self._put(key, base64.b64encode(value).decode(), lease)
+
+    def remove(self, key: str) -> None:
+        """Removes a key."""
+        with self._lock:
+            self._remove(key)
+
+    def value(self, key: str) -> bytes | None:
+        """Returns what stands under a key."""
+        item = self._items.get(key)
+        return None if item is None else base64.b64decode(item["value"])
+
+    def compact(self) -> None:
+        """Forgets the history."""
+        with self._lock:
+            self._history.clear()
+            self._floor = self._revision
+            self._lock.notify_all()
+
+    def _put(self, key: str, value: str, lease: int) -> None:
+        self._revision += 1
+        created = self._items.get(key, {}).get("created", self._revision)
+        item = {
+            "key": key,
+            "value": value,
+            "revision": self._revision,
+            "created": created,
+            "lease": lease,
+        }
+        self._items[key] = item
+        self._history.append(item)
+        self._lock.notify_all()
+
+    def _remove(self, key: str) -> None:
+        if self._items.pop(key, None) is None:
+            return
+        self._revision += 1
+        event = {"key": key, "revision": self._revision, "tombstone": True}
+        self._history.append(event)
+        self._lock.notify_all()
+
+    def _lapse(self) -> None:
+        while not self._closed.wait(LEASE_CHECK_S):
+            now = time.monotonic()
+            with self._lock:
+                for lease, (_, end) in list(self._leases.items()):
+                    if end < now:
+                        self._end_lease(lease)
+
+    def _end_lease(self, lease: int) -> bool:
+        found = self._leases.pop(lease, None) is not None
+        for key, item in list(self._items.items()):
+            if item["lease"] == lease:
+                self._remove(key)
+        return found
+
+    # Calls.
+
+    def answer(
+        self,
+        method: str,
+        path: str,
+        query: dict[str, str],
+        body: dict,
+        headers: typing.Mapping[str, str],
+    ) -> tuple[int, dict]:
+        """Returns the status and the body that answer a call."""
+        if path == "/failover":
+            return self._failover(body, headers)
+        name, _, lease = path.removeprefix("/bronzehold/").partition("/")
+        with self._lock:
+            match name:
+                case "kv-key":
+                    item = self._items.get(query["key"])
+                    if item is None:
+                        return 404, {}
+                    return 200, {**item, "store_revision": self._revision}
+                case "kv-range":
+                    items = [
+                        item
+                        for key, item in sorted(self._items.items())
+                        if key.startswith(query["prefix"])
+                    ]
+                    return 200, {
+                        "items": items,
+                        "has_more": False,
+                        "store_revision": self._revision,
+                    }
+                case "kv-watch":
+                    return self._watch(query)
+                case "kv-txn":
+                    return self._change(body)
+                case "kv-lease":
+                    number = next(self._numbers)
+                    ttl_s = body["ttl_ms"] / 1000
+                    self._leases[number] = (ttl_s, time.monotonic() + ttl_s)
+                    return 200, {"lease": number, "ttl_ms": body["ttl_ms"]}
+                case "kv-keep":
+                    return self._keep(int(lease))
+                case "kv-lease-end" if method == "DELETE":
+                    return (200 if self._end_lease(int(lease)) else 404), {}
+        return 404, {}
+
+    def _watch(self, query: dict[str, str]) -> tuple[int, dict]:
+        after = int(query["after"])
+        end = time.monotonic() + int(query["wait_ms"]) / 1000
+        while True:
+            if after < self._floor:
+                return 410, {}
+            events = [
+                event
+                for event in self._history
+                if event["revision"] > after
+                and event["key"].startswith(query["prefix"])
+            ]
+            left = end - time.monotonic()
+            if events or left <= 0:
+                return 200, {
+                    "events": events,
+                    "store_revision": self._revision,
+                }
+            self._lock.wait(min(left, WATCH_POLL_S))
+
+    def _change(self, body: dict) -> tuple[int, dict]:
+        for row in body["precondition"]:
+            now = self._items.get(row["key"], {}).get("revision", 0)
+            if now != row["revision"]:
+                return 412, {"items": []}
+        for put in body["puts"]:
+            lease = put.get("lease", 0)
+            if lease and lease not in self._leases:
+                return 404, {}
+        for put in body["puts"]:
+            self._put(put["key"], put["value"], put.get("lease", 0))
+        for key in body["remove"]:
+            self._remove(key)
+        return 200, {"revision": self._revision}
+
+    def _keep(self, lease: int) -> tuple[int, dict]:
+        held = self._leases.get(lease)
+        if held is None:
+            return 404, {}
+        ttl_s = held[0]
+        self._leases[lease] = (ttl_s, time.monotonic() + ttl_s)
+        return 200, {"ttl_ms": int(ttl_s * 1000)}
+
+    def _failover(
+        self, body: dict, headers: typing.Mapping[str, str]
+    ) -> tuple[int, dict]:
+        service, endpoint = body["service"], body["id"]
+        token = int(headers["Fencing-Token"])
+        if token < self._seen.get(service, 0):
+            return 409, {"error": "a higher fence was seen"}
+        self._seen[service] = token
+        group = self._groups[service]
+        found = group.endpoints.get(endpoint)
+        if found is None or not found.running:
+            return 409, {"error": "no such server is running"}
+        holder = headers["Duty-Holder"]
+        self.orders.append((service, endpoint, holder, token))
+        if not found.leads:
+            group.promote(endpoint)
+        if self.lose_orders:
+            self.lose_orders -= 1
+            return 0, {}
+        return 200, {}
+
+    def loses(self, path: str) -> bool:
+        """Whether the answer to this call is lost, by the counted fault."""
+        if "kv-txn" not in path or not self.lose_answers:
+            return False
+        self.lose_answers -= 1
+        return True
+
+    def _handler(self) -> type[http.server.BaseHTTPRequestHandler]:
+        store = self
+
+        class Handler(http.server.BaseHTTPRequestHandler):
+            protocol_version = "HTTP/1.1"
+            disable_nagle_algorithm = True
+
+            def _answer(self) -> None:
+                path, _, query = self.path.partition("?")
+                length = int(self.headers.get("Content-Length", 0))
+                body = json.loads(self.rfile.read(length) or b"{}")
+                while store.absent and not store._closed.wait(WATCH_POLL_S):
+                    continue
+                status, fields = store.refuse, {}
+                if not status:
+                    status, fields = store.answer(
+                        self.command,
+                        path,
+                        dict(
+                            urllib.parse.parse_qsl(
+                                query, keep_blank_values=True
+                            )
+                        ),
+                        body,
+                        self.headers,
+                    )
+                if not status or store.loses(path):
+                    self.close_connection = True
+                    return
+                out = json.dumps(fields).encode()
+                self.send_response(status)
+                self.send_header("Content-Length", str(len(out)))
+                self.end_headers()
+                self.wfile.write(out)
+
+            do_GET = do_POST = do_DELETE = _answer  # noqa: N815
+
+            def log_message(self, *_args) -> None:
+                return None
+
+        return Handler
--- /dev/null
+++ b/tests/hosted.py
@@ -0,0 +1,180 @@
+"""A small deployment on stand-ins of the users' platform, in one process."""
+
+import contextlib
+import dataclasses
+import json
+import socket
+
+from bronzehold.core import settings
+from bronzehold.platform import instance
+from bronzehold.platform import wire
+from bronzehold.standin import http_store
+from bronzehold.standin import line_endpoint
+from tests import helpers
+
+ZONES = {"z1": "r1", "z2": "r2", "z3": "r3"}
+SERVICE = "grp"
+DATABASES = {
+    "latest": {"type": "primary"},
+    "bounded": {"type": "bounded_staleness", "max_staleness_ms": 1500},
+    "own": {"type": "read_your_writes", "max_staleness_ms": 2500},
+}
+
+
+def free_port(kind: int = socket.SOCK_STREAM) -> int:
+    """Returns a port that nobody listens on."""
+    with socket.socket(socket.AF_INET, kind) as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+@dataclasses.dataclass
+class Session:
+    """A caller that speaks the line protocol."""
+
+    sock: socket.socket
+    lines: wire.Lines
+    sent: int = 0
+
+    def ask(self, text: str) -> list[str]:
+        """Returns the lines of the answer to a statement."""
+        self.send(text)
+        return self.answer()
+
+    def send(self, text: str) -> str:
+        """Sends a statement and returns its id."""
+        self.sent += 1
+        name = f"{id(self):x}{self.sent}"
+        self.sock.sendall(f"QUERY {name} {text}\r\n".encode())
+        return name
+
+    def answer(self) -> list[str]:
+        """Reads one answer."""
+        found = []
+        while not (found and found[-1].startswith("READY")):
+            found.append(self.lines.next().decode())
+        return found
+
+    def rows(self, text: str) -> list[str]:
+        """Returns the rows of an answer that must be a success."""
+        found = self.ask(text)
+        assert found[-2].startswith("COMPLETE"), found
+        return [line[4:] for line in found[:-2]]
+
+
+class Deployment:
+    """A store, a group of three endpoints and some proxies."""
+
+    def __init__(self, *, proxies: int = 2, **fields):
+        zones = {f"e{n}": f"z{n}" for n in (1, 2, 3)}
+        self.group = line_endpoint.Group(
+            settings=line_endpoint.LineSettings(
+                service=SERVICE, zones=zones, **fields
+            )
+        )
+        self.store = http_store.Store(groups={SERVICE: self.group})
+        self.group.on_role = self.list_endpoints
+        self.group.start()
+        self.store.start()
+        self.version = 0
+        self.configure()
+        self.list_endpoints()
+        self.proxies = [self.make(n) for n in range(proxies)]
+
+    def make(self, number: int) -> instance.Instance:
+        """Starts a proxy."""
+        cfg = settings.HostedSettings(
+            name=f"p{number}",
+            zone=f"z{number % 3 + 1}",
+            regions=ZONES,
+            host="127.0.0.1",
+            callers=f"127.0.0.1:{free_port()}",
+            readiness=f"127.0.0.1:{free_port()}",
+            peer_port=free_port(socket.SOCK_DGRAM),
+            metrics_port=free_port(),
+            store=self.store.address,
+            promoter=self.store.address,
+            seeds=(),
+            stop_s=6.0,
+        )
+        running = instance.Instance(cfg=cfg)
+        running.start()
+        helpers.wait_for(running.process.ready)
+        helpers.wait_for(lambda: running._listener is not None)
+        helpers.wait_for(lambda: self.leader(running) is not None)
+        return running
+
+    def leader(self, proxy: instance.Instance) -> str | None:
+        """Returns who leads, as a proxy sees it."""
+        service = proxy.process.service(SERVICE)
+        found = service.group.leader() if service else None
+        return found.endpoint if found and found.term else None
+
+    def configure(self, **fields) -> None:
+        """Writes the next configuration."""
+        self.version += 1
+        routes = [
+            {
+                "name": name,
+                "database": name,
+                "service": SERVICE,
+                "timeout_ms": 800,
+                "target_latency_ms": 300,
+                "priority": 1,
+                **kind,
+                **fields,
+            }
+            for name, kind in DATABASES.items()
+        ]
+        table = {
+            "version": self.version,
+            "routes": routes,
+            "services": [{"name": SERVICE, "max_connections": 16}],
+            "limits": {"tx_idle_ms": 3000},
+        }
+        self.store.put("op/config", json.dumps(table).encode())
+
+    def list_endpoints(self, leaving: frozenset[str] = frozenset()) -> None:
+        """Writes what the endpoints list about themselves."""
+        for name, endpoint in self.group.endpoints.items():
+            entry = {
+                "service": SERVICE,
+                "address": endpoint.address,
+                "zone": endpoint.zone,
+                "version": "v1",
+                "capacity": self.group.settings.slots,
+                "state": "draining" if name in leaving else "ready",
+                "cold_remaining_ms": 0,
+                "db_role": "primary" if endpoint.leads else "replica",
+                "sequence": 1,
+                "born": 1,
+            }
+            self.store.put(f"servers/{name}", json.dumps(entry).encode())
+
+    def connect(self, database: str, proxy: int = 0) -> Session:
+        """Opens a caller's session."""
+        address = instance.address(self.proxies[proxy].cfg.callers)
+        sock = socket.create_connection(address)
+        sock.settimeout(10.0)
+        sock.sendall(f"STARTUP {database} test\r\n".encode())
+        lines = wire.Lines(sock=sock)
+        welcome = lines.next().decode()
+        assert welcome == "READY I -", welcome
+        return Session(sock=sock, lines=lines)
+
+    def close(self) -> None:
+        """Ends everything."""
+        for proxy in self.proxies:
+            proxy.close()
+        self.group.close()
+        self.store.close()
+
+
+@contextlib.contextmanager
+def running(**fields):
+    """A deployment for as long as the context lasts."""
+    deployment = Deployment(**fields)
+    try:
+        yield deployment
+    finally:
+        deployment.close()
