--- a/bronzehold/connection/fenced_runner.py
+++ b/bronzehold/connection/fenced_runner.py
@@ -34,6 +34,7 @@
 # A read goes elsewhere when its endpoint has said nothing at all for so long;
 # the longest statements take half of it.
 GIVE_UP_S = 0.4
+TRIES = 3
 # How long a read waits for a connection before it tries another endpoint.
 READ_PATIENCE_S = 0.05
 LONG_PATIENCE_S = 0.3
@@ -324,6 +325,8 @@
         """Returns what tells that a read had better run elsewhere."""
         sent = clock.now()
         group = use.service.group
+        # Two endpoints may be silent, and a third must still have its time.
+        give_up_s = min(GIVE_UP_S, (use.deadline - sent) / TRIES)
 
         def given_up() -> bool:
             contact = group.contact(target)
@@ -332,7 +335,7 @@
             silent_s = clock.now() - max(sent, contact.heard_at)
             if silent_s < DOUBT_S:
                 return False
-            if contact.failing_since > sent or silent_s > GIVE_UP_S:
+            if contact.failing_since > sent or silent_s > give_up_s:
                 return True
             use.service.wake_probe(target)
             return False
--- a/bronzehold/platform/instance.py
+++ b/bronzehold/platform/instance.py
@@ -108,6 +108,7 @@
         self._listener = listener.Listener(
             host=host, port=port, process=self.process
         )
+        self.process.stop_listening = self._listener.close
         self._listener.run()
 
     def drain(self) -> None:
--- a/bronzehold/process/hosted.py
+++ b/bronzehold/process/hosted.py
@@ -72,6 +72,8 @@
         self._services: dict[str, fenced_service.FencedService] = {}
         self._callers: dict[int, Served] = {}
         self._stopping = False
+        # Set by whoever accepts connections.
+        self.stop_listening: collections.abc.Callable[[], None] = lambda: None
 
     # What is in force.
 
@@ -196,6 +198,7 @@
         callers = self._all_callers()
         self.line.add(events.ProxyStopping(callers=len(callers)))
         time.sleep(min(LEAVE_S, self.cfg.stop_s / 2))
+        self.stop_listening()
         end = began + self.cfg.stop_s - END_S
         while time.monotonic() < end:
             callers = self._all_callers()
