A primary is replaced only if most of all proxies cannot reach it

Ruled out: a dead primary (the far side still wrote to it until the change). Change: the votes must be more than half of all proxies, those that went silent lately or are registered among them.

--- /dev/null
+++ b/bronzehold/platform/directory_test.py
@@ -0,0 +1,103 @@
+import json
+
+import pytest
+
+from bronzehold.core import ports
+from bronzehold.core import routes
+from bronzehold.core import validation
+from bronzehold.platform import directory
+
+ENTRY = {
+    "service": "grp",
+    "address": "10.0.0.9:80",
+    "zone": "z1",
+    "version": "v1",
+    "capacity": 2,
+    "state": "ready",
+    "cold_remaining_ms": 0,
+    "db_role": "replica",
+    "sequence": 4,
+    "born": 17,
+}
+
+
+def _listing(**fields):
+    value = json.dumps({**ENTRY, **fields}).encode()
+    item = ports.Item(key="servers/i-1", value=value, revision=1)
+    return directory.Directory(zones=frozenset({"z1"})).listing(item)
+
+
+def test_a_listing_is_decoded():
+    listing = _listing(state="draining", db_role="primary", more=[1])
+    assert listing == routes.Listing(
+        id="i-1",
+        service="grp",
+        host="10.0.0.9",
+        port=80,
+        zone="z1",
+        slots=2,
+        leaving=True,
+        leads=True,
+        started_ms=17,
+    )
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"service": 7},
+        {"service": ""},
+        {"address": "10.0.0.9"},
+        {"address": None},
+        {"zone": "elsewhere"},
+        {"capacity": "2"},
+        {"capacity": True},
+        {"state": "asleep"},
+        {"db_role": "king"},
+        {"sequence": 1.5},
+        {"cold_remaining_ms": "0"},
+        {"born": "17"},
+    ],
+)
+def test_a_listing_with_a_wrong_field_names_no_endpoint(fields):
+    with pytest.raises(validation.ProblemsError):
+        _listing(**fields)
+
+
+@pytest.mark.parametrize("value", [b"", b"\xff", b"[]", b"7", b"{}"])
+def test_a_listing_that_cannot_be_read_names_no_endpoint(value):
+    item = ports.Item(key="servers/i-1", value=value, revision=1)
+    with pytest.raises(validation.ProblemsError):
+        directory.Directory(zones=frozenset({"z1"})).listing(item)
+
+
+def test_each_kind_of_route_is_decoded():
+    route = {
+        "name": "r",
+        "database": "d",
+        "service": "grp",
+        "timeout_ms": 800,
+        "target_latency_ms": 500,
+        "priority": 2,
+        "max_staleness_ms": 1500,
+    }
+    kinds = ("primary", "bounded_staleness", "read_your_writes")
+    table = directory.Directory(zones=frozenset()).table(
+        json.dumps(
+            {
+                "version": 7,
+                "routes": [{**route, "database": k, "type": k} for k in kinds],
+                "services": [
+                    {"name": "grp", "max_connections": 16, "sync_replicas": 1}
+                ],
+                "limits": {"tx_idle_ms": 3000},
+            }
+        ).encode()
+    )
+    assert [r.freshness for r in table.routes.values()] == [
+        routes.Latest(),
+        routes.Bounded(max_age_s=1.5),
+        routes.OwnWrites(max_age_s=1.5),
+    ]
+    assert table.services["grp"].synchronous
+    assert table.idle_transaction_s == pytest.approx(3.0)
--- a/bronzehold/process/promotions.py
+++ b/bronzehold/process/promotions.py
@@ -217,6 +217,7 @@
                 for heard in self._gossip.live().values()
                 for view in views(heard, service.limits.name)
             ],
+            proxies=self._gossip.share(),
             leaving=listing is not None and listing.leaving,
             leaderless_s=group.leaderless_s(),
             patience_s=LEADERLESS_S,
--- /dev/null
+++ b/bronzehold/request/placement_test.py
@@ -0,0 +1,67 @@
+from bronzehold.core import statements
+from bronzehold.request import placement
+
+NEED = statements.LogPosition(term=1, number=50)
+
+
+def _candidate(name, **fields):
+    plain = {
+        "same_zone": False,
+        "same_region": False,
+        "leads": False,
+        "failing": False,
+        "took_s": 0.0,
+        "wait_s": 0.0,
+        "full": False,
+        "position": None,
+        "position_age_s": 0.0,
+    }
+    return placement.Candidate(endpoint=name, **{**plain, **fields})
+
+
+def _order(*candidates):
+    return [c.endpoint for c in placement.order(candidates, NEED)]
+
+
+def test_calm_day_the_nearest_replica_and_the_primary_last():
+    assert _order(
+        _candidate("primary", same_zone=True, same_region=True, leads=True),
+        _candidate("far"),
+        _candidate("near", same_zone=True, same_region=True),
+    ) == ["near", "far", "primary"]
+
+
+def test_half_the_endpoints_gone_reads_leave_those_that_fail():
+    assert _order(
+        _candidate("dead", same_zone=True, same_region=True, failing=True),
+        _candidate("primary", leads=True),
+    ) == ["primary", "dead"]
+
+
+def test_crest_of_a_wave_reads_spread_to_where_they_wait_least():
+    assert _order(
+        _candidate("near", same_zone=True, same_region=True, wait_s=0.2),
+        _candidate("far"),
+        _candidate("primary", leads=True),
+    ) == ["far", "primary", "near"]
+
+
+def test_a_replica_known_to_be_behind_comes_after_the_primary():
+    behind = statements.LogPosition(term=1, number=49)
+    late = {"position": behind, "position_age_s": 0.01}
+    assert _order(
+        _candidate("late", same_zone=True, same_region=True, **late),
+        _candidate("primary", same_region=True, leads=True),
+    ) == ["primary", "late"]
+    stale = {"position": behind, "position_age_s": 1.0}
+    assert _order(
+        _candidate("late", same_zone=True, same_region=True, **stale),
+        _candidate("primary", leads=True),
+    ) == ["late", "primary"]
+
+
+def test_an_endpoint_whose_connections_are_all_held_comes_later():
+    assert _order(
+        _candidate("held", same_zone=True, same_region=True, full=True),
+        _candidate("far"),
+    ) == ["far", "held"]
--- a/bronzehold/version/succession.py
+++ b/bronzehold/version/succession.py
@@ -62,6 +62,7 @@
     own: View,
     others: collections.abc.Iterable[View],
     *,
+    proxies: int,
     leaving: bool,
     leaderless_s: float,
     patience_s: float,
@@ -74,6 +75,8 @@
     Args:
         own: What this proxy sees.
         others: What its live peers see.
+        proxies: How many proxies there are, silent ones among them: they may
+            be cut off together with a primary that serves them well.
         leaving: Whether the primary is leaving.
         leaderless_s: For how long this proxy has known of no primary.
         patience_s: How long that may last before one is made.
@@ -89,7 +92,7 @@
         return Keep()
     gone = sum(v.reach is Reach.GONE for v in about)
     heard = sum(v.reach is Reach.HEARD for v in about)
-    if gone > heard:
+    if gone > heard and 2 * gone > proxies:
         return Replace(why=f"out of reach for {gone}, in reach for {heard}")
     return HandOver() if leaving and not gone else Keep()
 
