Logs that never wait, metrics, and explain: from a request's id to its cause

Every failed statement has a line with what was tried, and what was believed then; slow ones too, others as samples. Lines go through a bounded queue to standard output, and what is left out is counted and said. 'bronzehold explain ID FILE...' puts a request beside what happened in its group and instance; 'check-hosted' tells every problem of the settings at once.

--- a/bronzehold/connection/fenced_caller.py
+++ b/bronzehold/connection/fenced_caller.py
@@ -15,6 +15,10 @@
 from bronzehold.process import metrics
 from bronzehold.process import timeline
 
+# Of the statements that were served as they should be, one in so many of a
+# session is logged.
+SAMPLE = 100
+
 
 class Host(typing.Protocol):
     """What a caller needs of the process that serves it."""
@@ -47,6 +51,7 @@
         self._lock = threading.Lock()
         self._waiting = False
         self._stopping = False
+        self._served = 0
 
     # Life of the connection.
 
@@ -224,12 +229,70 @@
         key = metrics.Key(
             service=service,
             work=type(req.statement).__name__,
-            place="",
+            place=self._runner.endpoint,
             outcome=outcome,
         )
         self._process.measures.record(key, took)
         if failure is not None:
-            self._log(req, failure, service, took)
+            self._log_failure(req, failure, service, took)
+            return
+        target_s = self._route.target_s if self._route else 0.0
+        self._served += 1
+        if took > target_s:
+            self._log_served(events.RequestSlow, req, service, took)
+        elif self._served % SAMPLE == 1:
+            self._log_served(events.RequestServed, req, service, took)
+
+    def _log_served(
+        self,
+        kind: type[events.RequestSlow],
+        req: statements.Request,
+        service: str,
+        took: float,
+    ) -> None:
+        self._process.line.add_request(
+            kind(
+                request=req.id,
+                session=self._session.name,
+                database=self._database,
+                group=service,
+                work=type(req.statement).__name__,
+                endpoint=self._runner.endpoint,
+                tried=self._tried(req),
+                took_ms=int(took * 1000),
+                version=self._process.table().version,
+            )
+        )
+
+    def _log_failure(
+        self,
+        req: statements.Request,
+        failure: errors.Failure,
+        service: str,
+        took: float,
+    ) -> None:
+        served = self._process.service(service)
+        leader = served.group.leader() if served else None
+        proof = served.group.proofs.newest() if served else None
+        age = clock.now() - proof.at if proof else -0.001
+        self._process.line.add_request(
+            events.RequestFailed(
+                request=req.id,
+                session=self._session.name,
+                database=self._database,
+                group=service,
+                work=type(req.statement).__name__,
+                failure=type(failure).__name__,
+                detail=errors.report(failure).message,
+                endpoint=self._runner.endpoint,
+                tried=self._tried(req),
+                took_ms=int(took * 1000),
+                primary=leader.endpoint if leader else "",
+                term=leader.term if leader else 0,
+                proof_age_ms=int(age * 1000),
+                version=self._process.table().version,
+            )
+        )
 
     def _tried(self, req: statements.Request) -> str:
         """Returns each try with the milliseconds since the request came."""
--- a/bronzehold/core/events.py
+++ b/bronzehold/core/events.py
@@ -283,6 +283,56 @@
     version: int
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class RequestSlow:
+    """A statement was served, but took longer than its operation should.
+
+    Attributes:
+        request: The caller's id for it.
+        session: The caller.
+        database: The database it asked.
+        group: The service of its route.
+        work: What kind of statement.
+        endpoint: Where it ran.
+        tried: The tries before, as in RequestFailed.
+        took_ms: How long it took in all.
+        version: The configuration in force.
+    """
+
+    request: str
+    session: str
+    database: str
+    group: str
+    work: str
+    endpoint: str
+    tried: str
+    took_ms: int
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class RequestServed(RequestSlow):
+    """One of many statements that were served as they should be."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class RequestsNotLogged:
+    """So many events of requests were left out since the last one."""
+
+    count: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class SettingsSignalled:
+    """The process was told that its settings file has changed.
+
+    Attributes:
+        changed: The fields that differ; they apply from the next start.
+    """
+
+    changed: str
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class TaskFailed:
     """A task ended by an error that nobody expected."""
@@ -322,4 +372,8 @@
     | TokenLost
     | PromotionOrdered
     | RequestFailed
+    | RequestSlow
+    | RequestServed
+    | RequestsNotLogged
+    | SettingsSignalled
 )
--- a/bronzehold/platform/__main__.py
+++ b/bronzehold/platform/__main__.py
@@ -1,14 +1,18 @@
 """The program that runs on the platform's instances."""
 
+import dataclasses
 import faulthandler
 import os
 import signal
 import sys
 import threading
 
+from bronzehold.core import events
+from bronzehold.core import settings
 from bronzehold.core import validation
 from bronzehold.platform import instance
 from bronzehold.platform import settings_file
+from bronzehold.process import logwriter
 from bronzehold.process import timeline
 
 SETTINGS_VARIABLE = "BRONZEHOLD_NODE_FILE"
@@ -19,24 +23,42 @@
 def main() -> int:
     """Runs a proxy until SIGTERM, which begins a planned stop."""
     faulthandler.enable()
+    path = os.environ.get(SETTINGS_VARIABLE, "")
     try:
-        cfg = settings_file.load(os.environ.get(SETTINGS_VARIABLE, ""))
+        cfg = settings_file.load(path)
     except validation.ProblemsError as exc:
         for problem in exc.problems:
             print(problem, file=sys.stderr)  # noqa: T201
         return BAD_INPUT
     stop = threading.Event()
     signal.signal(signal.SIGTERM, lambda _number, _frame: stop.set())
-    signal.signal(signal.SIGHUP, lambda _number, _frame: None)
-    timeline.set_up_logs(cfg.log_level)
+    reload = threading.Event()
+    signal.signal(signal.SIGHUP, lambda _number, _frame: reload.set())
+    writer = logwriter.Handler(stream=sys.stdout)
+    timeline.set_up_logs(cfg.log_level, writer)
     running = instance.Instance(cfg=cfg)
     running.start()
     while not stop.wait(SIGNAL_CHECK_S):
-        continue
+        if reload.is_set():
+            reload.clear()
+            running.line.add(_compare(path, cfg))
     running.drain()
     # Tasks that wait on sockets do not hold the end back.
     os._exit(0)
 
 
+def _compare(
+    path: str, cfg: settings.HostedSettings
+) -> events.SettingsSignalled:
+    """Says what differs; addresses cannot change without a new start."""
+    try:
+        new = settings_file.load(path)
+    except validation.ProblemsError as exc:
+        return events.SettingsSignalled(changed=f"not readable: {exc}")
+    before, after = dataclasses.asdict(cfg), dataclasses.asdict(new)
+    changed = [name for name in before if before[name] != after[name]]
+    return events.SettingsSignalled(changed=", ".join(changed))
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- a/bronzehold/platform/fields.py
+++ b/bronzehold/platform/fields.py
@@ -1,5 +1,6 @@
 """Takes the fields of an object that somebody else wrote, each checked."""
 
+import collections.abc
 import json
 
 from bronzehold.core import validation
@@ -34,6 +35,22 @@
             (validation.Problem(source=self._source, where=where, what=what),)
         )
 
+    def all(
+        self,
+        readers: dict[str, collections.abc.Callable[["Fields"], object]],
+    ) -> dict[str, object]:
+        """Reads several fields, and reports every problem at once."""
+        found = {}
+        problems: list[validation.Problem] = []
+        for name, read in readers.items():
+            try:
+                found[name] = read(self)
+            except validation.ProblemsError as exc:
+                problems += exc.problems
+        if problems:
+            raise validation.ProblemsError(tuple(problems))
+        return found
+
     def take(self, name: str, kind: type):
         """Returns a field of a type."""
         found = self._value.get(name)
--- a/bronzehold/platform/instance.py
+++ b/bronzehold/platform/instance.py
@@ -11,6 +11,7 @@
 from bronzehold.platform import readiness
 from bronzehold.platform import store
 from bronzehold.process import exchange as exchange_lib
+from bronzehold.process import exposition
 from bronzehold.process import gossip as gossip_lib
 from bronzehold.process import hosted
 from bronzehold.process import mirror as mirror_lib
@@ -82,6 +83,9 @@
         self._answers = readiness.serve(
             address(cfg.readiness), self.process.ready
         )
+        self._metrics = exposition.serve(
+            (cfg.host, cfg.metrics_port), self._render_metrics
+        )
         self._listener: listener.Listener | None = None
 
     def _on_members(self, values: dict[str, bytes]) -> None:
@@ -89,6 +93,17 @@
         if self.cfg.name not in values:
             self.registration.note_lapsed()
 
+    def _render_metrics(self) -> bytes:
+        extra = {
+            "peers": float(len(self.gossip.live())),
+            "store_away": float(self.mirror.away()),
+            **{
+                f"token_{name}": float(number)
+                for name, number in self.promotions.held().items()
+            },
+        }
+        return exposition.render(self.process, extra)
+
     def start(self) -> None:
         """Starts to learn, and to serve once enough is known."""
         host, port = address(self.cfg.callers)
@@ -96,6 +111,7 @@
         tasks = self.process.tasks
         self.gossip.start()
         tasks.spawn_lasting("readiness", self._answers.serve_forever)
+        tasks.spawn_lasting("metrics", self._metrics.serve_forever)
         tasks.spawn_lasting("mirror", self.mirror.run)
         tasks.spawn_lasting("registration", self.registration.run)
         tasks.spawn_lasting("promotions", self.promotions.run)
@@ -124,4 +140,6 @@
             self._listener.close()
         self._answers.shutdown()
         self._answers.server_close()
+        self._metrics.shutdown()
+        self._metrics.server_close()
         self.gossip.close()
--- a/bronzehold/platform/settings_file.py
+++ b/bronzehold/platform/settings_file.py
@@ -17,23 +17,26 @@
     except (OSError, UnicodeDecodeError) as exc:
         problem = validation.Problem(source=path, where="$", what=str(exc))
         raise validation.ProblemsError((problem,)) from exc
-    fields = fields_lib.Fields(source=path, value=fields_lib.parse(path, text))
-    regions = fields.take("regions", dict)
-    zone = fields.text("zone")
-    if zone not in regions:
+    value = fields_lib.parse(path, text)
+    fields = fields_lib.Fields(source=path, value=value)
+    found = fields.all(_READERS)
+    if found["zone"] not in found["regions"]:
         raise fields.problem("zone", "is not among the regions")
-    return settings.HostedSettings(
-        name=fields.text("name"),
-        zone=zone,
-        regions=regions,
-        host=fields.text("host"),
-        callers=fields.address("callers"),
-        readiness=fields.address("readiness"),
-        peer_port=fields.whole("peer_port"),
-        metrics_port=fields.whole("metrics_port"),
-        store=fields.address("store"),
-        promoter=fields.address("promoter"),
-        seeds=tuple(fields.list("seeds")),
-        stop_s=fields.number("stop_s"),
-        log_level=fields.text("log_level", "INFO"),
-    )
+    return settings.HostedSettings(**found)
+
+
+_READERS = {
+    "name": lambda f: f.text("name"),
+    "zone": lambda f: f.text("zone"),
+    "regions": lambda f: f.take("regions", dict),
+    "host": lambda f: f.text("host"),
+    "callers": lambda f: f.address("callers"),
+    "readiness": lambda f: f.address("readiness"),
+    "peer_port": lambda f: f.whole("peer_port"),
+    "metrics_port": lambda f: f.whole("metrics_port"),
+    "store": lambda f: f.address("store"),
+    "promoter": lambda f: f.address("promoter"),
+    "seeds": lambda f: tuple(f.list("seeds")),
+    "stop_s": lambda f: f.number("stop_s"),
+    "log_level": lambda f: f.text("log_level", "INFO"),
+}
--- /dev/null
+++ b/bronzehold/platform/settings_file_test.py
@@ -0,0 +1,53 @@
+import json
+
+import pytest
+
+from bronzehold.core import validation
+from bronzehold.platform import settings_file
+
+GOOD = {
+    "name": "p1",
+    "zone": "z1",
+    "regions": {"z1": "r1"},
+    "host": "10.0.0.1",
+    "callers": "10.0.0.1:1",
+    "readiness": "10.0.0.1:2",
+    "peer_port": 3,
+    "metrics_port": 4,
+    "store": "10.0.0.2:5",
+    "promoter": "10.0.0.2:6",
+    "seeds": ["10.0.0.3:7"],
+    "stop_s": 6,
+}
+
+
+def _load(tmp_path, text: str):
+    path = tmp_path / "settings.json"
+    path.write_text(text)
+    return settings_file.load(str(path))
+
+
+def test_settings_are_read(tmp_path):
+    cfg = _load(tmp_path, json.dumps({**GOOD, "new": 1}))
+    assert cfg.name == "p1"
+    assert cfg.stop_s == 6.0
+    assert cfg.log_level == "INFO"
+
+
+def test_every_problem_is_told_at_once(tmp_path):
+    bad = {**GOOD, "callers": "nowhere", "peer_port": "3", "stop_s": None}
+    with pytest.raises(validation.ProblemsError) as caught:
+        _load(tmp_path, json.dumps(bad))
+    where = [problem.where for problem in caught.value.problems]
+    assert where == ["callers", "peer_port", "stop_s"]
+
+
+@pytest.mark.parametrize("text", ["", "[]", "{"])
+def test_what_is_no_object_is_refused(tmp_path, text):
+    with pytest.raises(validation.ProblemsError):
+        _load(tmp_path, text)
+
+
+def test_a_file_that_is_not_there_is_a_problem():
+    with pytest.raises(validation.ProblemsError):
+        settings_file.load("/nowhere/settings.json")
--- a/bronzehold/process/promotions.py
+++ b/bronzehold/process/promotions.py
@@ -119,6 +119,14 @@
         """Returns the latest known token of a group."""
         return self._tokens.get(service, NOBODY)
 
+    def held(self) -> dict[str, int]:
+        """Returns the fencing tokens that this proxy has, by service."""
+        return {
+            name: token.number
+            for name, token in list(self._tokens.items())
+            if self._holds(name)
+        }
+
     def _holds(self, service: str) -> bool:
         token = self.token(service)
         return (
--- a/bronzehold/process/timeline.py
+++ b/bronzehold/process/timeline.py
@@ -12,6 +12,9 @@
 from bronzehold.core import events
 
 KEPT_EVENTS = 4096
+# About what a failed instance refuses in a second, and a share of it after.
+REQUEST_EVENTS_PER_S = 50
+REQUEST_EVENTS_BURST = 300
 LOGGER = "bronzehold"
 
 # Without a handler of its own, a library stays quiet.
@@ -61,6 +64,9 @@
             maxlen=KEPT_EVENTS
         )
         self._counts: dict[str, int] = {}
+        self._tokens = float(REQUEST_EVENTS_BURST)
+        self._tokens_at = time.monotonic()
+        self._skipped = 0
         self._log = logging.getLogger(LOGGER)
 
     def add(self, event: events.Event) -> None:
@@ -76,6 +82,22 @@
             self._entries.append(entry)
         self._log.log(_level(event), type(event).__name__, extra=_fields(entry))
 
+    def add_request(self, event: events.Event) -> None:
+        """Records an event of one request, if there are not too many."""
+        with self._lock:
+            now = time.monotonic()
+            earned = (now - self._tokens_at) * REQUEST_EVENTS_PER_S
+            self._tokens = min(REQUEST_EVENTS_BURST, self._tokens + earned)
+            self._tokens_at = now
+            if self._tokens < 1:
+                self._skipped += 1
+                return
+            self._tokens -= 1
+            skipped, self._skipped = self._skipped, 0
+        if skipped:
+            self.add(events.RequestsNotLogged(count=skipped))
+        self.add(event)
+
     def count(self, what: str) -> None:
         """Counts what is too frequent, and too small, for an event each."""
         with self._lock:
@@ -115,9 +137,19 @@
             return logging.INFO
 
 
-def set_up_logs(level: str) -> None:
-    """Writes the logs to the standard error, one JSON object a line."""
-    handler = logging.StreamHandler()
+def set_up_logs(
+    level: str, handler: logging.Handler | None = None
+) -> logging.Handler:
+    """Writes the logs as one JSON object a line.
+
+    Args:
+        level: The lowest level that is written.
+        handler: What writes the lines; the standard error without it.
+
+    Returns:
+        The handler in use.
+    """
+    handler = handler or logging.StreamHandler()
     handler.setFormatter(
         jsonlogger.JsonFormatter(
             "{asctime}{levelname}{message}",
@@ -129,3 +161,4 @@
     log.handlers[:] = [handler]
     log.setLevel(level)
     log.propagate = False
+    return handler
--- /dev/null
+++ b/bronzehold/tools/explain.py
@@ -0,0 +1,152 @@
+"""Finds in the logs of several processes why a request ended as it did."""
+
+import collections.abc
+import dataclasses
+import json
+
+# What happened so long before a request ended may have caused its end.
+BEFORE_S = 4.0
+AFTER_S = 0.2
+NANOSECONDS = 1_000_000_000
+
+_OF_REQUESTS = frozenset({"RequestFailed", "RequestSlow", "RequestServed"})
+_HIDDEN = frozenset(
+    {
+        "asctime",
+        "at_ns",
+        "event",
+        "instance",
+        "level",
+        "message",
+        "sequence",
+        "time",
+        "zone",
+    }
+)
+
+# What the failures of a request mean, and where to look next.
+_MEANINGS = {
+    "Overloaded": "not run: no connection or slot came free in time; look at "
+    "bronzehold_wait_ms and bronzehold_connections of the endpoints tried",
+    "NoPrimary": "not run: no primary was known or in reach; look for "
+    "PrimaryLost, PromotionOrdered and PrimaryFound of the group",
+    "NoFreshEndpoint": "not run: no endpoint was fresh enough; compare "
+    "proof_age_ms with the age that the route allows",
+    "Unreachable": "not run: no connection to the endpoint could be opened",
+    "EndpointError": "the endpoint's own refusal or error, handed on",
+    "TransactionLost": "nothing was kept: the endpoint was lost, or lost the "
+    "lead, before the commit was sent",
+    "OutcomeUnknown": "the commit or write was sent and its answer never "
+    "came; look at the log of the endpoint for the request's id",
+    "TimedOut": "the endpoint did not answer within the statement's time",
+    "AnswerCut": "the answer to a read was lost on every endpoint tried",
+    "ServiceUnknown": "not run: no route for the database in this version",
+}
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Line:
+    """One line of a log.
+
+    Attributes:
+        at_s: Wall clock of its process, in seconds.
+        instance: The process.
+        event: What happened.
+        fields: The event's own fields.
+    """
+
+    at_s: float
+    instance: str
+    event: str
+    fields: dict[str, object]
+
+    def text(self, since_s: float) -> str:
+        """Returns the line as it is shown, with its time since another."""
+        shown = " ".join(f"{k}={v}" for k, v in self.fields.items() if v != "")
+        return (
+            f"{self.at_s - since_s:+8.3f} s  {self.instance:24} "
+            f"{self.event} {shown}"
+        )
+
+
+def read(lines: collections.abc.Iterable[str]) -> list[Line]:
+    """Returns the events in log lines; what is none is passed over.
+
+    Args:
+        lines: The lines; what stands before the JSON object is ignored.
+    """
+    found = []
+    for text in lines:
+        _, brace, rest = text.partition("{")
+        if not brace:
+            continue
+        try:
+            fields = json.loads(brace + rest)
+        except ValueError:
+            continue
+        if not isinstance(fields, dict) or "event" not in fields:
+            continue
+        found.append(
+            Line(
+                at_s=fields.get("at_ns", 0) / NANOSECONDS,
+                instance=str(fields.get("instance", "")),
+                event=str(fields["event"]),
+                fields={k: v for k, v in fields.items() if k not in _HIDDEN},
+            )
+        )
+    return found
+
+
+def explain(request: str, lines: collections.abc.Sequence[Line]) -> list[str]:
+    """Returns what the logs say of a request, as lines of text.
+
+    Args:
+        request: The caller's id for it, or how it begins.
+        lines: The events of all processes; their clocks may differ, so each
+            process's events are compared with its own request only, and the
+            others' by the group's terms.
+    """
+    own = [
+        line
+        for line in lines
+        if line.event in _OF_REQUESTS
+        and str(line.fields.get("request", "")).startswith(request)
+    ]
+    if not own:
+        return [
+            f"no line for {request}: it was served in time, or was left out "
+            "(RequestsNotLogged, LinesDropped)"
+        ]
+    out: list[str] = []
+    for line in own:
+        out += _explain_one(line, lines)
+    return out
+
+
+def _explain_one(one: Line, lines: collections.abc.Sequence[Line]) -> list[str]:
+    failure = str(one.fields.get("failure", ""))
+    out = [one.text(one.at_s)]
+    if failure:
+        out.append(f"  {failure}: {_MEANINGS.get(failure, 'see the detail')}")
+    tried = str(one.fields.get("tried", ""))
+    out += [f"  tried {part}" for part in tried.split(", ") if part]
+    out.append("  before it, on the same instance and in the same group:")
+    took_s = float(one.fields.get("took_ms", 0)) / 1000
+    nearby = [
+        line
+        for line in lines
+        if _concerns(line, one)
+        and -BEFORE_S - took_s <= line.at_s - one.at_s <= AFTER_S
+    ]
+    nearby.sort(key=lambda line: line.at_s)
+    out += [f"  {line.text(one.at_s)}" for line in nearby]
+    return out
+
+
+def _concerns(line: Line, one: Line) -> bool:
+    if line.event in _OF_REQUESTS:
+        return False
+    group = line.fields.get("group")
+    if group is not None:
+        return group == one.fields.get("group")
+    return line.instance == one.instance
--- /dev/null
+++ b/bronzehold/tools/explain_test.py
@@ -0,0 +1,42 @@
+import json
+
+from bronzehold.tools import explain
+
+
+def _line(at_s, event, instance="p1", **fields):
+    body = {"at_ns": int(at_s * 1e9), "event": event, "instance": instance}
+    return f" 12.5 {instance} " + json.dumps({**body, **fields})
+
+
+LOG = [
+    "not json",
+    _line(9.0, "PrimaryLost", "p2", group="g", term=1, primary="a", why="x"),
+    _line(9.5, "PrimaryLost", "p2", group="other", term=1, primary="b"),
+    _line(9.6, "PlatformAway", why="TimeoutError"),
+    _line(9.7, "PlatformAway", "p2", why="TimeoutError"),
+    _line(1.0, "ConfigAdopted", revision=3),
+    _line(
+        10.0,
+        "RequestFailed",
+        request="5c0e7a",
+        group="g",
+        failure="NoPrimary",
+        tried="a Unreachable +400, a AnswerCut +700",
+        took_ms=800,
+    ),
+]
+
+
+def test_a_request_is_shown_with_what_happened_before_it():
+    text = "\n".join(explain.explain("5c0e", explain.read(LOG)))
+    assert "no primary was known or in reach" in text
+    assert "tried a Unreachable +400" in text
+    assert "-1.000 s  p2" in text
+    assert "group=other" not in text
+    assert text.count("PlatformAway") == 1
+    assert "ConfigAdopted" not in text
+
+
+def test_an_unknown_request_is_said_to_have_no_line():
+    (text,) = explain.explain("ffff", explain.read(LOG))
+    assert "no line for ffff" in text
--- a/bronzehold/tools/main.py
+++ b/bronzehold/tools/main.py
@@ -11,11 +11,13 @@
 from bronzehold.core import settings
 from bronzehold.core import structure
 from bronzehold.core import validation
+from bronzehold.platform import settings_file as hosted_settings
 from bronzehold.process import platform
 from bronzehold.process import proxy as proxy_lib
 from bronzehold.process import timeline as timeline_lib
 from bronzehold.standin import launch
 from bronzehold.tools import demo as demo_lib
+from bronzehold.tools import explain as explain_lib
 from bronzehold.tools import operators
 from bronzehold.tools import soak as soak_lib
 
@@ -304,6 +306,42 @@
     return NOT_DONE if report.violations else OK
 
 
+def explain(request: str, *logs: str) -> int:
+    """Show why a request ended as it did, from the logs of the processes.
+
+    Args:
+        request: The caller's id for the request, or how it begins.
+        logs: The log files, of all processes or some.
+    """
+    lines = []
+    for path in logs:
+        try:
+            with open(path, encoding="utf-8", errors="replace") as file:
+                lines += explain_lib.read(file)
+        except OSError as exc:
+            _complain(f"{path}: {exc}")
+            raise _ExitError(BAD_INPUT) from exc
+    for line in explain_lib.explain(request, lines):
+        _say(line)
+    return OK
+
+
+def check_hosted(settings_file: str) -> int:
+    """Check the settings of a proxy on the users' platform.
+
+    Args:
+        settings_file: The JSON file that the platform filled in.
+    """
+    try:
+        hosted_settings.load(settings_file)
+    except validation.ProblemsError as exc:
+        for problem in exc.problems:
+            _complain(str(problem))
+        return BAD_INPUT
+    _say("the settings are good")
+    return OK
+
+
 def main() -> None:
     """Runs the program."""
     commands = {
@@ -315,7 +353,9 @@
         "drain": drain,
         "promote": promote,
         "timeline": timeline,
+        "check-hosted": check_hosted,
         "demo": demo,
+        "explain": explain,
         "soak": soak,
     }
     try:
--- a/tests/hosted_test.py
+++ b/tests/hosted_test.py
@@ -1,6 +1,7 @@
 import json
 import threading
 import time
+import urllib.request
 
 import pytest
 
@@ -200,3 +201,19 @@
     for thread in threads:
         thread.join()
     assert not wrong
+
+
+def test_metrics_show_requests_groups_and_the_configuration(deployment):
+    deployment.connect("own").rows("READ a")
+    cfg = deployment.proxies[0].cfg
+    url = f"http://{cfg.host}:{cfg.metrics_port}/metrics"
+    with urllib.request.urlopen(url) as answer:
+        text = answer.read().decode()
+    for name in (
+        'bronzehold_requests{endpoint="',
+        'bronzehold_latency_ms{endpoint="',
+        'bronzehold_term{service="grp"} 1.0',
+        "bronzehold_config_version",
+        "bronzehold_peers 1.0",
+    ):
+        assert name in text
