Votes against an earlier primary do not count against the next

Digests of peers that had not heard of it yet still said that the one before was out of reach, and these votes counted. Ruled out: a failure of the new primary (it answered the holder). Change: only votes on the same endpoint count. Unit test failed first.

--- a/bronzehold/version/succession.py
+++ b/bronzehold/version/succession.py
@@ -87,7 +87,8 @@
         if known or leaderless_s <= patience_s:
             return Keep()
         return Replace(why="nobody leads")
-    about = [v for v in views if v.leader == own.leader or v.term < own.term]
+    # A vote against an earlier primary says nothing of this one.
+    about = [v for v in views if v.leader == own.leader]
     if any(v.term > own.term for v in views):
         return Keep()
     gone = sum(v.reach is Reach.GONE for v in about)
--- a/bronzehold/version/succession_test.py
+++ b/bronzehold/version/succession_test.py
@@ -93,3 +93,10 @@
         [_standing("z", 3, 5, leaving=True), _standing("a", 3, 5)]
     )
     assert chosen.endpoint == "a"
+
+
+def test_votes_against_the_primary_before_do_not_count_against_this_one():
+    # The peers have not heard yet of the primary that has just begun.
+    others = [_view(GONE, leader="old", term=2) for _ in range(3)]
+    own = _view(HEARD, leader="new", term=3)
+    assert _judge(own, others) == succession.Keep()
