A holder orders under its own token only

Ruled out: the compare-and-swap (the store shows two numbers, two holders). A peer's word that it reaches the primary counts only from after the loss; each endpoint that fails or answers again has a line.

--- a/bronzehold/core/events.py
+++ b/bronzehold/core/events.py
@@ -209,6 +209,34 @@
     endpoint: str
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class EndpointFails:
+    """An endpoint does not answer, or refuses a connection.
+
+    Attributes:
+        group: Its group.
+        endpoint: Its id.
+        leads: Whether it is the primary, as far as this proxy knows.
+        refused: Whether nobody listens at its address.
+        silent_ms: How long ago it answered last.
+    """
+
+    group: str
+    endpoint: str
+    leads: bool
+    refused: bool
+    silent_ms: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class EndpointAnswers:
+    """An endpoint that failed answers again."""
+
+    group: str
+    endpoint: str
+    after_ms: int
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class ListingRefused:
     """What stands under a key names no endpoint to use."""
@@ -367,6 +395,8 @@
     | PrimaryLost
     | EndpointListed
     | EndpointGone
+    | EndpointFails
+    | EndpointAnswers
     | ListingRefused
     | TokenWon
     | TokenLost
--- a/bronzehold/process/fenced.py
+++ b/bronzehold/process/fenced.py
@@ -163,6 +163,16 @@
         if contact is None:
             return
         contact.heard_at = clock.now()
+        if contact.failing_since:
+            self._line.add(
+                events.EndpointAnswers(
+                    group=self.name,
+                    endpoint=endpoint,
+                    after_ms=int(
+                        (contact.heard_at - contact.failing_since) * 1000
+                    ),
+                )
+            )
         contact.failing_since = 0.0
         contact.refusing_since = 0.0
         if position is not None:
@@ -183,7 +193,17 @@
             if contact is None:
                 return
             now = clock.now()
-            contact.failing_since = contact.failing_since or now
+            if not contact.failing_since:
+                contact.failing_since = now
+                self._line.add(
+                    events.EndpointFails(
+                        group=self.name,
+                        endpoint=endpoint,
+                        leads=self._is_leader(endpoint),
+                        refused=refused,
+                        silent_ms=int((now - contact.heard_at) * 1000),
+                    )
+                )
             if refused:
                 contact.refusing_since = contact.refusing_since or now
 
@@ -355,8 +375,17 @@
         leader = self._leader
         if leader is None:
             return False
-        at = self._peers_reach.get(leader.endpoint, 0.0)
-        return clock.now() - at < HEARD_S
+        contact = self._contacts.get(leader.endpoint)
+        if contact is None:
+            return False
+        told_at = self._peers_reach.get(leader.endpoint, 0.0)
+        # What a peer tells may be as old as this when it is told, and from
+        # before the primary was lost.
+        heard_after = told_at - HEARD_S
+        return (
+            heard_after > contact.failing_since > 0
+            and clock.now() - told_at < HEARD_S
+        )
 
     def reach(self, endpoint: str) -> succession.Reach:
         """Returns how this proxy reaches an endpoint."""
--- a/bronzehold/process/promotions.py
+++ b/bronzehold/process/promotions.py
@@ -138,11 +138,11 @@
         }
 
     def _holds(self, service: str) -> bool:
-        token = self.token(service)
-        return (
-            token.holder == self._me
-            and self._spent.get(service, 0) < token.number
-        )
+        return self._may_use(service, self.token(service))
+
+    def _may_use(self, service: str, token: Token) -> bool:
+        mine = token.holder == self._me
+        return mine and self._spent.get(service, 0) < token.number
 
     def _claim(self, service: str) -> None:
         """Wins the token if its holder is gone and this proxy is next."""
@@ -181,9 +181,7 @@
             return
         match outcome:
             case ports.Swapped(revision=revision):
-                self._tokens[service] = Token(
-                    holder=self._me, number=number, revision=revision
-                )
+                self.take_record(service, value, revision)
                 self._process.line.add(
                     events.TokenWon(group=service, token=number)
                 )
@@ -309,6 +307,11 @@
     ) -> ports.OrderOutcome:
         name = service.limits.name
         token = self.token(name)
+        if not self._may_use(name, token):
+            # Another proxy has taken over since this was decided, and the
+            # latest token is its own.
+            self._episodes.pop(name, None)
+            return ports.Outranked()
         outcome = self._promoter.promote(
             service=name,
             endpoint=target,
