--- a/bronzehold/connection/fenced_runner.py
+++ b/bronzehold/connection/fenced_runner.py
@@ -35,6 +35,8 @@
 # the longest statements take half of it.
 GIVE_UP_S = 0.4
 TRIES = 3
+# An answer that takes so many times what is usual there has been lost.
+LOST_FACTOR = 10
 # How long a read waits for a connection before it tries another endpoint.
 READ_PATIENCE_S = 0.05
 LONG_PATIENCE_S = 0.3
@@ -325,12 +327,19 @@
         group = use.service.group
         # Two endpoints may be silent, and a third must still have its time.
         give_up_s = min(GIVE_UP_S, (use.deadline - sent) / TRIES)
+        pool = use.service.pool(target)
+        usual_s = pool.load().service_s if pool is not None else 0.0
+        lost_s = max(GIVE_UP_S, LOST_FACTOR * usual_s)
 
         def given_up() -> bool:
             contact = group.contact(target)
             if contact is None:
                 return True
-            silent_s = clock.now() - max(sent, contact.heard_at)
+            now = clock.now()
+            if now - sent > lost_s:
+                # Others are answered there: this answer is lost.
+                return True
+            silent_s = now - max(sent, contact.heard_at)
             if silent_s < DOUBT_S:
                 return False
             if contact.failing_since > sent or silent_s > give_up_s:
@@ -362,7 +371,9 @@
     ) -> _ElsewhereError:
         pool.rest(None)
         pool.give_back(conn, good=False)
-        use.service.note_lost(target)
+        contact = use.service.group.contact(target)
+        if contact is None or clock.now() - contact.heard_at > DOUBT_S:
+            use.service.note_lost(target)
         if clock.now() >= use.deadline:
             return _ElsewhereError(
                 errors.TimedOut(
--- a/bronzehold/standin/line_endpoint.py
+++ b/bronzehold/standin/line_endpoint.py
@@ -169,6 +169,8 @@
         self.connections = 0
         self.waiting = 0
         self.questions = 0
+        # How many of the next answers vanish, the connection staying open.
+        self.swallow = 0
         self.slots = threading.BoundedSemaphore(group.settings.slots)
         self._listener: socket.socket | None = None
         self._port = 0
@@ -444,6 +446,9 @@
         )
 
     def _finish(self, name: str, *rows: str) -> None:
+        if self._endpoint.swallow:
+            self._endpoint.swallow -= 1
+            return
         if self._endpoint.faults.take("lose_answers"):
             self._sock.shutdown(socket.SHUT_RDWR)
             return
--- a/tests/hosted_failover_test.py
+++ b/tests/hosted_failover_test.py
@@ -224,6 +224,29 @@
     assert session.rows("READ a") == [""]
 
 
+def test_a_read_whose_answer_vanishes_runs_elsewhere_in_time(deployment):
+    # The endpoint goes on answering others, so it does not look silent.
+    busy = deployment.connect("bounded")
+    ended = threading.Event()
+
+    def keep_busy() -> None:
+        while not ended.wait(0.02):
+            busy.ask("READ other")
+
+    thread = threading.Thread(target=keep_busy, daemon=True)
+    thread.start()
+    time.sleep(0.3)
+    replicas = [e for e in deployment.group.endpoints.values() if not e.leads]
+    session = deployment.connect("bounded")
+    for _ in range(5):
+        for endpoint in replicas:
+            endpoint.swallow = 0
+        replicas[0].swallow = 1
+        assert session.rows("READ a") == [""]
+    ended.set()
+    thread.join(5.0)
+
+
 def test_a_transaction_on_a_lost_primary_is_aborted(deployment):
     session = deployment.connect("latest")
     session.rows("BEGIN")
