--- a/tests/hosted.py
+++ b/tests/hosted.py
@@ -77,24 +77,27 @@
         self.group.start()
         self.store.start()
         self.version = 0
+        # The same on all instances, as on the platform.
+        self.peer_port = free_port(socket.SOCK_DGRAM)
         self.configure()
         self.list_endpoints()
         self.proxies = [self.make(n) for n in range(proxies)]
 
     def make(self, number: int) -> instance.Instance:
         """Starts a proxy."""
+        host = f"127.0.0.{number + 1}"
         cfg = settings.HostedSettings(
             name=f"p{number}",
             zone=f"z{number % 3 + 1}",
             regions=ZONES,
-            host="127.0.0.1",
-            callers=f"127.0.0.1:{free_port()}",
-            readiness=f"127.0.0.1:{free_port()}",
-            peer_port=free_port(socket.SOCK_DGRAM),
+            host=host,
+            callers=f"{host}:{free_port()}",
+            readiness=f"{host}:{free_port()}",
+            peer_port=self.peer_port,
             metrics_port=free_port(),
             store=self.store.address,
             promoter=self.store.address,
-            seeds=(),
+            seeds=("127.0.0.1:1", "127.0.0.2:1"),
             stop_s=6.0,
         )
         running = instance.Instance(cfg=cfg)
