--- a/bronzehold/platform/instance.py
+++ b/bronzehold/platform/instance.py
@@ -88,6 +88,11 @@
         )
         self._listener: listener.Listener | None = None
 
+    @property
+    def listening(self) -> bool:
+        """Whether callers can connect."""
+        return self._listener is not None
+
     def _on_members(self, values: dict[str, bytes]) -> None:
         self.gossip.set_members(exchange_lib.members(values))
         if self.cfg.name not in values:
--- a/tests/hosted.py
+++ b/bronzehold/platform/local.py
@@ -1,19 +1,21 @@
-"""A small deployment on stand-ins of the users' platform, in one process."""
+"""A small deployment on stand-ins of the platform, for the demo and tests."""
 
+import collections.abc
 import contextlib
-import dataclasses
 import json
 import socket
+import time
 
 from bronzehold.core import settings
 from bronzehold.platform import instance
+from bronzehold.platform import standin_group
+from bronzehold.platform import standin_store
 from bronzehold.platform import wire
-from bronzehold.standin import http_store
-from bronzehold.standin import line_endpoint
-from tests import helpers
 
 ZONES = {"z1": "r1", "z2": "r2", "z3": "r3"}
 SERVICE = "grp"
+READY_S = 10.0
+POLL_S = 0.02
 DATABASES = {
     "latest": {"type": "primary"},
     "bounded": {"type": "bounded_staleness", "max_staleness_ms": 1500},
@@ -21,6 +23,21 @@
 }
 
 
+def wait(
+    check: collections.abc.Callable[[], object], seconds: float = READY_S
+) -> None:
+    """Waits until a check holds.
+
+    Raises:
+        TimeoutError: It did not in time.
+    """
+    end = time.monotonic() + seconds
+    while not check():
+        if time.monotonic() > end:
+            raise TimeoutError("it did not come to pass")
+        time.sleep(POLL_S)
+
+
 def free_port(kind: int = socket.SOCK_STREAM) -> int:
     """Returns a port that nobody listens on."""
     with socket.socket(socket.AF_INET, kind) as sock:
@@ -28,13 +45,17 @@
         return sock.getsockname()[1]
 
 
-@dataclasses.dataclass
+class UnexpectedError(Exception):
+    """An answer was a failure where a success was expected."""
+
+
 class Session:
     """A caller that speaks the line protocol."""
 
-    sock: socket.socket
-    lines: wire.Lines
-    sent: int = 0
+    def __init__(self, *, sock: socket.socket, lines: wire.Lines):
+        self.sock = sock
+        self.lines = lines
+        self.sent = 0
 
     def ask(self, text: str) -> list[str]:
         """Returns the lines of the answer to a statement."""
@@ -56,9 +77,14 @@
         return found
 
     def rows(self, text: str) -> list[str]:
-        """Returns the rows of an answer that must be a success."""
+        """Returns the rows of an answer.
+
+        Raises:
+            UnexpectedError: It is a failure.
+        """
         found = self.ask(text)
-        assert found[-2].startswith("COMPLETE"), found
+        if not found[-2].startswith("COMPLETE"):
+            raise UnexpectedError(found[-2])
         return [line[4:] for line in found[:-2]]
 
 
@@ -67,12 +93,12 @@
 
     def __init__(self, *, proxies: int = 2, **fields):
         zones = {f"e{n}": f"z{n}" for n in (1, 2, 3)}
-        self.group = line_endpoint.Group(
-            settings=line_endpoint.LineSettings(
+        self.group = standin_group.Group(
+            settings=standin_group.LineSettings(
                 service=SERVICE, zones=zones, **fields
             )
         )
-        self.store = http_store.Store(groups={SERVICE: self.group})
+        self.store = standin_store.Store(groups={SERVICE: self.group})
         self.group.on_role = self.list_endpoints
         self.group.start()
         self.store.start()
@@ -102,9 +128,7 @@
         )
         running = instance.Instance(cfg=cfg)
         running.start()
-        helpers.wait_for(running.process.ready)
-        helpers.wait_for(lambda: running._listener is not None)
-        helpers.wait_for(lambda: self.leader(running) is not None)
+        wait(lambda: running.listening and self.leader(running) is not None)
         return running
 
     def leader(self, proxy: instance.Instance) -> str | None:
@@ -162,7 +186,8 @@
         sock.sendall(f"STARTUP {database} test\r\n".encode())
         lines = wire.Lines(sock=sock)
         welcome = lines.next().decode()
-        assert welcome == "READY I -", welcome
+        if welcome != "READY I -":
+            raise UnexpectedError(welcome)
         return Session(sock=sock, lines=lines)
 
     def close(self) -> None:
--- a/bronzehold/standin/http_store.py
+++ b/bronzehold/platform/standin_store.py
@@ -9,7 +9,7 @@
 import typing
 import urllib.parse
 
-from bronzehold.standin import line_endpoint
+from bronzehold.platform import standin_group
 
 WATCH_POLL_S = 0.01
 LEASE_CHECK_S = 0.05
@@ -28,7 +28,7 @@
             answered.
     """
 
-    def __init__(self, *, groups: dict[str, line_endpoint.Group]):
+    def __init__(self, *, groups: dict[str, standin_group.Group]):
         self.absent = False
         self.refuse = 0
         self.lose_answers = 0
--- a/bronzehold/tools/main.py
+++ b/bronzehold/tools/main.py
@@ -11,6 +11,7 @@
 from bronzehold.core import settings
 from bronzehold.core import structure
 from bronzehold.core import validation
+from bronzehold.platform import demo as hosted_demo
 from bronzehold.platform import settings_file as hosted_settings
 from bronzehold.process import platform
 from bronzehold.process import proxy as proxy_lib
@@ -283,7 +284,9 @@
 
 def demo() -> int:
     """Run the main job on embedded stand-ins, and say how it went."""
-    return OK if demo_lib.run(_say) else NOT_DONE
+    postgres = demo_lib.run(_say)
+    hosted = hosted_demo.run(_say)
+    return OK if postgres and hosted else NOT_DONE
 
 
 def soak(*, seed: int = 1, seconds: float = 60.0) -> int:
--- a/tests/hosted_failover_test.py
+++ b/tests/hosted_failover_test.py
@@ -4,8 +4,8 @@
 import pytest
 
 from bronzehold.core import ports
+from bronzehold.platform import local as hosted
 from tests import helpers
-from tests import hosted
 
 # The platform's own time in these tests is 0.1 s.
 GAP_S = 1.0 + 0.1
--- a/tests/hosted_outage_test.py
+++ b/tests/hosted_outage_test.py
@@ -2,8 +2,8 @@
 
 import pytest
 
+from bronzehold.platform import local as hosted
 from tests import helpers
-from tests import hosted
 
 
 @pytest.fixture(name="deployment")
--- a/tests/hosted_test.py
+++ b/tests/hosted_test.py
@@ -5,8 +5,8 @@
 
 import pytest
 
+from bronzehold.platform import local as hosted
 from tests import helpers
-from tests import hosted
 
 
 @pytest.fixture(name="deployment", scope="module")
@@ -125,7 +125,7 @@
 
 
 def test_an_unknown_database_is_refused(deployment):
-    with pytest.raises(AssertionError, match="NODATABASE"):
+    with pytest.raises(hosted.UnexpectedError, match="NODATABASE"):
         deployment.connect("nowhere")
 
 
