--- a/bronzehold/connection/fenced_caller.py
+++ b/bronzehold/connection/fenced_caller.py
@@ -3,6 +3,7 @@
 import threading
 import typing
 
+from bronzehold.connection import fenced_blocks as blocks
 from bronzehold.connection import fenced_runner
 from bronzehold.connection import fenced_session
 from bronzehold.core import clock
@@ -64,11 +65,11 @@
                     return
                 self._answer(req)
         finally:
-            self._runner.end_block(fenced_runner.Idle())
+            self._runner.end_block(blocks.Idle())
 
     def _receive(self) -> statements.Request | None:
         while True:
-            between = isinstance(self._runner.block, fenced_runner.Idle)
+            between = isinstance(self._runner.block, blocks.Idle)
             with self._lock:
                 if self._stopping and between:
                     return None
@@ -78,14 +79,14 @@
             except TimeoutError:
                 # The connection is given back; the caller hears of it with
                 # its next statement, since it drops what it did not ask for.
-                self._runner.end_block(fenced_runner.Failed())
+                self._runner.end_block(blocks.Failed())
             finally:
                 with self._lock:
                     self._waiting = False
 
     def _patience(self) -> float | None:
         match self._runner.block:
-            case fenced_runner.Pinned():
+            case blocks.Pinned():
                 return self._process.table().idle_transaction_s
             case _:
                 return None
@@ -105,8 +106,8 @@
     # Answering.
 
     def _answer(self, req: statements.Request) -> None:
-        self._runner.endpoint = ""
-        self._runner.tries.clear()
+        self._runner.exchange.endpoint = ""
+        self._runner.exchange.tries.clear()
         try:
             completed = self._run(req)
         except errors.FailureError as exc:
@@ -121,16 +122,16 @@
 
     def _state(self) -> statements.State:
         match self._runner.block:
-            case fenced_runner.Idle():
+            case blocks.Idle():
                 return statements.State.IDLE
-            case fenced_runner.Failed():
+            case blocks.Failed():
                 return statements.State.FAILED
             case _:
                 return statements.State.OPEN
 
     def _run(self, req: statements.Request) -> statements.Completed | None:
         """Runs a statement; None if the proxy itself has done it."""
-        if isinstance(self._runner.block, fenced_runner.Failed):
+        if isinstance(self._runner.block, blocks.Failed):
             return self._run_failed(req)
         match req.statement:
             case statements.SetValue(name=name, value=value):
@@ -167,13 +168,13 @@
                 self._runner.roll_back()
             case statements.Commit():
                 self._runner.roll_back()
-                endpoint = self._runner.endpoint
+                endpoint = self._runner.exchange.endpoint
                 raise _failure(errors.TransactionLost(endpoint=endpoint))
             case _:
                 raise _failure(errors.InFailedTransaction())
 
     def _begin(self, *, read_only: bool) -> None:
-        if not isinstance(self._runner.block, fenced_runner.Idle):
+        if not isinstance(self._runner.block, blocks.Idle):
             raise _failure(errors.Malformed(what="a transaction is open"))
         self._route = self._find()
         self._runner.begin(read_only=read_only)
@@ -184,22 +185,22 @@
             raise _failure(errors.ServiceUnknown(service=self._database))
         return route
 
-    def _use(self, req: statements.Request) -> fenced_runner.Use:
-        between = isinstance(self._runner.block, fenced_runner.Idle)
+    def _use(self, req: statements.Request) -> blocks.Use:
+        between = isinstance(self._runner.block, blocks.Idle)
         if between or self._route is None:
             self._route = self._find()
         route = self._route
         service = self._process.service(route.service)
         if service is None:
             raise _failure(errors.ServiceUnknown(service=route.service))
-        return fenced_runner.Use(
+        return blocks.Use(
             route=route,
             service=service,
             deadline=req.arrived + route.timeout_s,
         )
 
     def _commit(self, req: statements.Request) -> statements.Completed:
-        if isinstance(self._runner.block, fenced_runner.Idle):
+        if isinstance(self._runner.block, blocks.Idle):
             raise _failure(errors.Malformed(what="no transaction is open"))
         use = self._use(req)
         return self._runner.run_in_block(req, use, "", writes=False)
@@ -209,9 +210,9 @@
     ) -> statements.Completed:
         use = self._use(req)
         match self._runner.block:
-            case fenced_runner.Idle() if writes:
+            case blocks.Idle() if writes:
                 return self._runner.write(req, use, prepared)
-            case fenced_runner.Idle():
+            case blocks.Idle():
                 return self._runner.read(req, use, prepared)
             case _:
                 return self._runner.run_in_block(
@@ -229,7 +230,7 @@
         key = metrics.Key(
             service=service,
             work=type(req.statement).__name__,
-            place=self._runner.endpoint,
+            place=self._runner.exchange.endpoint,
             outcome=outcome,
         )
         self._process.measures.record(key, took)
@@ -257,7 +258,7 @@
                 database=self._database,
                 group=service,
                 work=type(req.statement).__name__,
-                endpoint=self._runner.endpoint,
+                endpoint=self._runner.exchange.endpoint,
                 tried=self._tried(req),
                 took_ms=int(took * 1000),
                 version=self._process.table().version,
@@ -284,7 +285,7 @@
                 work=type(req.statement).__name__,
                 failure=type(failure).__name__,
                 detail=errors.report(failure).message,
-                endpoint=self._runner.endpoint,
+                endpoint=self._runner.exchange.endpoint,
                 tried=self._tried(req),
                 took_ms=int(took * 1000),
                 primary=leader.endpoint if leader else "",
@@ -299,7 +300,7 @@
         return ", ".join(
             f"{one.endpoint} {_reason(one.failure)} "
             f"+{int((one.at - req.arrived) * 1000)}"
-            for one in self._runner.tries
+            for one in self._runner.exchange.tries
         )
 
     def _log(
@@ -322,7 +323,7 @@
                 work=type(req.statement).__name__,
                 failure=type(failure).__name__,
                 detail=errors.report(failure).message,
-                endpoint=self._runner.endpoint,
+                endpoint=self._runner.exchange.endpoint,
                 tried=self._tried(req),
                 took_ms=int(took * 1000),
                 primary=leader.endpoint if leader else "",
--- a/bronzehold/request/lengths.py
+++ b/bronzehold/request/lengths.py
@@ -10,6 +10,7 @@
 LONG_S = 0.25
 LONG_FACTOR = 8
 EWMA_WEIGHT = 0.3
+TYPICAL_STEP = 0.02
 MAX_SHAPES = 4096
 
 
@@ -51,8 +52,15 @@
             if len(self._took) >= MAX_SHAPES and key not in self._took:
                 self._took.pop(next(iter(self._took)))
             self._took[key] = old + EWMA_WEIGHT * (took - old)
-            if took <= self.bound():
-                self._typical_s += 0.01 * (took - self._typical_s)
+            self._learn_typical(took)
+
+    def _learn_typical(self, took: float) -> None:
+        # A step up or down, whatever the distance, follows the median: some
+        # long work does not move it, and when all work is slow it rises.
+        if took > self._typical_s:
+            self._typical_s = min(took, self._typical_s * (1 + TYPICAL_STEP))
+        else:
+            self._typical_s = max(took, self._typical_s * (1 - TYPICAL_STEP))
 
     def long_shapes(self) -> dict[int, float]:
         """Returns the shapes known to be long, with their seconds."""
