A port that is taken at the start is tried again; test deployments use ports of their own

Ruled out: load alone (the wait was over 10 s with everything else started). Change: the task is started anew until the port is free, and a proxy that does not listen is not ready; test deployments take ports below that range.

--- a/bronzehold/platform/instance.py
+++ b/bronzehold/platform/instance.py
@@ -81,7 +81,8 @@
             promotions=self.promotions,
         )
         self._answers = readiness.serve(
-            address(cfg.readiness), self.process.ready
+            address(cfg.readiness),
+            lambda: self.listening and self.process.ready(),
         )
         self._metrics = exposition.serve(
             (cfg.host, cfg.metrics_port), self._render_metrics
@@ -120,7 +121,7 @@
         tasks.spawn_lasting("mirror", self.mirror.run)
         tasks.spawn_lasting("registration", self.registration.run)
         tasks.spawn_lasting("promotions", self.promotions.run)
-        tasks.spawn("front", lambda: self._listen(host, port))
+        tasks.spawn_lasting("front", lambda: self._listen(host, port))
 
     def _listen(self, host: str, port: int) -> None:
         # A caller that is refused here would take a route for missing.
--- a/bronzehold/platform/local.py
+++ b/bronzehold/platform/local.py
@@ -11,6 +11,7 @@
 from bronzehold.platform import standin_group
 from bronzehold.platform import standin_store
 from bronzehold.platform import wire
+from bronzehold.tools import local as tools_local
 
 ZONES = {"z1": "r1", "z2": "r2", "z3": "r3"}
 SERVICE = "grp"
@@ -38,13 +39,6 @@
         time.sleep(POLL_S)
 
 
-def free_port(kind: int = socket.SOCK_STREAM) -> int:
-    """Returns a port that nobody listens on."""
-    with socket.socket(socket.AF_INET, kind) as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
-
-
 class UnexpectedError(Exception):
     """An answer was a failure where a success was expected."""
 
@@ -104,23 +98,31 @@
         self.store.start()
         self.version = 0
         # The same on all instances, as on the platform.
-        self.peer_port = free_port(socket.SOCK_DGRAM)
+        self.peer_port = tools_local.free_port()
         self.configure()
         self.list_endpoints()
         self.proxies = [self.make(n) for n in range(proxies)]
 
-    def make(self, number: int) -> instance.Instance:
-        """Starts a proxy."""
+    def make(
+        self, number: int, *, ready: bool = True, callers_port: int = 0
+    ) -> instance.Instance:
+        """Starts a proxy.
+
+        Args:
+            number: Tells it from the others.
+            ready: Whether to wait until it serves.
+            callers_port: Where callers connect, 0 for a free port.
+        """
         host = f"127.0.0.{number + 1}"
         cfg = settings.HostedSettings(
             name=f"p{number}",
             zone=f"z{number % 3 + 1}",
             regions=ZONES,
             host=host,
-            callers=f"{host}:{free_port()}",
-            readiness=f"{host}:{free_port()}",
+            callers=f"{host}:{callers_port or tools_local.free_port()}",
+            readiness=f"{host}:{tools_local.free_port()}",
             peer_port=self.peer_port,
-            metrics_port=free_port(),
+            metrics_port=tools_local.free_port(),
             store=self.store.address,
             promoter=self.store.address,
             seeds=("127.0.0.1:1", "127.0.0.2:1"),
@@ -128,7 +130,8 @@
         )
         running = instance.Instance(cfg=cfg)
         running.start()
-        wait(lambda: running.listening and self.leader(running) is not None)
+        if ready:
+            wait(lambda: running.listening and self.leader(running) is not None)
         return running
 
     def leader(self, proxy: instance.Instance) -> str | None:
