A full endpoint with no connection of ours is left alone as well

Cause (a new test of the pool): the pause after a refused connection counted the open connections and allowed one at least, so where none was open each waiting request still asked, one after the other: 1,270 dials in 0.25 s in the test. Change: none is allowed during the pause. The events of a request take their common fields from one place. Tests: bronzehold/process/pool_test.py, load patterns by name; failed first.

--- a/bronzehold/connection/fenced_caller.py
+++ b/bronzehold/connection/fenced_caller.py
@@ -252,19 +252,25 @@
         took: float,
     ) -> None:
         self._process.line.add_frequent(
-            kind(
-                request=req.id,
-                session=self._session.name,
-                database=self._database,
-                group=service,
-                work=type(req.statement).__name__,
-                endpoint=self._runner.exchange.endpoint,
-                tried=self._tried(req),
-                took_ms=int(took * 1000),
-                version=self._process.table().version,
-            )
+            kind(**self._common(req, service, took))
         )
 
+    def _common(
+        self, req: statements.Request, service: str, took: float
+    ) -> dict[str, str | int]:
+        """Returns the fields that all events of a request have."""
+        return {
+            "request": req.id,
+            "session": self._session.name,
+            "database": self._database,
+            "group": service,
+            "work": type(req.statement).__name__,
+            "endpoint": self._runner.exchange.endpoint,
+            "tried": self._tried(req),
+            "took_ms": int(took * 1000),
+            "version": self._process.table().version,
+        }
+
     def _log_failure(
         self,
         req: statements.Request,
@@ -278,20 +284,12 @@
         age = clock.now() - proof.at if proof else -0.001
         self._process.line.add_frequent(
             events.RequestFailed(
-                request=req.id,
-                session=self._session.name,
-                database=self._database,
-                group=service,
-                work=type(req.statement).__name__,
+                **self._common(req, service, took),
                 failure=type(failure).__name__,
                 detail=errors.report(failure).message,
-                endpoint=self._runner.exchange.endpoint,
-                tried=self._tried(req),
-                took_ms=int(took * 1000),
                 primary=leader.endpoint if leader else "",
                 term=leader.term if leader else 0,
                 proof_age_ms=int(age * 1000),
-                version=self._process.table().version,
             )
         )
 
--- a/bronzehold/process/pool.py
+++ b/bronzehold/process/pool.py
@@ -285,7 +285,7 @@
     def _note_full(self) -> None:
         with self._lock:
             open_now = self._leased - self._granted + len(self._idle) - 1
-            self._full_at = max(1, open_now)
+            self._full_at = max(0, open_now)
             self._full_until = time.monotonic() + FULL_S
 
     def _connect(
--- a/bronzehold/process/pool_test.py
+++ b/bronzehold/process/pool_test.py
@@ -1,9 +1,11 @@
+import contextlib
 import threading
 import time
 
 import pytest
 
 from bronzehold.core import errors
+from bronzehold.core import ports
 from bronzehold.process import pool as pool_lib
 from tests import helpers
 
@@ -117,3 +119,87 @@
         pool.give_back(backend, good=True)
     pool.resize(pool_lib.Caps(connections=1, slots=1))
     assert sum(backend.closed for backend in made) == 1
+
+
+def _enter_later(pool, order, name, **fields):
+    def run():
+        pool.enter(session=name, deadline=soon(), **fields)
+        order.append(name)
+
+    thread = threading.Thread(target=run, daemon=True)
+    thread.start()
+    return thread
+
+
+def _wait_for_queue(pool, length: int) -> None:
+    end = time.monotonic() + 2.0
+    while pool.load().waiting < length:
+        assert time.monotonic() < end
+        time.sleep(0.005)
+
+
+def test_one_kind_crowding_out_another_the_urgent_kind_goes_first():
+    pool, _ = make(connections=1, slots=1)
+    held = pool.enter(session="first", deadline=soon())
+    order = []
+    threads = []
+    for number in range(5):
+        threads.append(_enter_later(pool, order, f"low{number}", priority=2))
+        _wait_for_queue(pool, number + 1)
+    threads.append(_enter_later(pool, order, "urgent", priority=0))
+    _wait_for_queue(pool, 6)
+    pool.rest(0.001)
+    pool.give_back(held, good=True)
+    end = time.monotonic() + 2.0
+    while not order and time.monotonic() < end:
+        time.sleep(0.005)
+    assert order == ["urgent"]
+
+
+def test_crest_of_a_wave_a_request_that_may_go_elsewhere_does_not_wait():
+    pool, _ = make(connections=1, slots=1)
+    pool.enter(session="first", deadline=soon())
+    began = time.monotonic()
+    with pytest.raises(errors.FailureError):
+        pool.enter(session="read", deadline=soon(), patience_s=0.05)
+    assert time.monotonic() - began < 0.5
+    assert pool.load().waiting == 0
+
+
+def test_half_the_endpoints_gone_a_full_one_is_not_asked_by_each_who_waits():
+    calls = []
+
+    def dial(_endpoint):
+        calls.append(1)
+        raise ports.DialError("full", ports.DialFailure.FULL)
+
+    caps = pool_lib.Caps(connections=8, slots=8)
+    pool = pool_lib.Pool(endpoint=ENDPOINT, dial=dial, caps=caps, queue_s=1.0)
+    end = time.monotonic() + 0.25
+
+    def ask():
+        while time.monotonic() < end:
+            with contextlib.suppress(ports.DialError, errors.FailureError):
+                pool.enter(session="a", deadline=soon(), patience_s=0.02)
+            time.sleep(0.001)
+
+    threads = [threading.Thread(target=ask) for _ in range(8)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    # Without a pause there would be hundreds.
+    assert len(calls) < 400
+
+
+def test_a_connection_that_suits_the_session_is_preferred():
+    pool, made = make(connections=3, slots=3)
+    held = [pool.enter(session="a", deadline=soon()) for _ in range(3)]
+    for backend in held:
+        pool.rest(0.001)
+        pool.give_back(backend, good=True)
+    wanted = made[0]
+    chosen = pool.enter(
+        session="a", deadline=soon(), prefer=lambda conn: conn is wanted
+    )
+    assert chosen is wanted
