--- a/bronzehold/tools/explain.py
+++ b/bronzehold/tools/explain.py
@@ -154,7 +154,7 @@
     ]
     nearby.sort(key=lambda line: line.at_s)
     out += [f"  {line.text(one.at_s)}" for line in nearby]
-    lasting = _lasting(one, lines)
+    lasting = [line for line in _lasting(one, lines) if line not in nearby]
     if lasting:
         out.append("  still so on this instance, since before:")
         out += [f"  {line.text(one.at_s)}" for line in lasting]
