--- a/bronzehold/connection/fenced_caller.py
+++ b/bronzehold/connection/fenced_caller.py
@@ -301,36 +301,6 @@
             for one in self._runner.exchange.tries
         )
 
-    def _log(
-        self,
-        req: statements.Request,
-        failure: errors.Failure,
-        service: str,
-        took: float,
-    ) -> None:
-        served = self._process.service(service)
-        leader = served.group.leader() if served else None
-        proof = served.group.proofs.newest() if served else None
-        age = clock.now() - proof.at if proof else -0.001
-        self._process.line.add(
-            events.RequestFailed(
-                request=req.id,
-                session=self._session.name,
-                database=self._database,
-                group=service,
-                work=type(req.statement).__name__,
-                failure=type(failure).__name__,
-                detail=errors.report(failure).message,
-                endpoint=self._runner.exchange.endpoint,
-                tried=self._tried(req),
-                took_ms=int(took * 1000),
-                primary=leader.endpoint if leader else "",
-                term=leader.term if leader else 0,
-                proof_age_ms=int(age * 1000),
-                version=self._process.table().version,
-            )
-        )
-
 
 def _reason(failure: errors.Failure) -> str:
     match failure:
--- a/bronzehold/platform/wire.py
+++ b/bronzehold/platform/wire.py
@@ -17,7 +17,6 @@
 MAX_LINE_BYTES = 1 << 20
 RECEIVE_BYTES = 65536
 NO_ID = "-"
-NO_POSITION = "-"
 
 _STATES = {
     "I": statements.State.IDLE,
