Replicas known to be behind come last, and a read queues once

A read that had waited in the queue also failed when its proof had grown too old meanwhile, though a newer one was there.

Ruled out: too few proofs (proof_age_ms 70 to 300 in the failed lines), and a primary out of reach (none failing).

Change: from the positions an endpoint told and the proofs of the primary, the time is estimated for which it will lack a position; it comes after the primary then, and is tried again after a while. A read waits to its end where nothing else promises more, and renews its proof after the wait.

--- a/bronzehold/connection/fenced_blocks.py
+++ b/bronzehold/connection/fenced_blocks.py
@@ -35,10 +35,14 @@
     Attributes:
         since: The position that the endpoint's log must hold.
         expires: Until when that is enough, in seconds of clock.now().
+        max_age_s: How old the data may be.
+        own: The session's last write, None where it does not matter.
     """
 
     since: statements.LogPosition
     expires: float
+    max_age_s: float
+    own: statements.LogPosition | None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/bronzehold/connection/fenced_runner.py
+++ b/bronzehold/connection/fenced_runner.py
@@ -123,25 +123,27 @@
             group=use.service.limits.name
         )
         use.service.budget.earn()
-        self.exchange.patience_s = READ_PATIENCE_S
+        patience_s = READ_PATIENCE_S
         while True:
-            proof = _proof(use, max_age_s)
-            if proof is None:
+            need = _need(use, max_age_s, own)
+            if need is None:
                 # Nobody has proved enough lately; the primary itself can.
                 return self._until_led(use, run_guarded)
-            need = blocks.Need(
-                since=freshness.needed(proof, own),
-                expires=proof.at + max_age_s,
-            )
-            ranked = placement.order(use.service.candidates(avoid), need.since)
-            if not ranked:
+            ranked = placement.order(use.service.candidates(need.since))
+            left = [one.endpoint for one in ranked if one.endpoint not in avoid]
+            if not left:
                 if not (avoid and self._has_time(use)):
                     raise errors.FailureError(last)
                 time.sleep(PAUSE_S)
                 avoid = frozenset()
-                self.exchange.patience_s = LONG_PATIENCE_S
+                patience_s = LONG_PATIENCE_S
                 continue
-            target = ranked[0].endpoint
+            target = left[0]
+            # Whoever leaves a queue that it comes back to loses its place.
+            elsewhere = any(
+                one.promising for one in ranked if one.endpoint != target
+            )
+            self.exchange.patience_s = patience_s if elsewhere else None
             try:
                 return run(target, need)
             except blocks.ElsewhereError as exc:
@@ -163,7 +165,7 @@
         need: blocks.Need,
     ) -> statements.Completed:
         with self.exchange.lease(use, target) as held:
-            self._set_up_aged(held, use, target, need)
+            need = self._set_up_aged(held, use, target, need)
             forward = statements.Forwarded(
                 request=req, since=need.since, prepared=prepared
             )
@@ -179,15 +181,22 @@
         use: blocks.Use,
         target: str,
         need: blocks.Need,
-    ) -> None:
-        """Makes a connection ready, if its proof is still young enough."""
+    ) -> blocks.Need:
+        """Makes a connection ready, and returns what is needed by then.
+
+        The wait for the connection may have outlasted the proof.
+        """
         given_up = self.exchange.watch(use, target)
         self.exchange.set_up(held.conn, use, given_up)
-        if clock.now() > need.expires - SEND_SLACK_S:
+        if clock.now() <= need.expires - SEND_SLACK_S:
+            return need
+        renewed = _need(use, need.max_age_s, need.own)
+        if renewed is None:
             raise blocks.ElsewhereError(
                 errors.NoFreshEndpoint(group=use.service.limits.name),
                 sent=False,
             )
+        return renewed
 
     def _judge_read(
         self, use: blocks.Use, target: str, answer: statements.Answer
@@ -439,7 +448,7 @@
         need: blocks.Need,
     ) -> blocks.Pinned:
         with self.exchange.lease(use, target) as held:
-            self._set_up_aged(held, use, target, need)
+            need = self._set_up_aged(held, use, target, need)
             held.conn.send(
                 (statements.OpenTransaction(read_only=True, since=need.since),)
             )
@@ -533,6 +542,21 @@
         )
 
 
+def _need(
+    use: blocks.Use, max_age_s: float, own: statements.LogPosition | None
+) -> blocks.Need | None:
+    """Returns what a read that is sent now needs; None if nothing is proved."""
+    proof = _proof(use, max_age_s)
+    if proof is None:
+        return None
+    return blocks.Need(
+        since=freshness.needed(proof, own),
+        expires=proof.at + max_age_s,
+        max_age_s=max_age_s,
+        own=own,
+    )
+
+
 def _proof(use: blocks.Use, max_age_s: float) -> freshness.Proof | None:
     """Returns the proof to read by: an old one, or the last that will do."""
     proofs = use.service.group.proofs
--- a/bronzehold/platform/local.py
+++ b/bronzehold/platform/local.py
@@ -140,7 +140,7 @@
         found = service.group.leader() if service else None
         return found.endpoint if found and found.term else None
 
-    def configure(self, **fields) -> None:
+    def configure(self, *, max_connections: int = 16, **fields) -> None:
         """Writes the next configuration."""
         self.version += 1
         routes = [
@@ -159,7 +159,7 @@
         table = {
             "version": self.version,
             "routes": routes,
-            "services": [{"name": SERVICE, "max_connections": 16}],
+            "services": [{"name": SERVICE, "max_connections": max_connections}],
             "limits": {"tx_idle_ms": 3000},
         }
         self.store.put("op/config", json.dumps(table).encode())
--- a/bronzehold/platform/standin_group.py
+++ b/bronzehold/platform/standin_group.py
@@ -169,6 +169,8 @@
         self.connections = 0
         self.waiting = 0
         self.questions = 0
+        # Statements refused since the log lacked their position.
+        self.lagging = 0
         # How many of the next answers vanish, the connection staying open.
         self.swallow = 0
         self.slots = threading.BoundedSemaphore(group.settings.slots)
@@ -336,6 +338,7 @@
             position = wire.parse_position(since)
             with self._group.lock:
                 if not self._endpoint.holds(position):
+                    self._endpoint.lagging += 1
                     self._fail("LAGGING")
                     return
         word, _, rest = text.partition(" ")
--- a/bronzehold/process/fenced.py
+++ b/bronzehold/process/fenced.py
@@ -22,6 +22,10 @@
 SILENT_S = 0.7
 # Two refused connections, a probe apart.
 REFUSED_S = 0.12
+# How long an estimate that an endpoint is behind is believed without a word
+# from it: some round trips at least, and half of a route's shortest age.
+LEAST_BELIEF_S = 0.1
+MOST_BELIEF_S = 0.8
 # Whoever was heard in this time is in reach, whatever failed since.
 HEARD_S = 0.5
 
@@ -348,6 +352,23 @@
                 self.cond.wait(min(left, RECHECK_S))
             return self._leader
 
+    def behind_s(self, endpoint: str, need: statements.LogPosition) -> float:
+        """Estimates for how long an endpoint will still lack a position.
+
+        An estimate is believed for a while only, and then tried out.
+
+        Returns:
+            Seconds from now; 0 if it may hold the position.
+        """
+        contact = self._contacts.get(endpoint)
+        if contact is None or contact.position is None:
+            return 0.0
+        held = freshness.Held(position=contact.position, at=contact.position_at)
+        behind_s = self.proofs.behind_s(held, need)
+        told_s = clock.now() - contact.position_at
+        believed_s = min(max(behind_s / 2, LEAST_BELIEF_S), MOST_BELIEF_S)
+        return behind_s if told_s < believed_s else 0.0
+
     def contact(self, endpoint: str) -> Contact | None:
         """Returns how an endpoint has answered lately."""
         return self._contacts.get(endpoint)
--- a/bronzehold/process/fenced_service.py
+++ b/bronzehold/process/fenced_service.py
@@ -142,16 +142,21 @@
 
     # Where a read may go.
 
-    def candidates(self, avoid: frozenset[str]) -> list[placement.Candidate]:
-        """Returns the endpoints that take new work, but for some."""
+    def candidates(
+        self, need: statements.LogPosition
+    ) -> list[placement.Candidate]:
+        """Returns the endpoints that take new work.
+
+        Args:
+            need: The position that the work needs.
+        """
         env = self.env
         leader = self.group.leader()
-        now = clock.now()
         found = []
         for name, listing in self.group.listings().items():
             pool = self._pools.get(name)
             contact = self.group.contact(name)
-            if listing.leaving or name in avoid or not (pool and contact):
+            if listing.leaving or not (pool and contact):
                 continue
             load = pool.load()
             region = env.regions.get(listing.zone, listing.zone)
@@ -165,8 +170,7 @@
                     took_s=load.service_s if load.measured else 0.0,
                     wait_s=load.wait_s,
                     full=load.full,
-                    position=contact.position,
-                    position_age_s=now - contact.position_at,
+                    behind_s=self.group.behind_s(name, need),
                 )
             )
         return found
--- a/bronzehold/request/placement.py
+++ b/bronzehold/request/placement.py
@@ -8,8 +8,6 @@
 import collections.abc
 import dataclasses
 
-from bronzehold.core import statements
-
 # One way between availability zones and between regions, for endpoints that
 # have not been measured yet.
 NEAR_S = 0.0005
@@ -21,7 +19,7 @@
 PRIMARY_S = 0.15
 # What bytes between regions are worth avoiding for.
 FAR_PENALTY_S = 0.03
-# After so long, a replica that was behind has caught up or says so itself.
+# What a try costs at an endpoint that is expected to lack the position.
 BEHIND_S = 0.04
 # What waiting for a connection takes; a transaction may rest on it.
 FULL_S = 0.1
@@ -41,8 +39,7 @@
         took_s: What statements took there lately, 0 where nothing is known.
         wait_s: How long a statement would wait for a slot in this proxy.
         full: Whether it would wait for a connection as well.
-        position: The last position it told, None where nothing is known.
-        position_age_s: How long ago that was.
+        behind_s: For how long its log is expected to lack what the read needs.
     """
 
     endpoint: str
@@ -53,24 +50,24 @@
     took_s: float
     wait_s: float
     full: bool
-    position: statements.LogPosition | None
-    position_age_s: float
+    behind_s: float
+
+    @property
+    def promising(self) -> bool:
+        """Whether nothing is known that keeps it from serving the read."""
+        return not self.failing and not self.behind_s
 
 
-def order(
-    candidates: collections.abc.Iterable[Candidate],
-    need: statements.LogPosition,
-) -> list[Candidate]:
+def order(candidates: collections.abc.Iterable[Candidate]) -> list[Candidate]:
     """Orders the endpoints that may serve a read, the best first.
 
     Args:
         candidates: The endpoints that are listed and not leaving.
-        need: The position that the read needs.
     """
-    return sorted(candidates, key=lambda c: (_cost(c, need), c.endpoint))
+    return sorted(candidates, key=lambda c: (_cost(c), c.endpoint))
 
 
-def _cost(one: Candidate, need: statements.LogPosition) -> float:
+def _cost(one: Candidate) -> float:
     cost = one.took_s or _distance(one) + GUESS_S
     cost += one.wait_s
     if one.full:
@@ -79,8 +76,8 @@
         cost += FAR_PENALTY_S
     if one.leads:
         cost += PRIMARY_S
-    elif _is_behind(one, need):
-        cost += PRIMARY_S + BEHIND_S
+    elif one.behind_s:
+        cost += PRIMARY_S + BEHIND_S + one.behind_s
     if one.failing:
         cost += FAILING_S
     return cost
@@ -90,9 +87,3 @@
     if one.same_zone:
         return NEAR_S
     return REGION_S if one.same_region else FAR_S
-
-
-def _is_behind(one: Candidate, need: statements.LogPosition) -> bool:
-    if one.position is None or one.position_age_s > BEHIND_S:
-        return False
-    return one.position < need
--- a/bronzehold/version/freshness.py
+++ b/bronzehold/version/freshness.py
@@ -6,13 +6,17 @@
 right on every endpoint whose log holds a position proved no longer ago.
 """
 
-import collections
+import bisect
 import dataclasses
+import operator
 import threading
 
+from bronzehold.core import clock
 from bronzehold.core import statements
 
 KEEP_S = 10.0
+# Old proofs are dropped many at a time.
+DROP_S = 2.0
 SPACING_S = 0.02
 
 
@@ -29,12 +33,26 @@
     at: float
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Held:
+    """What an endpoint's log held when it last told.
+
+    Attributes:
+        position: The last position in its log.
+        at: When it told, in seconds of clock.now().
+    """
+
+    position: statements.LogPosition
+    at: float
+
+
 class Proofs:
     """The proofs of one group, by age; safe to use from many threads."""
 
     def __init__(self):
         self._lock = threading.Lock()
-        self._proofs: collections.deque[Proof] = collections.deque()
+        # In the order of their times, and so nearly in that of positions.
+        self._proofs: list[Proof] = []
 
     def add(self, proof: Proof) -> None:
         """Takes a proof; one of an earlier term is dropped."""
@@ -43,8 +61,9 @@
             if last is not None and not self._makes_room(last, proof):
                 return
             self._proofs.append(proof)
-            while proof.at - self._proofs[0].at > KEEP_S:
-                self._proofs.popleft()
+            if proof.at - self._proofs[0].at > KEEP_S:
+                kept_from = proof.at - KEEP_S + DROP_S
+                del self._proofs[: self._first_since(kept_from)]
 
     def _makes_room(self, last: Proof, proof: Proof) -> bool:
         """Whether a proof is news; drops what it makes superfluous."""
@@ -72,10 +91,45 @@
         The older the position, the more replicas hold it.
         """
         with self._lock:
-            for proof in self._proofs:
-                if proof.at >= at:
-                    return proof
-        return None
+            number = self._first_since(at)
+            found = self._proofs[number : number + 1]
+        return found[0] if found else None
+
+    def _first_since(self, at: float) -> int:
+        return bisect.bisect_left(self._proofs, at, key=_AT)
+
+    def behind_s(self, held: Held, need: statements.LogPosition) -> float:
+        """Estimates for how long an endpoint will still lack a position.
+
+        An endpoint that held at some time what the primary had held a while
+        before is taken to stay behind by that while.
+
+        Args:
+            held: What the endpoint's log held when it last told.
+            need: The position it is to hold.
+
+        Returns:
+            Seconds from now on clock.now(); 0 if it should hold it by now.
+        """
+        if held.position >= need:
+            return 0.0
+        with self._lock:
+            last = bisect.bisect_right(
+                self._proofs, held.position, key=_POSITION
+            )
+            first = bisect.bisect_left(self._proofs, need, key=_POSITION)
+            if not self._proofs:
+                return 0.0
+            # The primary went past what is held soon after this proof.
+            passed_at = self._proofs[max(0, last - 1)].at
+            known = first < len(self._proofs)
+            needed_at = self._proofs[first].at if known else clock.now()
+        lag_s = max(0.0, held.at - passed_at)
+        return max(0.0, needed_at + lag_s - clock.now())
+
+
+_AT = operator.attrgetter("at")
+_POSITION = operator.attrgetter("position")
 
 
 def needed(
--- /dev/null
+++ b/tests/hosted_load_test.py
@@ -0,0 +1,70 @@
+"""Load on stand-ins of the users' platform: who waits, and who is refused."""
+
+import threading
+import time
+
+from bronzehold.platform import local as hosted
+
+LAG_S = 20.0
+
+
+def _replicas(deployment):
+    return [e for e in deployment.group.endpoints.values() if not e.leads]
+
+
+class _Readers:
+    """Sessions that read at the same time."""
+
+    def __init__(self, *, deployment, sessions: int, reads: int):
+        self.refused: list[str] = []
+        self.slowest_s = 0.0
+        self._reads = reads
+        self._threads = [
+            threading.Thread(
+                target=self._run, args=(deployment.connect("bounded"), number)
+            )
+            for number in range(sessions)
+        ]
+
+    def _run(self, session: hosted.Session, number: int) -> None:
+        time.sleep(number * 0.01)
+        for _ in range(self._reads):
+            began = time.monotonic()
+            answer = session.ask("READ a")
+            self.slowest_s = max(self.slowest_s, time.monotonic() - began)
+            if not answer[-2].startswith("COMPLETE"):
+                self.refused.append(answer[-2])
+
+    def run(self) -> None:
+        for thread in self._threads:
+            thread.start()
+        for thread in self._threads:
+            thread.join()
+
+
+def _write_for(deployment, seconds: float) -> None:
+    writer = deployment.connect("latest")
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        writer.rows("WRITE a 1")
+        time.sleep(0.02)
+
+
+def test_replicas_far_behind_and_scarce_connections():
+    """All reads queue once, where they can be served.
+
+    One connection to each endpoint for each proxy; the primary alone holds
+    what reads need, and could serve them all.
+    """
+    with hosted.running(proxies=2, connections=2, work_s=0.02) as deployment:
+        deployment.configure(max_connections=2)
+        for endpoint in _replicas(deployment):
+            endpoint.faults.change(lag_s=LAG_S)
+        _write_for(deployment, 2.0)
+        for endpoint in _replicas(deployment):
+            endpoint.lagging = 0
+        readers = _Readers(deployment=deployment, sessions=16, reads=5)
+        readers.run()
+        asked = sum(e.lagging for e in _replicas(deployment))
+    assert not readers.refused
+    assert asked < 80 / 2, "replicas known to be behind are not asked again"
