Connections are borrowed, and a queue that is too long refuses at once

Cause: a trial that logged each pool showed the one primary that could serve a group at its limit (330 statements a second on 4 slots of 11.8 ms) and 200 to 290 requests waiting for it over all proxies, most of them until their 0.8 s were over. The pool reckoned its waiting time as if all slots were its own, so its bound never held. Besides, 46 connections over 30 proxies left 16 unused.

Change: the pool learns how often its queue gets a turn and refuses a request at once that would wait longer than half of its route's target; a caller may try another proxy, and those who wait are served in time. Unused connections are borrowed after 30 ms of waiting, kept while in use, and given back when a peer that is refused within its share says so in its digest. What an endpoint refused keeps its place in the queue. `tried` says how far a lagging endpoint was.

--- a/bronzehold/connection/fenced_caller.py
+++ b/bronzehold/connection/fenced_caller.py
@@ -304,8 +304,8 @@
 
 def _reason(failure: errors.Failure) -> str:
     match failure:
-        case errors.EndpointError(reason=reason):
-            return reason.value
+        case errors.EndpointError(reason=reason, detail=detail):
+            return f"{reason.value} {detail}".rstrip()
         case _:
             return type(failure).__name__
 
--- a/bronzehold/connection/fenced_exchange.py
+++ b/bronzehold/connection/fenced_exchange.py
@@ -25,6 +25,9 @@
 # An answer that takes so many times what is usual there has been lost.
 LOST_FACTOR = 10
 MAX_TRIES_KEPT = 8
+# The part of a route's target that a statement may spend in the queue; behind
+# a longer one it is refused at once, since its caller may try elsewhere.
+QUEUE_SHARE = 0.5
 
 
 class Lease:
@@ -116,6 +119,7 @@
                 priority=use.route.priority,
                 prefer=self._session.suits,
                 patience_s=self.patience_s,
+                most_wait_s=use.route.target_s * QUEUE_SHARE,
             )
         except errors.FailureError as exc:
             raise blocks.ElsewhereError(exc.failure, sent=False) from exc
--- a/bronzehold/connection/fenced_runner.py
+++ b/bronzehold/connection/fenced_runner.py
@@ -150,6 +150,8 @@
                 self.exchange.note_try(target, exc.failure)
                 avoid |= {target}
                 last = exc.failure
+                if _is_hopeless(exc.failure) and not elsewhere:
+                    raise errors.FailureError(last) from exc
                 if exc.sent and not use.service.budget.spend():
                     raise errors.FailureError(last) from exc
 
@@ -173,7 +175,7 @@
             answer = self.exchange.ask(
                 held.conn, forward, use, self.exchange.watch(use, target)
             )
-        return self._judge_read(use, target, answer)
+        return self._judge_read(use, target, answer, need.since)
 
     def _set_up_aged(
         self,
@@ -199,7 +201,11 @@
         return renewed
 
     def _judge_read(
-        self, use: blocks.Use, target: str, answer: statements.Answer
+        self,
+        use: blocks.Use,
+        target: str,
+        answer: statements.Answer,
+        needed: statements.LogPosition | None = None,
     ) -> statements.Completed:
         match answer:
             case statements.Completed():
@@ -207,6 +213,8 @@
                 return answer
             case statements.Refused(reason=reason, detail=detail):
                 use.service.group.note_heard(target, answer.position)
+                if reason is statements.Reason.LAGGING:
+                    detail = f"at {answer.position}, needed {needed}"
                 raise blocks.ElsewhereError(
                     errors.EndpointError(
                         endpoint=target, reason=reason, detail=detail
@@ -250,7 +258,7 @@
                 self.exchange.note_try(self.exchange.endpoint, exc.failure)
                 self._end_write()
                 last = exc.failure
-                if not self._has_time(use):
+                if _is_hopeless(last) or not self._has_time(use):
                     raise errors.FailureError(last) from exc
                 if exc.sent and not use.service.budget.spend():
                     raise errors.FailureError(last) from exc
@@ -457,7 +465,7 @@
             refused = isinstance(answer, statements.Refused)
             if refused and answer.state is not statements.State.IDLE:
                 fenced_exchange.undo(held.conn)
-            self._judge_read(use, target, answer)
+            self._judge_read(use, target, answer, need.since)
             held.kept = True
         return blocks.Pinned(
             conn=held.conn,
@@ -542,6 +550,11 @@
         )
 
 
+def _is_hopeless(failure: errors.Failure) -> bool:
+    """Whether trying the same endpoint again soon would be in vain."""
+    return isinstance(failure, errors.Overloaded)
+
+
 def _need(
     use: blocks.Use, max_age_s: float, own: statements.LogPosition | None
 ) -> blocks.Need | None:
--- a/bronzehold/platform/instance.py
+++ b/bronzehold/platform/instance.py
@@ -121,6 +121,7 @@
         tasks.spawn_lasting("mirror", self.mirror.run)
         tasks.spawn_lasting("registration", self.registration.run)
         tasks.spawn_lasting("promotions", self.promotions.run)
+        tasks.spawn_lasting("sweep", self.process.sweep)
         tasks.spawn_lasting("front", lambda: self._listen(host, port))
 
     def _listen(self, host: str, port: int) -> None:
--- a/bronzehold/process/exchange.py
+++ b/bronzehold/process/exchange.py
@@ -66,6 +66,7 @@
         digest.leaving.extend(self._mirror.leaving())
         for service in self._process.services():
             digest.groups.append(self._view(service, echoed_at))
+            digest.crowded.extend(service.crowded())
 
     def _view(
         self, service: fenced_service.FencedService, echoed_at: float
@@ -108,6 +109,9 @@
                 gossip_lib.unpack(digest.entries), digest.proxy
             )
         self._mirror.mark_leaving(digest.leaving)
+        for endpoint in digest.crowded:
+            for service in self._process.services():
+                service.recall(endpoint)
         for view in digest.groups:
             service = self._process.service(view.service)
             if service is not None:
--- a/bronzehold/process/fenced_service.py
+++ b/bronzehold/process/fenced_service.py
@@ -30,6 +30,8 @@
 # flight than its share, and no slot rests while another proxy is idle.
 SLOTS_AHEAD = 2
 QUEUE_S = 0.5
+# The part of an endpoint's connections that one proxy has at most.
+MOST_BORROWED = 0.5
 # Connections of an instance that loses power linger at the endpoint, so none
 # is kept that is not in use.
 IDLE_S = 3.0
@@ -125,16 +127,34 @@
                 pool.resize(self._caps(listing))
 
     def _caps(self, listing: routes.Listing) -> pool_lib.Caps:
-        connections = self.limits.connections // max(1, self.env.share())
+        most = self.limits.connections
+        share = max(1, most // max(1, self.env.share()))
+        slots = listing.slots + SLOTS_AHEAD
+        loans = min(slots, int(most * MOST_BORROWED) - share)
         return pool_lib.Caps(
-            connections=max(1, connections),
-            slots=listing.slots + SLOTS_AHEAD,
+            connections=share, slots=slots, loans=max(0, loans)
         )
 
     def pool(self, endpoint: str) -> pool_lib.Pool | None:
         """Returns the pool of an endpoint, None if it is not listed."""
         return self._pools.get(endpoint)
 
+    def crowded(self) -> list[str]:
+        """Returns the endpoints that refused a connection of this share."""
+        pools = list(self._pools.items())
+        return [name for name, pool in pools if pool.crowded()]
+
+    def recall(self, endpoint: str) -> None:
+        """Gives back a connection that a peer has a right to."""
+        pool = self._pools.get(endpoint)
+        if pool is not None:
+            pool.recall()
+
+    def sweep(self) -> None:
+        """Closes idle connections that are not needed any more."""
+        for pool in list(self._pools.values()):
+            pool.sweep()
+
     def close(self) -> None:
         """Ends the probes and closes the pools."""
         for name in list(self._pools):
--- a/bronzehold/process/hosted.py
+++ b/bronzehold/process/hosted.py
@@ -19,6 +19,8 @@
 from bronzehold.process import timeline
 
 STOP_POLL_S = 0.02
+# Peers may want what is idle here.
+SWEEP_S = 0.5
 # The balancer asks once a second, and takes an instance out after two misses.
 LEAVE_S = 2.2
 # What is left of the time to stop for the process to end.
@@ -153,6 +155,12 @@
         for service in self.services():
             service.resize()
 
+    def sweep(self) -> None:
+        """Closes idle connections now and then until the process stops."""
+        while not self.tasks.stop.wait(SWEEP_S):
+            for service in self.services():
+                service.sweep()
+
     # Callers.
 
     def ready(self) -> bool:
--- a/bronzehold/process/pool.py
+++ b/bronzehold/process/pool.py
@@ -7,6 +7,10 @@
 first, so a session with many statements cannot hold back one with few. A
 request that cannot be served before its deadline is refused at once, and so is
 one that would make the queue longer than its bound.
+
+Connections are shared equally between proxies, and what others do not use may
+be borrowed: the endpoint itself refuses what is above its limit. A proxy that
+is refused below its share says so, and whoever has borrowed gives back.
 """
 
 import collections.abc
@@ -21,6 +25,7 @@
 from bronzehold.core import ports
 
 EWMA_WEIGHT = 0.1
+TURN_WEIGHT = 0.2
 PATIENCE = 2
 MEASURE_LIFE_S = 2.0
 FIRST_GUESS_S = 0.005
@@ -29,6 +34,17 @@
 LAST = 1 << 30
 # How long an endpoint that refused a connection is not asked for another.
 FULL_S = 0.1
+# How often a waiting request looks whether it may go on.
+DISPATCH_S = 0.05
+# How long none is borrowed after that, or after a peer wants its share.
+NO_LOANS_S = 0.5
+# A connection is borrowed for whoever has waited for so long: opening one
+# takes a slot of the endpoint for about as long as a short statement.
+BORROW_AFTER_S = 0.03
+# An idle connection above the share is closed after so long.
+LOAN_IDLE_S = 1.5
+# For how long a refusal below the share is told to peers.
+CROWDED_S = 0.5
 
 
 class Connection(typing.Protocol):
@@ -55,12 +71,14 @@
     """What this proxy may use at once.
 
     Attributes:
-        connections: Connections for callers' work.
+        connections: Connections for callers' work; this proxy's share.
         slots: Statements in flight.
+        loans: Connections beyond the share, while the endpoint grants them.
     """
 
     connections: int
     slots: int
+    loans: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -80,7 +98,15 @@
 class Waiter:
     """One request in the queue."""
 
-    __slots__ = ("granted", "long", "order", "priority", "tag")
+    __slots__ = (
+        "granted",
+        "long",
+        "order",
+        "priority",
+        "queued",
+        "since",
+        "tag",
+    )
 
     def __init__(
         self,
@@ -94,6 +120,9 @@
         self.priority = priority
         self.order = order
         self.long = long
+        self.since = time.monotonic()
+        # Whether it was not granted at once.
+        self.queued = False
         self.granted = threading.Event()
 
 
@@ -116,6 +145,11 @@
         self._idle_s = idle_s
         self._full_until = 0.0
         self._full_at = 0
+        self._no_loans_until = 0.0
+        self._crowded_until = 0.0
+        # Borrowed connections that peers have asked back.
+        self._recalled = 0
+        self._recalled_at = -NO_LOANS_S
         self._lock = threading.Lock()
         self._idle: list[Connection] = []
         self._leased = 0
@@ -129,6 +163,8 @@
         self._tags: dict[str, float] = {}
         self._service_s = FIRST_GUESS_S
         self._learned_at = -MEASURE_LIFE_S
+        self._turn_s = 0.0
+        self._turn_at = -MEASURE_LIFE_S
         self._closed = False
 
     def resize(self, caps: Caps) -> None:
@@ -151,7 +187,7 @@
                 service_s=self._service_s,
                 measured=self._is_measured(),
                 wait_s=self._expected(),
-                full=self._leased >= self._caps.connections,
+                full=self._leased >= self._limit(borrow=False),
             )
 
     def _is_measured(self) -> bool:
@@ -160,13 +196,37 @@
         return time.monotonic() - self._learned_at < MEASURE_LIFE_S
 
     def _expected(self, priority: int = LAST) -> float:
+        """Returns how long a request would wait that came now, in seconds."""
         waiting = sum(w.priority <= priority for w in self._waiters)
-        ahead = self._running + waiting
-        free = max(0, self._caps.slots - ahead)
-        if free:
+        free = self._running < self._caps.slots
+        if not waiting and free and self._leased < self._limit(borrow=False):
+            return 0.0
+        return max((waiting + 1) * self._turn(), self._stalled())
+
+    def _stalled(self) -> float:
+        """Returns for how long nobody in the queue has had a turn."""
+        if not self._waiters:
             return 0.0
-        behind = ahead - self._caps.slots + 1
-        return behind * self._service_s / max(1, self._caps.slots)
+        first = min(w.since for w in self._waiters)
+        return time.monotonic() - max(first, self._turn_at)
+
+    def _turn(self) -> float:
+        """Returns how often a request in the queue gets its turn, in seconds.
+
+        The endpoint serves other proxies as well, so this is known from the
+        queue itself only.
+        """
+        if time.monotonic() - self._turn_at < MEASURE_LIFE_S:
+            return self._turn_s
+        return self._service_s / max(1, self._caps.slots)
+
+    def _note_turn(self, waiter: Waiter) -> None:
+        now = time.monotonic()
+        took = now - max(waiter.since, self._turn_at)
+        if now - self._turn_at < MEASURE_LIFE_S:
+            took = self._turn_s + TURN_WEIGHT * (took - self._turn_s)
+        self._turn_s = took
+        self._turn_at = now
 
     def resume(self) -> None:
         """Counts one more statement of a transaction that is open."""
@@ -182,6 +242,7 @@
         priority: int = 0,
         prefer: collections.abc.Callable[[Connection], bool] | None = None,
         patience_s: float | None = None,
+        most_wait_s: float | None = None,
     ) -> Connection:
         """Waits for a slot and a connection.
 
@@ -194,6 +255,8 @@
             prefer: Says which idle connections suit the caller best.
             patience_s: How long to wait at most, for a request that may go
                 elsewhere.
+            most_wait_s: The request is refused at once if it is expected to
+                wait longer; None for the pool's own bound.
 
         Returns:
             The connection to use.
@@ -206,26 +269,59 @@
             if length is data.Length.LONG:
                 waiter = self._queue_long()
             else:
-                waiter = self._queue(session, deadline, priority)
+                waiter = self._queue(session, deadline, priority, most_wait_s)
             self._dispatch()
+            waiter.queued = True
         now = time.monotonic()
         patience = min(deadline - now, self._queue_s * PATIENCE)
         if patience_s is not None:
             patience = min(patience, patience_s)
         end = now + patience
-        while not waiter.granted.wait(min(max(0.0, end - now), FULL_S)):
+        while True:
+            self._wait(waiter, end)
+            try:
+                return self._connect(length, prefer)
+            except ports.DialError as exc:
+                full = exc.failure is ports.DialFailure.FULL
+                if not full or time.monotonic() >= end:
+                    raise
+            waiter = self._queue_again(waiter)
+
+    def _wait(self, waiter: Waiter, end: float) -> None:
+        now = time.monotonic()
+        while not waiter.granted.wait(min(max(0.0, end - now), DISPATCH_S)):
             now = time.monotonic()
             if now >= end:
                 self._give_up(waiter)
-                break
+                return
             with self._lock:
                 self._dispatch()
-        return self._connect(length, prefer)
 
-    def _queue(self, session: str, deadline: float, priority: int) -> Waiter:
+    def _queue_again(self, waiter: Waiter) -> Waiter:
+        """Puts a request whose connection was refused back in its place."""
+        again = Waiter(
+            tag=waiter.tag,
+            order=waiter.order,
+            long=waiter.long,
+            priority=waiter.priority,
+        )
+        again.since = waiter.since
+        again.queued = True
+        with self._lock:
+            self._waiters.append(again)
+        return again
+
+    def _queue(
+        self,
+        session: str,
+        deadline: float,
+        priority: int,
+        most_wait_s: float | None,
+    ) -> Waiter:
         expected = self._expected(priority)
         late = time.monotonic() + expected > deadline
-        if late or expected > self._queue_s:
+        most = self._queue_s if most_wait_s is None else most_wait_s
+        if late or expected > most:
             raise self._overloaded(expected)
         if len(self._tags) > MAX_SESSIONS_KEPT:
             self._tags = {
@@ -259,13 +355,17 @@
         raise self._overloaded(expected)
 
     def _dispatch(self) -> None:
-        while self._waiters and self._leased < self._limit():
+        while self._waiters:
             full = self._running >= self._caps.slots
             ready = [w for w in self._waiters if w.long or not full]
             if not ready:
                 return
             waiter = min(ready, key=lambda w: (w.priority, w.tag, w.order))
+            if self._leased >= self._limit(borrow=self._may_borrow()):
+                return
             self._waiters.remove(waiter)
+            if waiter.queued:
+                self._note_turn(waiter)
             self._leased += 1
             self._granted += 1
             if waiter.long:
@@ -275,18 +375,63 @@
                 self._virtual = max(self._virtual, waiter.tag - 1)
             waiter.granted.set()
 
-    def _limit(self) -> int:
-        # An endpoint that takes no more connections now is not asked for one
-        # by each who waits; those that are open are used meanwhile.
-        if time.monotonic() < self._full_until:
-            return min(self._caps.connections, self._full_at)
-        return self._caps.connections
+    def _may_borrow(self) -> bool:
+        """Whether somebody has waited so long that a loan is worth it."""
+        now = time.monotonic()
+        if now < self._no_loans_until:
+            return False
+        return any(now - w.since >= BORROW_AFTER_S for w in self._waiters)
+
+    def _limit(self, *, borrow: bool) -> int:
+        """Returns how many connections may be in use now."""
+        now = time.monotonic()
+        most = self._caps.connections
+        if borrow:
+            most += self._caps.loans
+        # What is open is used in any case. An endpoint that takes no more
+        # connections now is not asked for one by each who waits.
+        if now < self._full_until:
+            most = min(most, self._full_at)
+        return max(most, self._open())
+
+    def _open(self) -> int:
+        return self._leased - self._granted + len(self._idle)
 
     def _note_full(self) -> None:
         with self._lock:
-            open_now = self._leased - self._granted + len(self._idle) - 1
-            self._full_at = max(0, open_now)
-            self._full_until = time.monotonic() + FULL_S
+            now = time.monotonic()
+            self._full_at = max(0, self._open() - 1)
+            self._full_until = now + FULL_S
+            if self._full_at < self._caps.connections:
+                self._crowded_until = now + CROWDED_S
+            else:
+                self._no_loans_until = now + NO_LOANS_S
+
+    def crowded(self) -> bool:
+        """Whether the endpoint lately refused what is within the share."""
+        return time.monotonic() < self._crowded_until
+
+    def recall(self) -> None:
+        """Gives one borrowed connection back, if there is any."""
+        with self._lock:
+            now = time.monotonic()
+            if now < self._recalled_at + NO_LOANS_S:
+                return
+            self._no_loans_until = now + NO_LOANS_S
+            if self._open() <= self._caps.connections:
+                return
+            self._recalled_at = now
+            self._recalled = 1
+            over = self._trim()
+        for backend in over:
+            backend.close()
+
+    def sweep(self) -> None:
+        """Closes idle connections that are not needed any more."""
+        with self._lock:
+            over = self._trim()
+        for backend in over:
+            backend.close()
 
     def _connect(
         self,
@@ -378,14 +523,26 @@
             item.close()
 
     def _trim(self) -> list[Connection]:
-        room = max(0, self._caps.connections - self._leased)
-        over = self._idle[: max(0, len(self._idle) - room)]
-        del self._idle[: len(over)]
+        """Takes out the idle connections that are to be closed."""
+        over = []
         now = time.monotonic()
-        while self._idle and now - self._idle[0].idle_since > self._idle_s:
+        while self._idle and self._is_over(now - self._idle[0].idle_since):
             over.append(self._idle.pop(0))
         return over
 
+    def _is_over(self, idle_s: float) -> bool:
+        """Whether the connection that has been idle longest is to go."""
+        extra = self._open() - self._caps.connections
+        if extra > self._caps.loans or idle_s > self._idle_s:
+            return True
+        if extra <= 0:
+            self._recalled = 0
+            return False
+        if self._recalled:
+            self._recalled -= 1
+            return True
+        return idle_s > LOAN_IDLE_S
+
     def drop_idle(self) -> None:
         """Closes the idle connections, as after the endpoint was lost."""
         with self._lock:
--- a/bronzehold/process/pool_test.py
+++ b/bronzehold/process/pool_test.py
@@ -205,3 +205,87 @@
         session="a", deadline=soon(), prefer=lambda conn: conn is wanted
     )
     assert chosen is wanted
+
+
+class Endpoint:
+    """Grants connections up to a limit, whoever asks."""
+
+    def __init__(self, limit: int):
+        self.limit = limit
+        self.dialled = 0
+        self.made: list[FakeBackend] = []
+
+    def dial(self, _endpoint):
+        self.dialled += 1
+        if sum(not one.closed for one in self.made) >= self.limit:
+            raise ports.DialError("full", ports.DialFailure.FULL)
+        self.made.append(FakeBackend())
+        return self.made[-1]
+
+    def pool(self, *, share: int, loans: int):
+        caps = pool_lib.Caps(connections=share, slots=9, loans=loans)
+        return pool_lib.Pool(
+            endpoint=ENDPOINT, dial=self.dial, caps=caps, queue_s=1.0
+        )
+
+
+def _enter(pool, count: int, patience_s: float = 0.3):
+    return [
+        pool.enter(session=str(n), deadline=soon(), patience_s=patience_s)
+        for n in range(count)
+    ]
+
+
+def _leave(pool, backends):
+    for backend in backends:
+        pool.rest(0.001)
+        pool.give_back(backend, good=True)
+
+
+def test_one_zone_asks_for_more_than_its_share_and_borrows():
+    pool = Endpoint(limit=4).pool(share=1, loans=3)
+    held = _enter(pool, 4)
+    with pytest.raises(errors.FailureError):
+        _enter(pool, 1, patience_s=0.05)
+    _leave(pool, held)
+
+
+def test_whoever_is_refused_a_loan_waits_for_what_is_open():
+    endpoint = Endpoint(limit=1)
+    pool = endpoint.pool(share=1, loans=3)
+    (held,) = _enter(pool, 1)
+    threading.Timer(0.1, _leave, (pool, [held])).start()
+    began = time.monotonic()
+    assert _enter(pool, 1) == [held]
+    assert time.monotonic() - began < 0.25
+    assert endpoint.dialled == 2, "a full endpoint is not asked again at once"
+    assert not pool.crowded()
+
+
+def test_idle_loans_are_closed_soon():
+    pool = Endpoint(limit=4).pool(share=1, loans=3)
+    held = _enter(pool, 3)
+    _leave(pool, held)
+    for backend in held:
+        backend.idle_since -= pool_lib.LOAN_IDLE_S + 0.01
+    pool.sweep()
+    assert sum(not one.closed for one in held) == 1
+
+
+def test_a_peer_that_is_refused_its_share_gets_it_from_a_borrower():
+    endpoint = Endpoint(limit=2)
+    borrower = endpoint.pool(share=1, loans=1)
+    peer = endpoint.pool(share=1, loans=1)
+    held = _enter(borrower, 2)
+    with pytest.raises((errors.FailureError, ports.DialError)):
+        _enter(peer, 1, patience_s=0.05)
+    assert peer.crowded() and not borrower.crowded()
+    borrower.recall()
+    _leave(borrower, held[:1])
+    assert held[0].closed, "a borrowed connection goes back as it returns"
+    (mine,) = _enter(peer, 1)
+    _leave(borrower, held[1:])
+    assert not held[1].closed, "the share itself stays"
+    borrower.recall()
+    borrower.sweep()
+    assert not held[1].closed and not mine.closed
