What is in flight at an endpoint adapts to how late it answers

Change: each proxy's bound on statements in flight narrows while an endpoint's average answer takes over twice its quickest average, or it refuses for a full queue, and widens again while answers are quick and work waits. Work waits in the proxies, by priority and fairly, and not in a queue that has no order.

--- a/bronzehold/connection/fenced_exchange.py
+++ b/bronzehold/connection/fenced_exchange.py
@@ -249,6 +249,8 @@
         match answer:
             case statements.Refused(reason=statements.Reason.UNKNOWN_STATEMENT):
                 conn.prepared.discard(name)
+            case statements.Refused(reason=statements.Reason.BUSY):
+                use.service.note_busy(self.endpoint)
         return answer
 
 
--- a/bronzehold/platform/standin_group.py
+++ b/bronzehold/platform/standin_group.py
@@ -169,8 +169,10 @@
         self.connections = 0
         self.waiting = 0
         self.questions = 0
-        # Statements refused since the log lacked their position.
+        # Statements refused since the log lacked their position, and since
+        # too many waited.
         self.lagging = 0
+        self.refused_busy = 0
         # How many of the next answers vanish, the connection staying open.
         self.swallow = 0
         self.slots = threading.BoundedSemaphore(group.settings.slots)
@@ -326,7 +328,7 @@
         self._send(*lines, f"COMPLETE {mac}", self._ready())
 
     def _fail(self, code: str, text: str = "") -> None:
-        if self._state == "T" and code != "LAGGING":
+        if self._state == "T" and code not in ("LAGGING", "BUSY"):
             self._state = "E"
         self._send(f"ERROR {code} {text}", self._ready())
 
@@ -410,6 +412,7 @@
             writes = self._names[key] == "WRITE"
         endpoint = self._endpoint
         if endpoint.waiting >= self._group.settings.queue:
+            endpoint.refused_busy += 1
             self._fail("BUSY", endpoint.name)
             return
         endpoint.waiting += 1
--- a/bronzehold/process/fenced_service.py
+++ b/bronzehold/process/fenced_service.py
@@ -15,6 +15,7 @@
 from bronzehold.process import fenced
 from bronzehold.process import pool as pool_lib
 from bronzehold.process import timeline
+from bronzehold.process import window as window_lib
 from bronzehold.request import placement
 
 PROBE_TIMEOUT_S = 0.3
@@ -104,6 +105,7 @@
             caps=self._caps(listing),
             queue_s=QUEUE_S,
             idle_s=IDLE_S,
+            window=window_lib.Window(size=listing.slots),
         )
         wake = threading.Event()
         self._wakes[listing.id] = wake
@@ -310,6 +312,12 @@
             case _:
                 self.group.note_failing(name, refused=True)
 
+    def note_busy(self, name: str) -> None:
+        """Notes that an endpoint refused a statement for its full queue."""
+        pool = self._pools.get(name)
+        if pool is not None:
+            pool.note_busy()
+
     def note_not_leading(self, name: str) -> None:
         """Notes that an endpoint does not lead, and looks for who does."""
         self.group.note_not_leading(name)
--- a/bronzehold/process/pool.py
+++ b/bronzehold/process/pool.py
@@ -11,6 +11,9 @@
 Connections are shared equally between proxies, and what others do not use may
 be borrowed: the endpoint itself refuses what is above its limit. A proxy that
 is refused below its share says so, and whoever has borrowed gives back.
+
+How much is in flight adapts: less while the endpoint answers much later than it
+can, since work had better wait here, where it has an order, than there.
 """
 
 import collections.abc
@@ -23,6 +26,7 @@
 from bronzehold.core import data
 from bronzehold.core import errors
 from bronzehold.core import ports
+from bronzehold.process import window as window_lib
 
 EWMA_WEIGHT = 0.1
 TURN_WEIGHT = 0.2
@@ -137,12 +141,14 @@
         caps: Caps,
         queue_s: float,
         idle_s: float = IDLE_LIMIT_S,
+        window: window_lib.Window | None = None,
     ):
         self.endpoint = endpoint
         self._dial = dial
         self._caps = caps
         self._queue_s = queue_s
         self._idle_s = idle_s
+        self._window = window
         self._full_until = 0.0
         self._full_at = 0
         self._no_loans_until = 0.0
@@ -198,7 +204,7 @@
     def _expected(self, priority: int = LAST) -> float:
         """Returns how long a request would wait that came now, in seconds."""
         waiting = sum(w.priority <= priority for w in self._waiters)
-        free = self._running < self._caps.slots
+        free = self._running < self._slots()
         if not waiting and free and self._leased < self._limit(borrow=False):
             return 0.0
         return max((waiting + 1) * self._turn(), self._stalled())
@@ -356,7 +362,7 @@
 
     def _dispatch(self) -> None:
         while self._waiters:
-            full = self._running >= self._caps.slots
+            full = self._running >= self._slots()
             ready = [w for w in self._waiters if w.long or not full]
             if not ready:
                 return
@@ -394,6 +400,12 @@
             most = min(most, self._full_at)
         return max(most, self._open())
 
+    def _slots(self) -> int:
+        """Returns how many statements may be in flight now."""
+        if self._window is None:
+            return self._caps.slots
+        return min(self._caps.slots, self._window.size())
+
     def _open(self) -> int:
         return self._leased - self._granted + len(self._idle)
 
@@ -497,7 +509,16 @@
                     self._learn(took)
             self._dispatch()
 
+    def note_busy(self) -> None:
+        """Notes that the endpoint refused a statement for its full queue."""
+        with self._lock:
+            if self._window is not None:
+                self._window.note_busy()
+
     def _learn(self, took: float) -> None:
+        if self._window is not None:
+            wanted = bool(self._waiters)
+            self._window.note_answer(took, most=self._caps.slots, wanted=wanted)
         self._learned_at = time.monotonic()
         self._service_s += EWMA_WEIGHT * (took - self._service_s)
 
--- a/tests/hosted_load_test.py
+++ b/tests/hosted_load_test.py
@@ -22,13 +22,15 @@
         sessions: int,
         reads: int,
         database: str = "bounded",
+        proxy: int = 0,
     ):
         self.refused: list[str] = []
         self.slowest_s = 0.0
         self._reads = reads
         self._threads = [
             threading.Thread(
-                target=self._run, args=(deployment.connect(database), number)
+                target=self._run,
+                args=(deployment.connect(database, proxy), number),
             )
             for number in range(sessions)
         ]
@@ -96,3 +98,29 @@
             time.sleep(0.005)
     assert not readers.refused
     assert most > 2, "its share is 2 of 8"
+
+
+def test_many_proxies_do_not_fill_an_endpoints_queue():
+    """A crest waits in the proxies, and open transactions are not refused."""
+    fields = {"proxies": 4, "connections": 40, "queue": 4, "slots": 1}
+    with hosted.running(work_s=0.01, **fields) as deployment:
+        deployment.configure(max_connections=40, target_latency_ms=2000)
+        primary = deployment.group.primary()
+        readers = [
+            _Readers(
+                deployment=deployment,
+                sessions=6,
+                reads=15,
+                database="latest",
+                proxy=number,
+            )
+            for number in range(4)
+        ]
+        runners = [threading.Thread(target=r.run) for r in readers]
+        for runner in runners:
+            runner.start()
+        for runner in runners:
+            runner.join()
+        busy = primary.refused_busy
+    asked = 4 * 6 * 15
+    assert busy < asked / 4
