A full queue does not end an open transaction; refusals are no quick answers

Ruled out: that the endpoint rolls back when it refuses (state of the answers).

Change: such a statement is sent there again until its time is over. Refusals are not learned from; the window is cut to half and widens more slowly.

--- a/bronzehold/connection/fenced_caller.py
+++ b/bronzehold/connection/fenced_caller.py
@@ -98,6 +98,12 @@
             if self._waiting:
                 self._link.shut()
 
+    def end(self) -> None:
+        """Ends the connection, whatever is under way."""
+        with self._lock:
+            self._stopping = True
+            self._link.shut()
+
     def busy(self) -> bool:
         """Whether a request or a transaction is under way."""
         with self._lock:
--- a/bronzehold/connection/fenced_exchange.py
+++ b/bronzehold/connection/fenced_exchange.py
@@ -65,6 +65,9 @@
         self.endpoint = ""
         self.tries: list[blocks.Try] = []
         self.patience_s: float | None = None
+        # Whether the last statement was refused before it ran, so that its
+        # time says nothing of how long statements take.
+        self._not_run = False
 
     def note_try(self, target: str, failure: errors.Failure) -> None:
         """Keeps what became of a try, for the logs."""
@@ -83,6 +86,7 @@
             blocks.ElsewhereError: There is none, or it was lost.
             errors.FailureError: It was lost, and the outcome is unknown.
         """
+        self._not_run = False
         pool, conn = self._enter(use, target)
         held = Lease(pool=pool, conn=conn)
         try:
@@ -98,7 +102,8 @@
             pool.rest(None)
             pool.give_back(conn, good=True)
             raise
-        pool.rest(clock.now() - held.sent if held.sent else None)
+        ran = held.sent and not self._not_run
+        pool.rest(clock.now() - held.sent if ran else None)
         if not held.kept:
             pool.give_back(conn, good=True)
 
@@ -251,6 +256,11 @@
                 conn.prepared.discard(name)
             case statements.Refused(reason=statements.Reason.BUSY):
                 use.service.note_busy(self.endpoint)
+        match answer:
+            case statements.Refused(reason=reason):
+                self._not_run = reason in statements.NOT_RUN
+            case _:
+                self._not_run = False
         return answer
 
 
--- a/bronzehold/connection/fenced_runner.py
+++ b/bronzehold/connection/fenced_runner.py
@@ -496,6 +496,11 @@
             sent = clock.now()
             doubt = self.exchange.doubt(use, pinned.endpoint)
             answer = self.exchange.ask(pinned.conn, forward, use, doubt)
+            while _is_still_open(answer) and self._has_time(use):
+                # It did not run, and only this connection can run it.
+                time.sleep(PAUSE_S)
+                sent = clock.now()
+                answer = self.exchange.ask(pinned.conn, forward, use, doubt)
             took = clock.now() - sent
         except ports.LinkError as exc:
             pinned.service.note_lost(pinned.endpoint)
@@ -550,6 +555,17 @@
         )
 
 
+def _is_still_open(answer: statements.Answer) -> bool:
+    """Whether a full queue refused it and its transaction goes on."""
+    match answer:
+        case statements.Refused(
+            reason=statements.Reason.BUSY, state=statements.State.OPEN
+        ):
+            return True
+        case _:
+            return False
+
+
 def _is_hopeless(failure: errors.Failure) -> bool:
     """Whether trying the same endpoint again soon would be in vain."""
     return isinstance(failure, errors.Overloaded)
--- a/bronzehold/process/hosted.py
+++ b/bronzehold/process/hosted.py
@@ -36,6 +36,9 @@
     def stop(self) -> None:
         """Ends the connection as soon as no transaction is open."""
 
+    def end(self) -> None:
+        """Ends the connection, whatever is under way."""
+
     def busy(self) -> bool:
         """Whether a request or a transaction is under way."""
 
@@ -223,6 +226,6 @@
         """Ends at once, whatever is under way."""
         self.tasks.close()
         for caller in self._all_callers():
-            caller.stop()
+            caller.end()
         for service in self.services():
             service.close()
--- a/bronzehold/process/window.py
+++ b/bronzehold/process/window.py
@@ -14,11 +14,11 @@
 WEIGHT = 0.1
 # By how much the quickest average is forgotten with each answer.
 FORGET = 0.001
-CUT = 0.7
+CUT = 0.5
 # The answers to what is in flight must be seen before the next cut.
 CUT_GAP_S = 0.1
 # Statements by which a full round of answers widens the window.
-GROW = 0.25
+GROW = 0.1
 
 
 class Window:
--- a/tests/hosted_load_test.py
+++ b/tests/hosted_load_test.py
@@ -124,3 +124,26 @@
         busy = primary.refused_busy
     asked = 4 * 6 * 15
     assert busy < asked / 4
+
+
+def test_a_full_queue_does_not_end_an_open_transaction():
+    """A statement that an endpoint had no place for is sent there again."""
+    with hosted.running(proxies=1, queue=0) as deployment:
+        session = deployment.connect("latest")
+        session.rows("BEGIN")
+        # An endpoint without a queue refuses what comes first.
+        answers = []
+        runner = threading.Thread(
+            target=lambda: answers.append(session.ask("WRITE a 1"))
+        )
+        runner.start()
+        time.sleep(0.2)
+        object.__setattr__(deployment.group.settings, "queue", 4)
+        runner.join()
+        assert answers[0][-2].startswith("COMPLETE"), answers
+        session.rows("COMMIT")
+        assert deployment.group.primary().refused_busy > 0
+        written = [
+            run for run in deployment.group.runs if "WRITE a" in run.text
+        ]
+        assert len(written) == 1
