A silent holder is replaced soon while its primary is out of reach

Change: proxies in trouble already tell everybody in each round; the holder now answers them, so its silence counts after 1.2 s of trouble.

Tests: process/promotions_test.py, process/exchange_test.py.

--- a/bronzehold/process/exchange.py
+++ b/bronzehold/process/exchange.py
@@ -141,6 +141,10 @@
         if view.reach == pb.GONE and view.leader:
             # One that is in touch with it tells the others soon.
             service.wake_probe(view.leader)
+        lost = view.reach == pb.GONE or not view.leader
+        if lost and self._promotions.holds(service.limits.name):
+            # They count on this proxy while they hear it.
+            self._gossip.answer(heard)
         if view.proof_term and heard.since is not None:
             position = statements.LogPosition(
                 term=view.proof_term, number=view.proof_number
--- a/bronzehold/process/exchange_test.py
+++ b/bronzehold/process/exchange_test.py
@@ -24,9 +24,34 @@
 
 
 class FakeGossip:
+    def __init__(self):
+        self.answered = []
+
     def poke(self):
         return None
 
+    def answer(self, heard):
+        self.answered.append(heard.digest.proxy)
+
+
+class FakePromotions:
+    def __init__(self):
+        self.holding = True
+
+    def holds(self, service):
+        del service
+        return self.holding
+
+
+class FakeService:
+    """A service whose group does not matter."""
+
+    limits = routes.ServiceLimits(name="g", connections=4, synchronous=False)
+    group = None
+
+    def wake_probe(self, name):
+        del name
+
 
 class FakeProcess:
     """A process with a configuration and nothing else."""
@@ -44,6 +69,10 @@
     def services(self):
         return []
 
+    def service(self, name):
+        del name
+        return FakeService()
+
     def table(self):
         return routes.Table(
             version=self.version,
@@ -66,15 +95,17 @@
         monkeypatch.setattr(clock, "now", lambda: self.at)
         self.process = FakeProcess()
         self.mirror = FakeMirror()
+        self.gossip = FakeGossip()
+        self.promotions = FakePromotions()
         self.exchange = exchange_lib.Exchange(
             process=self.process,
-            gossip=FakeGossip(),
+            gossip=self.gossip,
             mirror=self.mirror,
-            promotions=None,
+            promotions=self.promotions,
         )
 
-    def hear(self, version):
-        digest = pb.Digest(proxy="p", version=version)
+    def hear(self, version, *groups):
+        digest = pb.Digest(proxy="p", version=version, groups=groups)
         heard = gossip_lib.Heard(digest=digest, at=self.at, since=None)
         self.exchange.hear(heard)
 
@@ -112,3 +143,13 @@
     assert not first & second
     gossip.lacks_entries = lambda: False
     assert not gossip._choose_asked(addresses)
+
+
+def test_the_holder_answers_whoever_cannot_reach_its_primary(world):
+    view = pb.GroupView(service="g", leader="e", term=1, reach=pb.GONE)
+    world.hear(3, view)
+    world.hear(3, pb.GroupView(service="g", term=1))
+    assert world.gossip.answered == ["p", "p"]
+    world.promotions.holding = False
+    world.hear(3, view)
+    assert world.gossip.answered == ["p", "p"]
--- a/bronzehold/process/gossip.py
+++ b/bronzehold/process/gossip.py
@@ -164,6 +164,10 @@
         self._asked += ASKED
         return frozenset((addresses + addresses)[start : start + ASKED])
 
+    def answer(self, heard: Heard) -> None:
+        """Tells one peer at once that this proxy is there."""
+        self._send(heard.digest.address, heard)
+
     def _send(
         self,
         address: str,
--- a/bronzehold/process/promotions.py
+++ b/bronzehold/process/promotions.py
@@ -39,6 +39,8 @@
 # second, and callers have some seconds.
 MOST_HELD_S = 1.4
 CLAIM_RETRY_S = 0.5
+# Some rounds of gossip after a primary was found out of reach.
+TROUBLE_S = 1.2
 FENCE_RETRY_S = 1.0
 
 
@@ -134,33 +136,50 @@
         return {
             name: token.number
             for name, token in list(self._tokens.items())
-            if self._holds(name)
+            if self.holds(name)
         }
 
-    def _holds(self, service: str) -> bool:
+    def holds(self, service: str) -> bool:
+        """Whether this proxy may change a group's primary."""
         return self._may_use(service, self.token(service))
 
     def _may_use(self, service: str, token: Token) -> bool:
         mine = token.holder == self._me
         return mine and self._spent.get(service, 0) < token.number
 
-    def _claim(self, service: str) -> None:
+    def _claim(self, service: fenced_service.FencedService) -> None:
         """Wins the token if its holder is gone and this proxy is next."""
         now = clock.now()
-        if now - self._claimed_at.get(service, 0.0) < CLAIM_RETRY_S:
+        name = service.limits.name
+        if now - self._claimed_at.get(name, 0.0) < CLAIM_RETRY_S:
             return
-        token = self.token(service)
-        live = self._gossip.live()
-        names = {name for name, h in live.items() if not h.digest.stopping}
+        token = self.token(name)
+        peers = self._present(service)
         holder, _, _ = token.holder.partition("/")
-        if token.holder and holder in names and token.holder != self._me:
+        if token.holder and holder in peers and token.holder != self._me:
             return
         if self._gossip.stopping:
             return
-        if _first(service, names | {self._process.name}) != self._process.name:
+        if _first(name, peers | {self._process.name}) != self._process.name:
             return
-        self._claimed_at[service] = now
-        self._swap(service)
+        self._claimed_at[name] = now
+        self._swap(name)
+
+    def _present(self, service: fenced_service.FencedService) -> set[str]:
+        """Returns the peers that are there and could hold a group's token.
+
+        A proxy that cannot reach a primary tells all others in each round,
+        and the holder answers. So its silence counts soon then, however
+        seldom a peer of a large fleet is heard otherwise.
+        """
+        now = clock.now()
+        trouble = service.group.leaderless_s() > TROUBLE_S
+        return {
+            name
+            for name, heard in self._gossip.live().items()
+            if not heard.digest.stopping
+            and not (trouble and now - heard.at > TROUBLE_S)
+        }
 
     def _swap(self, service: str, *, renew: bool = False) -> None:
         key = RECORDS_PREFIX + service
@@ -169,7 +188,7 @@
             if item.value is not None:
                 self.take_record(service, item.value, item.revision)
             token = self.token(service)
-            mine = self._holds(service) and token.revision == item.revision
+            mine = self.holds(service) and token.revision == item.revision
             if mine and not renew:
                 # An earlier answer was lost; the record tells that it is won.
                 return
@@ -218,9 +237,9 @@
         name = service.limits.name
         if clock.now() < self._blind_until or self._gossip.stopping:
             return
-        if not self._holds(name):
+        if not self.holds(name):
             self._episodes.pop(name, None)
-            self._claim(name)
+            self._claim(service)
             return
         episode = self._episodes.get(name)
         if episode is not None:
@@ -396,7 +415,7 @@
         self._unfenced[name] = now + FENCE_RETRY_S
         before = self.token(name).number
         self._swap(name, renew=True)
-        if self.token(name).number == before or not self._holds(name):
+        if self.token(name).number == before or not self.holds(name):
             return
         why = "fence older orders"
         outcome = self._call(service, leader.endpoint, why, "")
--- a/bronzehold/process/promotions_test.py
+++ b/bronzehold/process/promotions_test.py
@@ -2,13 +2,16 @@
 
 import pytest
 
+from bronzehold.core import clock
 from bronzehold.core import ports
 from bronzehold.core import routes
 from bronzehold.core import statements
 from bronzehold.process import fenced_service
+from bronzehold.process import gossip as gossip_lib
 from bronzehold.process import promotions as promotions_lib
 from bronzehold.process import tasks as tasks_lib
 from bronzehold.process import timeline
+from bronzehold.proto import gossip_pb2 as pb
 from bronzehold.version import succession
 
 
@@ -23,8 +26,11 @@
 class FakeGossip:
     stopping = False
 
+    def __init__(self):
+        self.heard = {}
+
     def live(self):
-        return {}
+        return self.heard
 
     def share(self):
         return 1
@@ -70,11 +76,12 @@
     def __init__(self):
         self.store = FakeStore()
         self.promoter = FakePromoter()
+        self.gossip = FakeGossip()
         self.promotions = promotions_lib.Promotions(
             process=FakeProcess(),
             store=self.store,
             promoter=self.promoter,
-            gossip=FakeGossip(),
+            gossip=self.gossip,
             incarnation="1",
         )
         line = timeline.Timeline(proxy="me", zone="z")
@@ -153,3 +160,25 @@
     assert not world.promotions.held()
     world.order()
     assert not world.promoter.calls
+
+
+def _hear_holder(world, ago_s):
+    """A large fleet counts a peer as live that was heard some seconds ago."""
+    world.other_wins(2)
+    heard = gossip_lib.Heard(
+        digest=pb.Digest(proxy="you"), at=clock.now() - ago_s, since=None
+    )
+    world.gossip.heard = {"you": heard}
+
+
+@pytest.mark.parametrize(
+    ("ago_s", "trouble_s", "claims"),
+    [(1.5, 2.0, True), (0.3, 2.0, False), (1.5, 0.0, False)],
+)
+def test_a_silent_holder_is_replaced_soon_while_its_primary_is_out_of_reach(
+    world, monkeypatch, ago_s, trouble_s, claims
+):
+    _hear_holder(world, ago_s)
+    monkeypatch.setattr(world.service.group, "leaderless_s", lambda: trouble_s)
+    world.promotions._claim(world.service)
+    assert bool(world.store.items) == claims
