A randomized fault soak of the proxies as processes of their own

Found while building: the stand-in store printed a traceback for each caller that left in the middle of a call.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := .venv/bin
 READY := .venv/ready
 
-.PHONY: demo test bench check format soak slopes proto
+.PHONY: demo test bench check format soak soak-hosted slopes proto
 
 $(READY): pyproject.toml
 	$(PYTHON) -m venv .venv
@@ -30,6 +30,10 @@
 soak: $(READY)
 	$(BIN)/bronzehold soak --seed $(or $(SEED),1) --seconds $(or $(SECONDS),60)
 
+soak-hosted: $(READY)
+	$(BIN)/python -m bench.soak.run --seed $(or $(SEED),1) \
+	  --seconds $(or $(SECONDS),30) --seeds $(or $(SEEDS),1)
+
 slopes: $(READY)
 	$(BIN)/python -m bench.slopes
 
--- /dev/null
+++ b/bench/soak/deployment.py
@@ -0,0 +1,144 @@
+"""Proxies as processes of their own, before stand-ins of the platform."""
+
+import contextlib
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import urllib.error
+import urllib.request
+
+from bench.soak import relay as relay_lib
+from bronzehold.platform import local
+from bronzehold.tools import local as tools_local
+
+STOP_S = 3.0
+READY_S = 20.0
+KILL_S = 2.0
+
+
+class Proxy:
+    """One proxy: its settings, its way to the store, its process."""
+
+    def __init__(
+        self,
+        *,
+        number: int,
+        folder: pathlib.Path,
+        peer_port: int,
+        store: relay_lib.Relay,
+    ):
+        host = f"127.0.0.{number + 1}"
+        self.name = f"p{number}"
+        self.store = store
+        self.callers = (host, tools_local.free_port())
+        self._readiness = f"{host}:{tools_local.free_port()}"
+        self._settings = folder / f"{self.name}.json"
+        self._log = folder / f"{self.name}.log"
+        self._settings.write_text(
+            json.dumps(
+                {
+                    "name": self.name,
+                    "zone": f"z{number % 3 + 1}",
+                    "regions": local.ZONES,
+                    "host": host,
+                    "callers": f"{host}:{self.callers[1]}",
+                    "readiness": self._readiness,
+                    "peer_port": peer_port,
+                    "metrics_port": tools_local.free_port(),
+                    "store": store.address,
+                    "promoter": store.address,
+                    "seeds": ["127.0.0.1:1", "127.0.0.2:1", "127.0.0.3:1"],
+                    "stop_s": STOP_S,
+                }
+            )
+        )
+        self._process: subprocess.Popen | None = None
+
+    def start(self) -> None:
+        """Starts the process."""
+        with self._log.open("a") as log:
+            self._process = subprocess.Popen(
+                [sys.executable, "-m", "bronzehold.platform"],
+                env={
+                    **os.environ,
+                    "BRONZEHOLD_NODE_FILE": str(self._settings),
+                },
+                stdout=log,
+                stderr=log,
+            )
+
+    def signal(self, number: signal.Signals) -> None:
+        """Sends a signal to the process, if there is one."""
+        if self._process is not None and self._process.poll() is None:
+            self._process.send_signal(number)
+
+    def wait_end(self, seconds: float) -> bool:
+        """Waits for the process to end; returns whether it has."""
+        try:
+            self._process.wait(seconds)
+        except subprocess.TimeoutExpired:
+            return False
+        return True
+
+    def kill(self) -> None:
+        """Ends the process at once."""
+        self.signal(signal.SIGKILL)
+        self.wait_end(KILL_S)
+
+    def ready(self) -> bool:
+        """Whether the proxy says that callers may come."""
+        url = f"http://{self._readiness}/bronzehold/ready"
+        with contextlib.suppress(OSError, urllib.error.URLError):
+            with urllib.request.urlopen(url, timeout=1.0) as answer:  # noqa: S310
+                return answer.status == 200
+        return False
+
+
+class Deployment(local.Deployment):
+    """A group and a store, reached through relays, and proxy processes."""
+
+    def __init__(
+        self, *, folder: pathlib.Path, proxies: int, seed: int, **fields
+    ):
+        self._seed = seed
+        self.relays: dict[str, relay_lib.Relay] = {}
+        super().__init__(proxies=0, **fields)
+        self.processes = [
+            Proxy(
+                number=number,
+                folder=folder,
+                peer_port=self.peer_port,
+                store=self._relay(lambda: self.store.address),
+            )
+            for number in range(proxies)
+        ]
+
+    def _relay(self, target) -> relay_lib.Relay:
+        self._seed += 1
+        return relay_lib.Relay(target=target, seed=self._seed)
+
+    def address(self, name: str) -> str:
+        """Returns where proxies reach an endpoint: at its relay."""
+        endpoint = self.group.endpoints[name]
+        if name not in self.relays:
+            self.relays[name] = self._relay(lambda: endpoint.address)
+        return self.relays[name].address
+
+    def start(self) -> None:
+        """Starts the proxies and waits until all serve."""
+        for proxy in self.processes:
+            proxy.start()
+        local.wait(lambda: all(p.ready() for p in self.processes), READY_S)
+
+    def close(self) -> None:
+        """Ends everything that this deployment has started."""
+        for proxy in self.processes:
+            proxy.signal(signal.SIGCONT)
+            proxy.kill()
+            proxy.store.close()
+        for relay in self.relays.values():
+            relay.close()
+        super().close()
--- /dev/null
+++ b/bench/soak/relay_test.py
@@ -0,0 +1,77 @@
+import socket
+import threading
+
+import pytest
+
+from bench.soak import relay as relay_lib
+
+
+@pytest.fixture(name="relay")
+def _relay():
+    server = socket.create_server(("127.0.0.1", 0))
+
+    def echo():
+        while True:
+            try:
+                sock, _ = server.accept()
+            except OSError:
+                return
+            threading.Thread(target=_echo, args=(sock,), daemon=True).start()
+
+    threading.Thread(target=echo, daemon=True).start()
+    port = server.getsockname()[1]
+    relay = relay_lib.Relay(target=lambda: f"127.0.0.1:{port}", seed=1)
+    yield relay
+    relay.close()
+    server.close()
+
+
+def _echo(sock):
+    while chunk := sock.recv(100):
+        sock.sendall(chunk)
+
+
+def _connect(relay):
+    host, _, port = relay.address.rpartition(":")
+    sock = socket.create_connection((host, int(port)))
+    sock.settimeout(0.3)
+    return sock
+
+
+def test_bytes_pass_in_both_directions(relay):
+    sock = _connect(relay)
+    sock.sendall(b"a")
+    assert sock.recv(10) == b"a"
+
+
+def test_a_silent_path_holds_what_is_sent_until_it_heals(relay):
+    sock = _connect(relay)
+    relay.now = relay_lib.Conditions(out_silent=True)
+    sock.sendall(b"a")
+    with pytest.raises(TimeoutError):
+        sock.recv(10)
+    relay.now = relay_lib.CALM
+    assert sock.recv(10) == b"a"
+
+
+def test_only_a_share_of_the_connections_is_struck(relay):
+    socks = [_connect(relay) for _ in range(20)]
+    relay.now = relay_lib.Conditions(in_silent=True, share=0.5)
+    silent = 0
+    for sock in socks:
+        sock.sendall(b"a")
+        try:
+            sock.recv(10)
+        except TimeoutError:
+            silent += 1
+    assert 0 < silent < len(socks)
+
+
+def test_reset_connections_end_at_once(relay):
+    sock = _connect(relay)
+    sock.sendall(b"a")
+    sock.recv(10)
+    relay.reset(1.0)
+    with pytest.raises(ConnectionError):
+        if not sock.recv(10):
+            raise ConnectionError
--- a/bronzehold/platform/local.py
+++ b/bronzehold/platform/local.py
@@ -17,6 +17,8 @@
 SERVICE = "grp"
 READY_S = 10.0
 POLL_S = 0.02
+# Well over a route's timeout: an answer that takes longer never comes.
+ANSWER_S = 10.0
 DATABASES = {
     "latest": {"type": "primary"},
     "bounded": {"type": "bounded_staleness", "max_staleness_ms": 1500},
@@ -46,9 +48,12 @@
 class Session:
     """A caller that speaks the line protocol."""
 
-    def __init__(self, *, sock: socket.socket, lines: wire.Lines):
+    def __init__(
+        self, *, sock: socket.socket, lines: wire.Lines, name: str = ""
+    ):
         self.sock = sock
         self.lines = lines
+        self.name = name or f"{id(self):x}"
         self.sent = 0
 
     def ask(self, text: str) -> list[str]:
@@ -59,7 +64,7 @@
     def send(self, text: str) -> str:
         """Sends a statement and returns its id."""
         self.sent += 1
-        name = f"{id(self):x}{self.sent}"
+        name = f"{self.name}.{self.sent}"
         self.sock.sendall(f"QUERY {name} {text}\r\n".encode())
         return name
 
@@ -82,6 +87,24 @@
         return [line[4:] for line in found[:-2]]
 
 
+def connect(address: tuple[str, int], database: str, name: str = "") -> Session:
+    """Opens a caller's session at a proxy.
+
+    Raises:
+        OSError: There is no connection.
+        ports.LinkError: It ended at once.
+        UnexpectedError: The proxy did not take the session.
+    """
+    sock = socket.create_connection(address, ANSWER_S)
+    sock.sendall(f"STARTUP {database} test\r\n".encode())
+    lines = wire.Lines(sock=sock)
+    welcome = lines.next().decode()
+    if welcome != "READY I -":
+        sock.close()
+        raise UnexpectedError(welcome)
+    return Session(sock=sock, lines=lines, name=name)
+
+
 class Deployment:
     """A store, a group of three endpoints and some proxies."""
 
@@ -164,12 +187,16 @@
         }
         self.store.put("op/config", json.dumps(table).encode())
 
+    def address(self, name: str) -> str:
+        """Returns where proxies reach an endpoint."""
+        return self.group.endpoints[name].address
+
     def list_endpoints(self, leaving: frozenset[str] = frozenset()) -> None:
         """Writes what the endpoints list about themselves."""
         for name, endpoint in self.group.endpoints.items():
             entry = {
                 "service": SERVICE,
-                "address": endpoint.address,
+                "address": self.address(name),
                 "zone": endpoint.zone,
                 "version": "v1",
                 "capacity": self.group.settings.slots,
@@ -184,14 +211,7 @@
     def connect(self, database: str, proxy: int = 0) -> Session:
         """Opens a caller's session."""
         address = instance.address(self.proxies[proxy].cfg.callers)
-        sock = socket.create_connection(address)
-        sock.settimeout(10.0)
-        sock.sendall(f"STARTUP {database} test\r\n".encode())
-        lines = wire.Lines(sock=sock)
-        welcome = lines.next().decode()
-        if welcome != "READY I -":
-            raise UnexpectedError(welcome)
-        return Session(sock=sock, lines=lines)
+        return connect(address, database)
 
     def close(self) -> None:
         """Ends everything."""
--- a/bronzehold/platform/standin_store.py
+++ b/bronzehold/platform/standin_store.py
@@ -47,6 +47,8 @@
             ("127.0.0.1", 0), self._handler()
         )
         self._server.daemon_threads = True
+        # A caller that has left in the middle of a call is no error here.
+        self._server.handle_error = lambda *_: None
         self._closed = threading.Event()
 
     @property
