--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -12,6 +12,8 @@
 
 PAUSE_S = 0.01
 MOST_STATEMENTS = 3
+# The part of the transactions that are not rolled back.
+COMMITTED = 0.7
 # How the end of a connection shows.
 GONE = (OSError, ports.LinkError, local.UnexpectedError)
 MAY_HAVE_RUN = ("INDOUBT", "TIMEOUT", "FAILED")
@@ -156,6 +158,7 @@
 
     def _transact(self, session: local.Session) -> None:
         written = []
+        committing = False
         self._began = time.monotonic()
         end = self._ask(session, "BEGIN")
         try:
@@ -165,14 +168,16 @@
                 end = self._ask(session, f"WRITE {key} v{key}")
                 if end.told is not Told.DONE:
                     break
-            word = self._random.choice(("COMMIT", "COMMIT", "ROLLBACK"))
             done = end.told is Told.DONE
-            end = self._ask(session, word if done else "ROLLBACK")
+            committing = done and self._random.random() < COMMITTED
+            end = self._ask(session, "COMMIT" if committing else "ROLLBACK")
         finally:
             self._began = None
-            # Without an answer to a commit, nobody knows.
-            committed = end.text == "COMMIT"
-            told = end.told if committed else Told.NOT_RUN
+            told = Told.NOT_RUN
+            if committing:
+                # Without an answer to the commit, nobody knows.
+                answered = end.text == "COMMIT"
+                told = end.told if answered else Told.UNKNOWN
             for key in written:
                 self._note_write(
                     key, session, dataclasses.replace(end, told=told)
