Stand-in endpoint: a transaction of an older term leaves no row

The row was in the data file without an entry in the log, while the caller was told that the transaction is lost. A second change of primary that chooses the same endpoint is what a starved machine brings about. Ruled out by reading: the executor sends a COMMIT only once and reports a lost answer to it as unknown.

Change: a promotion in a later term aborts open write transactions as following does; a statement of a transaction that was rolled back is refused; statements and rollbacks of one transaction exclude each other. Log entries are encoded for a replica outside of the endpoint's lock: an entry of 16 MiB held back the answers to status requests until the primary counted as silent, which is how its writer was told that no replica holds it.

--- a/bronzehold/standin/endpoint.py
+++ b/bronzehold/standin/endpoint.py
@@ -98,6 +98,27 @@
     sent_at: float
 
 
+class OpenWrite:
+    """An open write transaction of a session.
+
+    Attributes:
+        conn: The sqlite3 connection of the transaction.
+        lock: Held while a statement of the transaction runs, so that it is
+            rolled back only between two statements.
+    """
+
+    def __init__(self, *, conn: sqlite3.Connection):
+        self.conn = conn
+        self.lock = threading.Lock()
+
+    def abort(self) -> None:
+        """Interrupts the running statement and rolls the transaction back."""
+        self.conn.interrupt()
+        with self.lock:
+            if self.conn.in_transaction:
+                self.conn.rollback()
+
+
 class Endpoint:
     """The state of one endpoint and its replication threads.
 
@@ -110,7 +131,7 @@
         storage: The log and the data.
         slots: Semaphore that limits concurrent statements.
         write_lock: Semaphore that admits one write transaction at a time.
-        write_connections: sqlite3 connections with an open write transaction.
+        open_writes: The open write transactions.
         connections: Open client connections that count against the limit.
         peak_connections: Highest value of connections so far.
         discarded_entries: Log entries dropped so far because the primary's
@@ -134,7 +155,7 @@
         self.storage = storage.Storage()
         self.slots = threading.BoundedSemaphore(settings.slots)
         self.write_lock = threading.Semaphore(1)
-        self.write_connections: set[sqlite3.Connection] = set()
+        self.open_writes: set[OpenWrite] = set()
         self.connections = 0
         self.peak_connections = 0
         self.discarded_entries = 0
@@ -230,6 +251,7 @@
                 self.log_term = term
                 self.following = ""
                 self.epoch += 1
+                self._abort_writers()
             self.state_changed.notify_all()
             return self.status()
 
@@ -271,13 +293,11 @@
             self._pull_client.shut_down()
 
     def _abort_writers(self) -> None:
-        # An open write transaction locks the sqlite3 file, so the entries of
-        # the new primary could not be applied.
-        for conn in list(self.write_connections):
-            conn.interrupt()
-            if conn.in_transaction:
-                conn.rollback()
-        self.write_connections.clear()
+        # Transactions of an older epoch cannot commit. An open one locks the
+        # sqlite3 file, so the entries of the new primary could not be applied.
+        for open_write in list(self.open_writes):
+            open_write.abort()
+        self.open_writes.clear()
 
     def status(self) -> data.EndpointStatus:
         """Returns the status that control calls report."""
@@ -362,15 +382,16 @@
                 wait_s,
             )
             entries = self.storage.log[after : after + PULL_BATCH_ENTRIES]
-            return json.dumps(
-                {
-                    "primary": self._is_primary(),
-                    "log_term": self.log_term,
-                    "end": self.storage.received,
-                    "history": [[s.term, s.fork] for s in self.storage.history],
-                    "entries": [storage.entry_to_json(e) for e in entries],
-                }
-            )
+            answer = {
+                "primary": self._is_primary(),
+                "log_term": self.log_term,
+                "end": self.storage.received,
+                "history": [[s.term, s.fork] for s in self.storage.history],
+            }
+        # Large entries are encoded without the lock, so that status requests
+        # are answered meanwhile.
+        answer["entries"] = [storage.entry_to_json(e) for e in entries]
+        return json.dumps(answer)
 
     def _pull_loop(self) -> None:
         conn = None
--- a/bronzehold/standin/session.py
+++ b/bronzehold/standin/session.py
@@ -5,6 +5,8 @@
 bronzehold_ function is a control call, such as fence or promote.
 """
 
+import collections.abc
+import contextlib
 import dataclasses
 import re
 import socket
@@ -126,7 +128,7 @@
         self._transaction_status = messages.IDLE
         self._read_only = False
         self._written_statements: list[storage.Statement] = []
-        self._holds_write_lock = False
+        self._open_write: endpoint_lib.OpenWrite | None = None
         self._prepared: dict[bytes, _Prepared] = {}
         self._portals: dict[bytes, _Portal] = {}
         self._settings: dict[str, str] = {}
@@ -446,8 +448,11 @@
     def _data_connection(self) -> sqlite3.Connection:
         epoch = self._endpoint.epoch
         if self._conn is None or self._epoch != epoch:
+            if self._open_write is not None:
+                # Outside of its transaction the statement would take effect
+                # at once, without an entry in the log.
+                raise _not_primary_error()
             if self._conn is not None:
-                self._rollback()
                 self._conn.close()
             self._conn = storage.connect(self._endpoint.storage.path)
             self._epoch = epoch
@@ -496,8 +501,9 @@
         time.sleep(self._endpoint.settings.statement_ms * data.MILLISECOND)
         self._statement_running.set()
         try:
-            cursor = conn.execute(storage.to_sqlite(sql), params)
-            rows = cursor.fetchall()
+            with self._in_open_write():
+                cursor = conn.execute(storage.to_sqlite(sql), params)
+                rows = cursor.fetchall()
         except sqlite3.Error as exc:
             raise _statement_error(exc) from exc
         finally:
@@ -517,27 +523,44 @@
             tag = keyword
         return _Result(tag=tag, names=names, rows=rows)
 
+    @contextlib.contextmanager
+    def _in_open_write(self) -> collections.abc.Iterator[None]:
+        """Runs a statement inside the open write transaction, if there is one.
+
+        Raises:
+            StatementError: The transaction has been rolled back.
+        """
+        open_write = self._open_write
+        if open_write is None:
+            yield
+            return
+        with open_write.lock:
+            if not open_write.conn.in_transaction:
+                raise _not_primary_error()
+            yield
+
     def _start_write(self) -> None:
         if self._read_only:
             raise StatementError("25006", "the transaction is read-only")
-        if self._holds_write_lock:
+        if self._open_write is not None:
             return
         with self._endpoint.lock:
             if not self._endpoint.accepts_writes():
-                raise StatementError(
-                    control.NOT_PRIMARY_SQLSTATE, control.NOT_PRIMARY_MESSAGE
-                )
+                raise _not_primary_error()
         conn = self._data_connection()
         if not self._endpoint.write_lock.acquire(
             timeout=endpoint_lib.WRITE_LOCK_TIMEOUT_S
         ):
             raise StatementError("55P03", "lock not available")
-        self._holds_write_lock = True
+        self._open_write = endpoint_lib.OpenWrite(conn=conn)
         try:
             conn.execute("BEGIN IMMEDIATE")
         except sqlite3.Error as exc:
             raise _statement_error(exc) from exc
-        self._endpoint.write_connections.add(conn)
+        with self._endpoint.lock:
+            if self._endpoint.epoch != self._epoch:
+                raise _not_primary_error()
+            self._endpoint.open_writes.add(self._open_write)
 
     def _begin(self, sql: str) -> _Result:
         if self._transaction_status == messages.IDLE:
@@ -559,7 +582,7 @@
             self._commit_write()
 
     def _commit_write(self) -> None:
-        if not self._holds_write_lock:
+        if self._open_write is None:
             self._read_only = False
             return
         self._endpoint.faults.wait_while_frozen()
@@ -569,9 +592,7 @@
             )
         except (endpoint_lib.RefusedError, sqlite3.Error) as exc:
             self._rollback()
-            raise StatementError(
-                control.NOT_PRIMARY_SQLSTATE, control.NOT_PRIMARY_MESSAGE
-            ) from exc
+            raise _not_primary_error() from exc
         self._endpoint.faults.wait_while_frozen()
         mark = data.Mark(
             group=self._endpoint.settings.group,
@@ -583,20 +604,18 @@
         self._finish_write()
 
     def _rollback(self) -> None:
-        if self._holds_write_lock and self._conn is not None:
-            try:
-                if self._conn.in_transaction:
-                    self._conn.rollback()
-            except sqlite3.Error:
-                pass
+        if self._open_write is not None:
+            with contextlib.suppress(sqlite3.Error), self._open_write.lock:
+                if self._open_write.conn.in_transaction:
+                    self._open_write.conn.rollback()
         self._finish_write()
 
     def _finish_write(self) -> None:
         self._written_statements = []
         self._read_only = False
-        if self._holds_write_lock:
-            self._endpoint.write_connections.discard(self._conn)
-            self._holds_write_lock = False
+        if self._open_write is not None:
+            self._endpoint.open_writes.discard(self._open_write)
+            self._open_write = None
             self._endpoint.write_lock.release()
 
     def _run_setting_statement(self, keyword: str, sql: str) -> _Result:
@@ -659,6 +678,12 @@
         self._send_ready()
 
 
+def _not_primary_error() -> StatementError:
+    return StatementError(
+        control.NOT_PRIMARY_SQLSTATE, control.NOT_PRIMARY_MESSAGE
+    )
+
+
 def _parse_fault_fields(text: str) -> dict:
     fields = control.loads(text)
     conditions = faults.conditions_from_json(fields)
