--- a/bronzehold/tools/workload.py
+++ b/bronzehold/tools/workload.py
@@ -155,10 +155,12 @@
         self._next_index += 1
         start = time.monotonic()
         outcome = history.Outcome.DONE
+        error = ""
         try:
             self._insert(conn, key)
         except psycopg.Error as exc:
             outcome = outcome_from_error(exc)
+            error = f"{exc.sqlstate} {exc}"
             if not conn.closed and self._plan.transactions:
                 _roll_back(conn)
         if outcome is history.Outcome.DONE:
@@ -172,6 +174,7 @@
                 outcome=outcome,
                 start=start,
                 end=time.monotonic(),
+                error=error,
             )
         )
 
--- a/tests/mixing_test.py
+++ b/tests/mixing_test.py
@@ -245,8 +245,15 @@
     with psycopg.connect(deployment.url(0), autocommit=True) as conn:
         conn.execute("CREATE TABLE a (block TEXT, part INT)")
     partial_reads = []
+    errors = []
 
     def write_transactions(number: int):
+        try:
+            write_twelve_transactions(number)
+        except psycopg.Error as exc:
+            errors.append(f"caller {number}: {exc.sqlstate} {exc}")
+
+    def write_twelve_transactions(number: int):
         for i in range(12):
             conn = psycopg.connect(deployment.url(number % 2))
             block = f"{number}/{i}"
@@ -273,6 +280,7 @@
         thread.start()
     for thread in threads:
         thread.join()
+    assert errors == []
     assert partial_reads == []
     with psycopg.connect(deployment.url(0), autocommit=True) as conn:
         conn.execute("SET bronzehold.max_age = 0")
