Digests hold the groups that a proxy serves, and explain follows a forwarded request

Cause: every digest held a view and a proof of every group, from proxies that do not serve it too, and a group without a primary made every proxy tell all others in each round, which at a start of the fleet are messages with its square.

Change: a proxy outside of a group's serving set leaves the group out of its digests unless it has been asked to probe the primary, holds writes or has some in flight; only those that serve a group tell everybody at once that its primary is lost. The majority of all proxies that a replacement needs is unchanged: those outside are woken by the report and probe. explain shows the proxy that a request was forwarded to and what that one logged. Not measured yet.

--- a/bronzehold/process/digest_exchange.py
+++ b/bronzehold/process/digest_exchange.py
@@ -16,6 +16,7 @@
 from bronzehold.proto import gossip_pb2 as pb
 from bronzehold.version import freshness
 from bronzehold.version import serving_set
+from bronzehold.version import succession
 
 # Time for which writes are held after a digest that asks for it; each further
 # digest extends it.
@@ -71,10 +72,12 @@
     def _has_urgent_changes(self) -> bool:
         """Returns whether the next digest must go to all peers.
 
-        This is so while writes are held or a primary is unreachable.
+        This is so while writes are held or a primary is unreachable for a proxy
+        that serves the group.
         """
         return any(
-            service.group.hold_attempt() or service.group.primary_unreachable()
+            service.group.hold_attempt()
+            or (service.serves() and service.group.primary_unreachable())
             for service in self._process.services()
         )
 
@@ -103,7 +106,8 @@
         digest.version = self._process.table().version
         digest.leaving.extend(self._mirror.leaving())
         for service in self._process.services():
-            digest.groups.append(self._group_view(service, echoed_at))
+            if _has_news(service):
+                digest.groups.append(self._group_view(service, echoed_at))
             digest.crowded.extend(service.crowded())
 
     def _group_view(
@@ -204,6 +208,22 @@
             group.release_writes(self._holds.pop(name))
 
 
+def _has_news(service: platform_service.PlatformService) -> bool:
+    """Returns whether a digest has to hold this proxy's view of a group.
+
+    A proxy that does not serve the group has its view from others, unless it
+    was asked to probe the primary or takes part in a planned change.
+    """
+    group = service.group
+    return (
+        service.serves()
+        or bool(group.hold_attempt())
+        or group.has_writes_in_flight()
+        or promotions_lib.own_view(service).reach
+        is not succession.Reach.UNKNOWN
+    )
+
+
 def decode_members(values: dict[str, bytes]) -> dict[str, str]:
     """Decodes the addresses of the registered proxies, by name."""
     return {name: value.decode() for name, value in values.items()}
--- a/bronzehold/process/digest_exchange_test.py
+++ b/bronzehold/process/digest_exchange_test.py
@@ -4,6 +4,9 @@
 from bronzehold.core import routes
 from bronzehold.process import digest_exchange as exchange_lib
 from bronzehold.process import gossip as gossip_lib
+from bronzehold.process import platform_group
+from bronzehold.process import promotions as promotions_lib
+from bronzehold.process import timeline as timeline_lib
 from bronzehold.proto import gossip_pb2 as pb
 
 
@@ -15,6 +18,9 @@
     def store_unreachable(self):
         return self.is_unreachable
 
+    def leaving(self):
+        return []
+
     def mark_leaving(self, incarnations):
         del incarnations
 
@@ -38,6 +44,10 @@
     def __init__(self):
         self.holds_group = True
 
+    def token(self, service):
+        del service
+        return promotions_lib.NO_TOKEN
+
     def holds_token(self, service):
         del service
         return self.holds_group
@@ -170,3 +180,79 @@
     harness.promotions.holds_group = False
     harness.receive(3, view)
     assert harness.gossip.replied_to == ["p", "p"]
+
+
+class _GroupService:
+    """A service with a group, served by this proxy or not."""
+
+    def __init__(self, *, serves):
+        self.group = platform_group.PlatformGroup(
+            name="g", timeline=timeline_lib.Timeline(proxy="me", zone="z")
+        )
+        self.limits = routes.ServiceLimits(
+            name="g", connections=4, synchronous=False
+        )
+        self._serves = serves
+        listing = routes.Listing(
+            id="e",
+            service="g",
+            host="h",
+            port=1,
+            zone="z",
+            slots=2,
+            leaving=False,
+            leads=True,
+        )
+        self.group.set_listings({"e": listing})
+
+    def serves(self):
+        return self._serves
+
+    def crowded(self):
+        return []
+
+
+def _views(harness, service):
+    harness.process.services = lambda: [service]
+    digest = pb.Digest()
+    harness.exchange.fill_digest(digest, harness.at)
+    return [view.service for view in digest.groups]
+
+
+def test_digest_holds_the_groups_that_the_proxy_serves(harness):
+    """Answers the pattern of digests that grow with the number of groups."""
+    assert _views(harness, _GroupService(serves=True)) == ["g"]
+    outside = _GroupService(serves=False)
+    harness.at += 10.0
+    assert _views(harness, outside) == []
+
+
+def test_proxy_outside_of_the_set_reports_what_it_was_asked_for(harness):
+    """A primary is replaced only if most of all proxies cannot reach it."""
+    outside = _GroupService(serves=False)
+    harness.at += 10.0
+    outside.group.note_failing("e", refused=False)
+    harness.at += platform_group.SILENCE_TIMEOUT_S + 0.1
+    assert _views(harness, outside) == ["g"]
+    outside.group.note_answered("e")
+    assert _views(harness, outside) == ["g"], "it reaches the primary"
+
+
+def test_proxy_outside_of_the_set_takes_part_in_a_planned_change(harness):
+    outside = _GroupService(serves=False)
+    harness.at += 10.0
+    outside.group.hold_writes("p/1", harness.at + 1.0)
+    assert _views(harness, outside) == ["g"]
+
+
+def test_lost_primary_is_urgent_only_for_those_that_serve(harness):
+    """Answers the pattern of a fleet that starts at once.
+
+    No proxy knows a primary yet; if each told all others, messages would grow
+    with the square of the fleet.
+    """
+    for serves in (True, False):
+        service = _GroupService(serves=serves)
+        service.group.note_not_leading("e")
+        harness.process.services = lambda service=service: [service]
+        assert harness.exchange._has_urgent_changes() is serves
--- a/bronzehold/process/platform_group.py
+++ b/bronzehold/process/platform_group.py
@@ -332,6 +332,10 @@
         with self.cond:
             return self._is_write_held() and self._writes_in_flight == 0
 
+    def has_writes_in_flight(self) -> bool:
+        """Returns whether writes of this proxy are in flight."""
+        return self._writes_in_flight > 0
+
     def start_write(self, deadline: float) -> Leader | None:
         """Waits until the primary accepts writes, and counts one as in flight.
 
--- a/bronzehold/tools/explain.py
+++ b/bronzehold/tools/explain.py
@@ -17,6 +17,7 @@
 # Events that add nothing to what the others show about a failure.
 _IGNORED_EVENTS = frozenset({"EndpointListed"})
 _REQUEST_EVENTS = frozenset({"RequestFailed", "RequestSlow", "RequestServed"})
+_FORWARDED_EVENT = "ForwardedRequestFailed"
 _HIDDEN_FIELDS = frozenset(
     {
         "asctime",
@@ -60,6 +61,8 @@
     "received; look at the log of the endpoint for the request's id",
     "TimedOut": "the endpoint did not answer within the statement's timeout",
     "AnswerCut": "the answer to a read was lost on every endpoint tried",
+    "Stopping": "not run: the proxy that it was forwarded to was stopping and "
+    "no other could take it",
     "ServiceUnknown": "not run: no route for the database in this version",
 }
 
@@ -158,6 +161,7 @@
         )
     tried = str(request_event.fields.get("tried", ""))
     out += [f"  tried {part}" for part in tried.split(", ") if part]
+    out += _explain_forwarding(request_event, events)
     out.append("  related events on the same instance or in the same group:")
     took_s = float(request_event.fields.get("took_ms", 0)) / 1000
     nearby = [
@@ -183,6 +187,25 @@
     return out
 
 
+def _explain_forwarding(
+    request_event: LogEvent, events: collections.abc.Sequence[LogEvent]
+) -> list[str]:
+    """Returns what the proxy logged that the request was forwarded to."""
+    via = request_event.fields.get("via")
+    if not via:
+        return []
+    served = [
+        event
+        for event in events
+        if event.name == _FORWARDED_EVENT
+        and event.fields.get("request") == request_event.fields.get("request")
+    ]
+    return [
+        f"  forwarded to {via}",
+        *(f"  {event.format_line(request_event.at_s)}" for event in served),
+    ]
+
+
 def _unresolved_losses(
     request_event: LogEvent, events: collections.abc.Sequence[LogEvent]
 ) -> list[LogEvent]:
@@ -210,9 +233,12 @@
 
 
 def _is_related(event: LogEvent, request_event: LogEvent) -> bool:
-    if event.name in _REQUEST_EVENTS | _IGNORED_EVENTS:
+    if event.name in _REQUEST_EVENTS | _IGNORED_EVENTS | {_FORWARDED_EVENT}:
         return False
     group = event.fields.get("group")
     if group is not None:
         return group == request_event.fields.get("group")
-    return event.instance == request_event.instance
+    return event.instance in (
+        request_event.instance,
+        request_event.fields.get("via"),
+    )
--- a/bronzehold/tools/explain_test.py
+++ b/bronzehold/tools/explain_test.py
@@ -53,3 +53,32 @@
     _, losses = text.split("not regained on this instance")
     assert "PlatformAway why=reset" in losses
     assert "PeerSilent" not in losses
+
+
+def test_a_forwarded_request_is_followed_to_the_proxy_that_served_it():
+    log = [
+        *LOG[:-1],
+        _line(
+            9.9,
+            "ForwardedRequestFailed",
+            "p2",
+            request="5c0e7a",
+            group="g",
+            failure="NoPrimary",
+        ),
+        _line(9.8, "PeerSilent", "p2", peer="p3"),
+        _line(
+            10.0,
+            "RequestFailed",
+            request="5c0e7a",
+            group="g",
+            failure="NoPrimary",
+            tried="",
+            via="p2",
+            took_ms=800,
+        ),
+    ]
+    text = "\n".join(explain.explain("5c0e", explain.parse_lines(log)))
+    assert "forwarded to p2" in text
+    assert text.count("ForwardedRequestFailed") == 1
+    assert "PeerSilent peer=p3" in text
