Probes: no task for endpoints of services that this proxy does not serve

Change: process/probes.py, cut from platform_service.py. A serving proxy has a task for each endpoint as before; another one probes when it is woken, until the endpoint answers, so that its report of a lost primary does not outlast the loss, and searches the primary if no peer has told it for 3 s.

--- a/bronzehold/process/platform_group.py
+++ b/bronzehold/process/platform_group.py
@@ -19,7 +19,7 @@
 from bronzehold.version import succession
 
 RECHECK_S = 0.05
-# Slightly over twice the probe timeout (platform_service.PROBE_TIMEOUT_S).
+# Slightly over twice the probe timeout (probes.PROBE_TIMEOUT_S).
 SILENCE_TIMEOUT_S = 0.7
 # Covers two refused connections, one probe interval apart.
 REFUSED_TIMEOUT_S = 0.12
--- a/bronzehold/process/platform_service.py
+++ b/bronzehold/process/platform_service.py
@@ -1,42 +1,25 @@
 """A service whose primary the platform fences.
 
 It owns the service's group state, one connection pool per endpoint, and the
-tasks that probe the endpoints for their status.
+probes of the endpoints.
 """
 
 import collections.abc
 import dataclasses
-import threading
-import time
 
-from bronzehold.core import clock
 from bronzehold.core import data
-from bronzehold.core import errors
 from bronzehold.core import ports
 from bronzehold.core import routes
 from bronzehold.core import statements
 from bronzehold.process import budget
 from bronzehold.process import platform_group
 from bronzehold.process import pool as pool_lib
+from bronzehold.process import probes as probes_lib
 from bronzehold.process import serving as serving_lib
 from bronzehold.process import timeline as timeline_lib
 from bronzehold.process import window as window_lib
 from bronzehold.request import placement
 
-PROBE_TIMEOUT_S = 0.3
-# A probe that waits longer than this for a pooled connection opens a new one.
-PROBE_POOL_WAIT_S = 0.02
-# Freshness proofs must be much younger than the shortest data age that a route
-# tolerates.
-PRIMARY_PROBE_INTERVAL_S = 0.6
-FAILING_PROBE_INTERVAL_S = 0.3
-REPLICA_PROBE_INTERVAL_S = 5.0
-SEARCH_PROBE_INTERVAL_S = 0.1
-# A proxy that does not serve the service probes only when it is woken or no
-# peer has told it the primary for this long.
-OUTSIDE_PROBE_INTERVAL_S = 5.0
-OUTSIDE_SEARCH_DELAY_S = 3.0
-PROBE_PRIORITY = -1
 # An endpoint queues statements beyond its slots, so a proxy may have more in
 # flight than its share. This keeps all slots busy while another proxy is idle.
 EXTRA_SLOTS = 2
@@ -85,7 +68,7 @@
         )
         self.budget = budget.RetryBudget()
         self._pools: dict[str, pool_lib.Pool] = {}
-        self._probe_wakes: dict[str, threading.Event] = {}
+        self.probes = probes_lib.Probes(service=self)
 
     # Configuration and endpoints.
 
@@ -111,8 +94,9 @@
                 self._add_endpoint(listing)
             old_listing = old.get(name)
             if old_listing is not None and listing.leads != old_listing.leads:
-                self._probe_wakes[name].set()
+                self.probes.wake(name)
         self.resize()
+        self.probes.refresh()
 
     def _add_endpoint(self, listing: routes.Listing) -> None:
         self._pools[listing.id] = pool_lib.Pool(
@@ -123,19 +107,13 @@
             idle_timeout_s=MAX_IDLE_S,
             window=window_lib.Window(size=listing.slots),
         )
-        wake = threading.Event()
-        self._probe_wakes[listing.id] = wake
-        self.env.spawn_lasting(
-            f"probe {listing.id}", lambda: self._run_probes(listing, wake)
-        )
+        self.probes.add(listing.id)
 
     def _remove_endpoint(self, name: str) -> None:
         pool = self._pools.pop(name, None)
-        wake = self._probe_wakes.pop(name, None)
         if pool is not None:
             pool.close()
-        if wake is not None:
-            wake.set()
+        self.probes.remove(name)
 
     def resize(self) -> None:
         """Resizes the pools to this proxy's share of each endpoint's limits."""
@@ -180,9 +158,10 @@
             pool.release_overflow()
 
     def sweep(self) -> None:
-        """Closes idle connections that are no longer needed."""
+        """Closes idle connections, and starts probes that have become due."""
         for pool in list(self._pools.values()):
             pool.close_excess_idle()
+        self.probes.refresh()
 
     def close(self) -> None:
         """Ends the probes and closes the pools."""
@@ -225,122 +204,7 @@
             )
         return found
 
-    # Probes.
-
-    def wake_probes(self) -> None:
-        """Wakes the probes of all endpoints."""
-        for wake in list(self._probe_wakes.values()):
-            wake.set()
-
-    def _run_probes(
-        self, listing: routes.Listing, wake: threading.Event
-    ) -> None:
-        name = listing.id
-        while self._probe_wakes.get(name) is wake:
-            urgent = wake.is_set()
-            wake.clear()
-            if urgent or self._probe_due(name):
-                self.probe(name)
-            wake.wait(self._probe_interval_s(name))
-
-    def _probe_interval_s(self, name: str) -> float:
-        if not self.serves():
-            return OUTSIDE_PROBE_INTERVAL_S
-        leader = self.group.leader()
-        if leader is None or self.group.is_failing(leader.endpoint):
-            return SEARCH_PROBE_INTERVAL_S
-        if self.group.is_failing(name):
-            return FAILING_PROBE_INTERVAL_S
-        return (
-            PRIMARY_PROBE_INTERVAL_S
-            if leader.endpoint == name
-            else REPLICA_PROBE_INTERVAL_S
-        )
-
-    def _probe_due(self, name: str) -> bool:
-        leader = self.group.leader()
-        if not self.serves():
-            # Digests name the primary; without them it has to be searched.
-            return (
-                leader is None
-                and self.group.leaderless_s() > OUTSIDE_SEARCH_DELAY_S
-            )
-        if leader is None or leader.term == 0 or self.group.is_failing(name):
-            return True
-        if leader.endpoint != name:
-            # While the primary fails, the other endpoints are probed to find
-            # its successor.
-            return self.group.is_failing(leader.endpoint)
-        newest = self.group.proofs.newest()
-        return (
-            newest is None or clock.now() - newest.at > PRIMARY_PROBE_INTERVAL_S
-        )
-
-    def probe(self, name: str) -> statements.Status | None:
-        """Requests an endpoint's status, over a pooled connection if possible.
-
-        Returns:
-            The status, None if the endpoint did not report one.
-        """
-        pool = self._pools.get(name)
-        listing = self.group.listings().get(name)
-        if pool is None or listing is None:
-            return None
-        try:
-            return self._probe_pooled(name, pool)
-        except errors.FailureError:
-            # All connections are in use, perhaps because the endpoint does not
-            # answer on any of them.
-            return self._probe_new_connection(name, listing)
-        except ports.DialError as exc:
-            self.note_dial_failed(name, exc)
-            return None
-
-    def _probe_pooled(
-        self, name: str, pool: pool_lib.Pool
-    ) -> statements.Status | None:
-        conn = pool.acquire(
-            session="probe",
-            deadline=time.monotonic() + PROBE_TIMEOUT_S,
-            priority=PROBE_PRIORITY,
-            max_wait_s=PROBE_POOL_WAIT_S,
-        )
-        usable = False
-        try:
-            usable, status = self._request_status(name, conn)
-            return status
-        finally:
-            pool.end_statement(None)
-            pool.release(conn, reusable=usable)
-
-    def _probe_new_connection(
-        self, name: str, listing: routes.Listing
-    ) -> statements.Status | None:
-        try:
-            conn = self.env.dial(listing)
-        except ports.DialError as exc:
-            self.note_dial_failed(name, exc)
-            return None
-        try:
-            return self._request_status(name, conn)[1]
-        finally:
-            conn.close()
-
-    def _request_status(
-        self, name: str, conn: ports.EndpointConn
-    ) -> tuple[bool, statements.Status | None]:
-        """Returns whether the connection is usable, and the status if any."""
-        sent = clock.now()
-        try:
-            status = conn.status(sent + PROBE_TIMEOUT_S)
-        except ports.RefusedStatusError:
-            self.group.note_answered(name)
-            return True, None
-        except ports.TransportError:
-            self.note_connection_lost(name)
-            return False, None
-        self.group.note_status(name, status, sent)
-        return True, status
+    # Failures.
 
     def note_connection_lost(self, name: str) -> None:
         """Records that a connection to an endpoint was lost or timed out."""
@@ -369,13 +233,28 @@
     def note_not_leading(self, name: str) -> None:
         """Records that an endpoint does not lead and probes for the primary."""
         self.group.note_not_leading(name)
-        self.wake_probes()
+        self.probes.wake_all()
 
     def wake_probe(self, name: str) -> None:
-        """Wakes the probe of an endpoint."""
-        wake = self._probe_wakes.get(name)
-        if wake is not None:
-            wake.set()
+        """Probes an endpoint soon."""
+        self.probes.wake(name)
+
+    def probe(self, name: str) -> statements.Status | None:
+        """Requests an endpoint's status now, None if it reports none."""
+        return self.probes.probe(name)
+
+    def dial(self, endpoint: str) -> ports.EndpointConn:
+        """Opens a connection to an endpoint; raises ports.DialError."""
+        listing = self.group.listings().get(endpoint)
+        if listing is None:
+            raise ports.DialError("it is not listed")
+        return self.env.dial(listing)
+
+    def spawn_lasting(
+        self, name: str, task: collections.abc.Callable[[], None]
+    ) -> None:
+        """Starts a task that is restarted after an exception ends it."""
+        self.env.spawn_lasting(name, task)
 
 
 def _restarted_or_moved(old: routes.Listing, new: routes.Listing) -> bool:
