Forwarding: a reply that takes long is no reason to pass a proxy over

A read without a reply for half of its time, or a write at its deadline, made its proxy a suspect for a second or more, though only an endpoint may be slow. Now the idle links to it are closed, and the next statement opens one that shows whether the proxy works; that check alone makes a suspect.

--- a/bronzehold/connection/forward_client.py
+++ b/bronzehold/connection/forward_client.py
@@ -154,7 +154,7 @@
                 # The other proxy may have restarted, or all old connections
                 # are silent: a new one decides whether it works.
                 link.close()
-                self._close_all(target)
+                self.close_idle_to(target)
         try:
             return self._connect(target)
         except NotTakenError as exc:
@@ -192,9 +192,14 @@
     def suspect(self, target: serving_set.Member, reason: str) -> None:
         """Forwards nothing to a proxy for a while, since it does not answer."""
         self._serving.suspect(target.name, reason)
-        self._close_all(target)
+        self.close_idle_to(target)
 
-    def _close_all(self, target: serving_set.Member) -> None:
+    def close_idle_to(self, target: serving_set.Member) -> None:
+        """Closes the idle connections to a proxy that left one unanswered.
+
+        The next statement opens a new one, which shows whether the proxy works.
+        A slow statement alone is no reason to forward nothing to it.
+        """
         with self._lock:
             idle = self._idle.pop(target.address, [])
         for link in idle:
--- a/bronzehold/connection/forwarding_runner.py
+++ b/bronzehold/connection/forwarding_runner.py
@@ -184,7 +184,7 @@
             reply = link.receive(_reply_deadline(call))
         except ports.TransportError as exc:
             link.close()
-            self._links.suspect(target, str(exc))
+            self._links.close_idle_to(target)
             raise self._lost_reply_error(target, call, context, exc) from exc
         return self._accept(link, call, reply)
 
@@ -237,14 +237,14 @@
             link.ensure_working()
             link.send(call, self._session)
         except forward_client.NotTakenError as exc:
-            self._drop(forwarded, call, str(exc))
+            self._drop(forwarded, call)
             raise errors.FailureError(
                 errors.TransactionLost(endpoint=forwarded.endpoint)
             ) from exc
         try:
             reply = link.receive(call.deadline)
         except ports.TransportError as exc:
-            self._drop(forwarded, call, str(exc))
+            self._drop(forwarded, call)
             failure: errors.Failure
             if call.commits and forwarded.has_written:
                 failure = errors.OutcomeUnknown(
@@ -255,12 +255,10 @@
             raise errors.FailureError(failure) from exc
         return self._accept(link, call, reply)
 
-    def _drop(
-        self, forwarded: blocks.Forwarded, call: codec.Call, reason: str
-    ) -> None:
+    def _drop(self, forwarded: blocks.Forwarded, call: codec.Call) -> None:
         forwarded.link.close()
         self._forwarded = None
-        self._links.suspect(forwarded.link.target, reason)
+        self._links.close_idle_to(forwarded.link.target)
         self._local.end_block(
             blocks.Idle() if call.commits else blocks.Failed()
         )
