Forwarding: a primary that the serving proxy cannot reach is tried from another

Change: NoPrimary from a serving proxy means not run, so the statement is tried at the zone's next proxy and then here. The test failed first.

--- a/bronzehold/connection/forwarding_runner.py
+++ b/bronzehold/connection/forwarding_runner.py
@@ -273,10 +273,8 @@
             self._forwarded is not None and self._forwarded.has_written
         )
         self._forwarded = None
-        if isinstance(reply.failure, errors.Stopping) and call.block != pb.NEXT:
-            link.close()
-            self._links.suspect(link.target, "it is stopping")
-            raise _TryElsewhereError(reply.failure)
+        if call.block != pb.NEXT:
+            self._raise_if_served_elsewhere(link, call, reply.failure)
         match reply.state:
             case statements.TransactionState.OPEN if reply.failure is not None:
                 # Its first statement found no endpoint; the transaction is
@@ -301,6 +299,26 @@
         self._links.count("ok")
         return reply.answer
 
+    def _raise_if_served_elsewhere(
+        self,
+        link: forward_client.Link,
+        call: codec.Call,
+        failure: errors.Failure | None,
+    ) -> None:
+        """Raises _TryElsewhereError if another proxy may run the statement.
+
+        It did not run. Of a primary that is cut off from some proxies, all
+        callers of a zone would be refused if its serving proxy is among them.
+        """
+        match failure:
+            case errors.Stopping():
+                link.close()
+                self._links.suspect(link.target, "it is stopping")
+                raise _TryElsewhereError(failure)
+            case errors.NoPrimary() if clock.now() < call.deadline:
+                self._links.release(link)
+                raise _TryElsewhereError(failure)
+
 
 class _TryElsewhereError(Exception):
     """The statement may run elsewhere: it did not run here, or it is a read.
--- a/tests/forwarding_test.py
+++ b/tests/forwarding_test.py
@@ -10,6 +10,7 @@
 import pytest
 
 from bronzehold.connection import forward_client
+from bronzehold.core import ports
 from bronzehold.platform import local as platform_local
 from tests import helpers
 
@@ -256,3 +257,33 @@
     session = fleet.connect()
     session.rows("WRITE f10 1")
     assert session.rows("READ f10") == ["1"]
+
+
+def test_primary_cut_off_from_the_serving_proxy_is_reached_by_another(
+    own_fleet,
+):
+    """Guards against a zone without writes while the primary works.
+
+    Answers the pattern of a primary that is cut off from some proxies, the one
+    that serves a zone among them: it is not replaced, and the others of the
+    zone reach it.
+    """
+    session = own_fleet.connect("latest")
+    session.rows("WRITE f11 1")
+    server = own_fleet.deployment.proxies[own_fleet.server].process
+    primary = own_fleet.deployment.group.primary().name
+    real = server._env.dial
+
+    def dial(listing):
+        if listing.id == primary:
+            raise ports.DialError("cut off")
+        return real(listing)
+
+    object.__setattr__(server._env, "dial", dial)
+    service = server.service(platform_local.SERVICE)
+    service.pool(primary).close_idle()
+    helpers.wait_for(service.group.primary_unreachable)
+    helpers.wait_for(service.group.primary_reached_by_peers)
+    for number in range(5):
+        session.rows(f"WRITE f11 {number}")
+        assert session.rows("READ f11") == [str(number)]
