Store: two proxies of each zone watch it, the others read what these report

Change: version/watchers.py chooses two proxies of each zone by rendezvous hashing (version/members.py, cut from serving_set.py). process/store_news.py decides when a proxy asks the store: a watcher always; another one when a digest names a revision that it lacks, every 15 s, and as a watcher of its own when no report is younger than 2 s, as when it is cut off from its peers. Reports carry the time at which they were true, counted like the proofs of freshness, so a report that is passed on does not become younger. Changes that come together are read in one call.

Not measured yet.

--- a/bronzehold/connection/forward_client.py
+++ b/bronzehold/connection/forward_client.py
@@ -21,7 +21,7 @@
 from bronzehold.core import routes
 from bronzehold.process import serving as serving_lib
 from bronzehold.proto import forward_pb2 as pb
-from bronzehold.version import serving_set
+from bronzehold.version import members as members_lib
 
 CONNECT_TIMEOUT_S = 0.3
 SEND_TIMEOUT_S = 0.5
@@ -49,7 +49,7 @@
         idle_since: The time of the last reply, in seconds of time.monotonic().
     """
 
-    def __init__(self, *, target: serving_set.Member, sock: socket.socket):
+    def __init__(self, *, target: members_lib.Member, sock: socket.socket):
         self.target = target
         self.idle_since = time.monotonic()
         self._sock = sock
@@ -135,11 +135,11 @@
         self._idle: dict[str, list[Link]] = collections.defaultdict(list)
         self._forwarded = collections.Counter[str]()
 
-    def targets(self, limits: routes.ServiceLimits) -> list[serving_set.Member]:
+    def targets(self, limits: routes.ServiceLimits) -> list[members_lib.Member]:
         """Returns the proxies to forward to, none to serve here."""
         return self._serving.targets(limits)
 
-    def acquire(self, target: serving_set.Member) -> Link:
+    def acquire(self, target: members_lib.Member) -> Link:
         """Returns a connection that works.
 
         Raises:
@@ -161,12 +161,12 @@
             self.suspect(target, str(exc))
             raise
 
-    def _take_idle(self, target: serving_set.Member) -> Link | None:
+    def _take_idle(self, target: members_lib.Member) -> Link | None:
         with self._lock:
             idle = self._idle[target.address]
             return idle.pop() if idle else None
 
-    def _connect(self, target: serving_set.Member) -> Link:
+    def _connect(self, target: members_lib.Member) -> Link:
         host, _, port = target.address.rpartition(":")
         try:
             sock = socket.create_connection(
@@ -189,12 +189,12 @@
         with self._lock:
             self._idle[link.target.address].append(link)
 
-    def suspect(self, target: serving_set.Member, reason: str) -> None:
+    def suspect(self, target: members_lib.Member, reason: str) -> None:
         """Forwards nothing to a proxy for a while, since it does not answer."""
         self._serving.suspect(target.name, reason)
         self.close_idle_to(target)
 
-    def close_idle_to(self, target: serving_set.Member) -> None:
+    def close_idle_to(self, target: members_lib.Member) -> None:
         """Closes the idle connections to a proxy that left one unanswered.
 
         The next statement opens a new one, which shows whether the proxy works.
--- a/bronzehold/connection/forwarding_runner.py
+++ b/bronzehold/connection/forwarding_runner.py
@@ -19,7 +19,7 @@
 from bronzehold.core import ports
 from bronzehold.core import statements
 from bronzehold.proto import forward_pb2 as pb
-from bronzehold.version import serving_set
+from bronzehold.version import members as members_lib
 
 # A read is tried elsewhere once this share of its time has passed without a
 # reply.
@@ -167,7 +167,7 @@
 
     def _forward(
         self,
-        target: serving_set.Member,
+        target: members_lib.Member,
         call: codec.Call,
         context: blocks.StatementContext,
     ) -> statements.Completed:
@@ -197,7 +197,7 @@
 
     def _lost_reply_error(
         self,
-        target: serving_set.Member,
+        target: members_lib.Member,
         call: codec.Call,
         context: blocks.StatementContext,
         exc: ports.TransportError,
--- a/bronzehold/platform/instance.py
+++ b/bronzehold/platform/instance.py
@@ -24,8 +24,9 @@
 from bronzehold.process import registration as registration_lib
 from bronzehold.process import serving as serving_lib
 from bronzehold.process import store_mirror as mirror_lib
+from bronzehold.process import store_news as news_lib
 from bronzehold.process import timeline as timeline_lib
-from bronzehold.version import serving_set
+from bronzehold.version import members as members_lib
 
 MEMBERS_PREFIX = "bronzehold/proxies/"
 INCARNATION_BYTES = 4
@@ -48,6 +49,7 @@
         registration: Entry of this proxy in the store.
         promotions: Failover of the primaries.
         mirror: Local copy of the entries in the store.
+        news: Reports of the proxies that watch the store.
     """
 
     def __init__(self, *, cfg: settings.PlatformSettings):
@@ -55,7 +57,7 @@
         self.timeline = timeline_lib.Timeline(proxy=cfg.name, zone=cfg.zone)
         # Lambdas, because gossip and mirror are created after the process.
         self.serving = serving_lib.Serving(
-            own=serving_set.Member(
+            own=members_lib.Member(
                 name=cfg.name,
                 zone=cfg.zone,
                 address=f"{cfg.host}:{cfg.peer_port}",
@@ -85,6 +87,10 @@
         self._forward_server = forward_server.ForwardServer(
             host=cfg.host, port=cfg.peer_port, process=self.process
         )
+        self.news = news_lib.StoreNews(
+            is_watcher=self.serving.watches_store,
+            on_newer_revision=self.gossip.send_soon,
+        )
         store_client = store.Client(address=cfg.store)
         self.registration = registration_lib.Registration(
             process=self.process,
@@ -107,6 +113,7 @@
             on_members=self._on_members,
             records_prefix=promotions_lib.RECORDS_PREFIX,
             on_record=self.promotions.apply_record,
+            news=self.news,
         )
         exchange_lib.DigestExchange(
             process=self.process,
@@ -114,6 +121,7 @@
             mirror=self.mirror,
             promotions=self.promotions,
             serving=self.serving,
+            news=self.news,
         )
         self._readiness_server = readiness.serve(
             parse_address(cfg.readiness),
@@ -138,6 +146,7 @@
         extra = {
             "peers": float(len(self.gossip.live_peers())),
             "store_away": float(self.mirror.store_unreachable()),
+            "store_watched": float(self.serving.watches_store()),
             "forward_suspects": float(self.serving.suspect_count()),
             **{
                 f"forwarded_{outcome}": float(count)
--- a/bronzehold/process/digest_exchange.py
+++ b/bronzehold/process/digest_exchange.py
@@ -13,9 +13,10 @@
 from bronzehold.process import promotions as promotions_lib
 from bronzehold.process import serving as serving_lib
 from bronzehold.process import store_mirror as mirror_lib
+from bronzehold.process import store_news as news_lib
 from bronzehold.proto import gossip_pb2 as pb
 from bronzehold.version import freshness
-from bronzehold.version import serving_set
+from bronzehold.version import members as members_lib
 from bronzehold.version import succession
 
 # Time for which writes are held after a digest that asks for it; each further
@@ -38,7 +39,9 @@
         mirror: mirror_lib.StoreMirror,
         promotions: promotions_lib.Promotions,
         serving: serving_lib.Serving,
+        news: news_lib.StoreNews,
     ):
+        self._news = news
         self._process = process
         self._gossip = gossip
         self._mirror = mirror
@@ -57,7 +60,7 @@
     def _update_peers(self) -> None:
         """Applies a change of the live peers to the serving sets and pools."""
         self._serving.set_peers(
-            serving_set.Member(
+            members_lib.Member(
                 name=name,
                 zone=heard.digest.zone,
                 address=heard.digest.address,
@@ -105,11 +108,20 @@
         """
         digest.version = self._process.table().version
         digest.leaving.extend(self._mirror.leaving())
+        self._fill_store_report(digest, echoed_at)
         for service in self._process.services():
             if _has_news(service):
                 digest.groups.append(self._group_view(service, echoed_at))
             digest.crowded.extend(service.crowded())
 
+    def _fill_store_report(self, digest: pb.Digest, echoed_at: float) -> None:
+        report = self._news.report()
+        if report is not None:
+            digest.store_revision = report.revision
+            digest.store_report_after_us = int(
+                (report.at - echoed_at) * gossip_lib.MICROSECONDS_PER_S
+            )
+
     def _group_view(
         self, service: platform_service.PlatformService, echoed_at: float
     ) -> pb.GroupView:
@@ -153,6 +165,7 @@
                 gossip_lib.unpack_entries(digest.entries), digest.proxy
             )
         self._mirror.mark_leaving(digest.leaving)
+        self._note_store_report(received)
         for endpoint in digest.crowded:
             for service in self._process.services():
                 service.recall(endpoint)
@@ -161,6 +174,20 @@
             if service is not None:
                 self._apply_group_view(service, view, received)
 
+    def _note_store_report(self, received: gossip_lib.ReceivedDigest) -> None:
+        digest = received.digest
+        if not digest.store_revision or received.time_base is None:
+            return
+        at = (
+            received.time_base
+            + digest.store_report_after_us / gossip_lib.MICROSECONDS_PER_S
+        )
+        self._news.note_report(
+            news_lib.Report(
+                revision=digest.store_revision, at=min(at, clock.now())
+            )
+        )
+
     def _apply_group_view(
         self,
         service: platform_service.PlatformService,
--- a/bronzehold/process/digest_exchange_test.py
+++ b/bronzehold/process/digest_exchange_test.py
@@ -6,6 +6,7 @@
 from bronzehold.process import gossip as gossip_lib
 from bronzehold.process import platform_group
 from bronzehold.process import promotions as promotions_lib
+from bronzehold.process import store_news as news_lib
 from bronzehold.process import timeline as timeline_lib
 from bronzehold.proto import gossip_pb2 as pb
 
@@ -115,12 +116,16 @@
         self.mirror = FakeMirror()
         self.gossip = FakeGossip()
         self.promotions = FakePromotions()
+        self.news = news_lib.StoreNews(
+            is_watcher=lambda: False, on_newer_revision=lambda: None
+        )
         self.exchange = exchange_lib.DigestExchange(
             process=self.process,
             gossip=self.gossip,
             mirror=self.mirror,
             promotions=self.promotions,
             serving=FakeServing(),
+            news=self.news,
         )
 
     def receive(self, version, *groups):
@@ -159,6 +164,37 @@
     assert harness.exchange.needs_entries()
 
 
+def test_report_of_the_store_keeps_its_age_over_two_proxies(harness):
+    """The age is counted on the clock of each proxy, without their offset."""
+    sender_clock_at = 7.0
+    sent = pb.Digest(proxy="p")
+    sender_news = news_lib.Report(revision=9, at=sender_clock_at - 0.5)
+    harness.news.note_report(sender_news)
+    # The sender received the echoed digest 0.2 s ago.
+    harness.exchange.fill_digest(sent, sender_clock_at - 0.2)
+    harness.news.note_report(news_lib.Report(revision=10, at=0.0))
+    sent.store_revision = 11
+    harness.exchange.receive(
+        gossip_lib.ReceivedDigest(
+            digest=sent, received_at=harness.at, time_base=harness.at - 0.3
+        )
+    )
+    assert harness.news.report() == news_lib.Report(
+        revision=11, at=pytest.approx(harness.at - 0.6)
+    )
+
+
+def test_report_without_an_echo_is_ignored(harness):
+    harness.receive(3)
+    digest = pb.Digest(proxy="p", store_revision=9)
+    harness.exchange.receive(
+        gossip_lib.ReceivedDigest(
+            digest=digest, received_at=harness.at, time_base=None
+        )
+    )
+    assert harness.news.report() is None
+
+
 def test_each_round_asks_a_few_other_peers():
     gossip = object.__new__(gossip_lib.Gossip)
     gossip._next_source = 0
--- a/bronzehold/process/gossip.py
+++ b/bronzehold/process/gossip.py
@@ -103,6 +103,7 @@
         self._received: dict[str, ReceivedDigest] = {}
         self._live: set[str] = set()
         self._wake = threading.Event()
+        self._is_next_to_all = False
         self._peer_count = 0
         self._next_peer = 0
         self._next_source = 0
@@ -130,6 +131,15 @@
 
     def send_now(self) -> None:
         """Starts a round to all peers without waiting for the interval."""
+        self._is_next_to_all = True
+        self._wake.set()
+
+    def send_soon(self) -> None:
+        """Starts a round to the next peers without waiting for the interval.
+
+        News that each receiver passes on in this way reaches all peers in a
+        number of rounds that is logarithmic in the number of peers.
+        """
         self._wake.set()
 
     def set_members(self, members: dict[str, str]) -> None:
@@ -152,8 +162,9 @@
     def _send_forever(self) -> None:
         stop = self._tasks.stop
         while not stop.is_set():
-            to_all = self._wake.is_set() or self.has_urgent_changes()
             self._wake.clear()
+            to_all = self._is_next_to_all or self.has_urgent_changes()
+            self._is_next_to_all = False
             self._send_round(to_all=to_all)
             self._detect_silent_peers()
             stop.wait(MIN_SEND_INTERVAL_S)
--- a/bronzehold/process/serving.py
+++ b/bronzehold/process/serving.py
@@ -1,4 +1,4 @@
-"""What this proxy knows of who serves which service.
+"""What this proxy knows of who serves which service and watches the store.
 
 It keeps the live proxies and those that failed to take a forwarded statement,
 and answers for each service whether this proxy serves it and otherwise where
@@ -12,7 +12,9 @@
 from bronzehold.core import events
 from bronzehold.core import routes
 from bronzehold.process import timeline as timeline_lib
+from bronzehold.version import members as members_lib
 from bronzehold.version import serving_set
+from bronzehold.version import watchers as watchers_lib
 
 # A proxy that failed to take a statement gets none for at least this long, and
 # until it is heard again.
@@ -36,7 +38,7 @@
     def __init__(
         self,
         *,
-        own: serving_set.Member,
+        own: members_lib.Member,
         everyone: collections.abc.Callable[[], int],
         timeline: timeline_lib.Timeline,
     ):
@@ -44,13 +46,14 @@
         self._everyone = everyone
         self._timeline = timeline
         self._lock = threading.Lock()
-        self._members: dict[str, serving_set.Member] = {own.name: own}
+        self._members: dict[str, members_lib.Member] = {own.name: own}
         self._sets: dict[tuple[str, int], frozenset[str]] = {}
+        self._watchers: frozenset[str] | None = None
         self._announced: dict[str, frozenset[str]] = {}
         self._suspected_at: dict[str, float] = {}
 
     def set_peers(
-        self, peers: collections.abc.Iterable[serving_set.Member]
+        self, peers: collections.abc.Iterable[members_lib.Member]
     ) -> None:
         """Replaces the live peers that are not stopping."""
         members = {peer.name: peer for peer in peers}
@@ -60,6 +63,7 @@
                 return
             self._members = members
             self._sets.clear()
+            self._watchers = None
             for name in self._suspected_at.keys() - members.keys():
                 del self._suspected_at[name]
 
@@ -85,6 +89,13 @@
             )
         return found
 
+    def watches_store(self) -> bool:
+        """Returns whether this proxy is one of those that watch the store."""
+        with self._lock:
+            if self._watchers is None:
+                self._watchers = watchers_lib.watchers(self._members.values())
+            return self._own.name in self._watchers
+
     def serves(self, limits: routes.ServiceLimits) -> bool:
         """Returns whether this proxy serves a service itself."""
         return self._own.name in self.names(limits)
@@ -100,7 +111,7 @@
             is_everyone = len(names) == len(self._members)
         return self._everyone() if is_everyone else len(names) + 1
 
-    def targets(self, limits: routes.ServiceLimits) -> list[serving_set.Member]:
+    def targets(self, limits: routes.ServiceLimits) -> list[members_lib.Member]:
         """Returns the proxies to forward a service's statements to.
 
         Returns:
--- a/bronzehold/process/store_mirror.py
+++ b/bronzehold/process/store_mirror.py
@@ -2,7 +2,8 @@
 
 One watch follows all keys, starting from a snapshot. A watch that fails or
 times out is resumed at its last revision. If the store has compacted that
-revision, the mirror starts again from a new snapshot.
+revision, the mirror starts again from a new snapshot. A proxy that need not
+watch reads the changes when its peers report some (see store_news.py).
 """
 
 import collections.abc
@@ -16,15 +17,11 @@
 from bronzehold.core import routes
 from bronzehold.core import validation
 from bronzehold.process import platform_process
+from bronzehold.process import store_news as news_lib
 
-# Timeout of a watch call. It must be well below the time limit for a
-# configuration change to take effect after a connection has hung; a shorter
-# timeout costs more calls.
-WATCH_TIMEOUT_S = 4.0
-RETRY_INTERVAL_S = 0.25
-# Time for which changes of the registered proxies are collected and then
-# handled at once.
-MEMBER_BATCH_S = 0.3
+# Time for which further changes are collected after some have been read. When a
+# fleet starts, every proxy and endpoint that registers wakes all watches.
+BATCH_S = 0.3
 # Time for which an entry that disappeared is kept. Entries whose lease expired
 # while the store was unreachable are registered again within two seconds.
 LAPSE_GRACE_S = 2.5
@@ -45,7 +42,9 @@
         on_members: collections.abc.Callable[[dict[str, bytes]], None],
         records_prefix: str,
         on_record: collections.abc.Callable[[str, bytes, int], None],
+        news: news_lib.StoreNews,
     ):
+        self._news = news
         self._process = process
         self._store = store
         self._directory = directory
@@ -63,6 +62,11 @@
         # Endpoints whose entry has disappeared, with the time of that.
         self._missing: dict[str, float] = {}
         self._members: dict[str, bytes] = {}
+        # The revision up to which all changes are known.
+        self._revision = 0
+        # The newest revision of an entry that is no member's. Peers exchange
+        # digests, so they need not read the store when a member registers.
+        self._newest_relevant = 0
         # Revisions of invalid entries by key; each is recorded only once.
         self._refused_revisions: dict[str, int] = {}
         self._unreachable = False
@@ -70,37 +74,56 @@
     def run(self) -> None:
         """Follows the store until the process stops."""
         stop = self._process.tasks.stop
-        revision = 0
         while not stop.is_set():
             try:
-                if not revision:
-                    revision = self._load_snapshot()
-                snapshot = self._store.watch("", revision, WATCH_TIMEOUT_S)
-                self._record_reachable()
-                self._apply(snapshot.items)
-                revision = snapshot.revision
-                if self._has_only_members(snapshot.items):
-                    self._wait_for_more_members()
+                self._follow()
             except ports.CompactedError:
-                revision = 0
+                self._revision = 0
             except ports.StoreError as exc:
                 self._record_unreachable(str(exc))
-                stop.wait(RETRY_INTERVAL_S * random.uniform(0.5, 1.5))  # noqa: S311
+                interval_s = self._news.retry_interval_s()
+                stop.wait(interval_s * random.uniform(0.5, 1.5))  # noqa: S311
             self._expire()
 
-    def _wait_for_more_members(self) -> None:
-        """Waits for further changes of the registered proxies.
-
-        When a fleet starts, every registration wakes the watches of all other
-        proxies; the wait reduces the number of calls.
-        """
-        self._process.tasks.stop.wait(MEMBER_BATCH_S)
+    def _follow(self) -> None:
+        """Reads the changes, or waits until there may be some."""
+        if not self._revision:
+            self._revision = self._newest_relevant = self._load_snapshot()
+            self._news.note_read()
+        match self._news.next_step(self._revision):
+            case news_lib.Read(wait_s=wait_s):
+                self._read_changes(wait_s)
+            case news_lib.Wait(timeout_s=timeout_s):
+                self._news.wait(timeout_s)
+
+    def _read_changes(self, wait_s: float) -> None:
+        if wait_s and not self._unreachable:
+            self._news.set_watched(self._newest_relevant)
+        started_at = clock.now()
+        try:
+            snapshot = self._store.watch("", self._revision, wait_s)
+        finally:
+            self._news.set_watched(None)
+        self._record_reachable()
+        self._news.note_read()
+        self._apply(snapshot.items)
+        self._revision = snapshot.revision
+        relevant = [
+            item.revision
+            for item in snapshot.items
+            if not item.key.startswith(self._members_prefix)
+        ]
+        self._newest_relevant = max([self._newest_relevant, *relevant])
+        if relevant and wait_s:
+            self._news.note_report(
+                news_lib.Report(revision=self._newest_relevant, at=started_at)
+            )
+        if snapshot.items:
+            self._wait_for_more_changes()
 
-    def _has_only_members(
-        self, items: collections.abc.Sequence[ports.Item]
-    ) -> bool:
-        prefix = self._members_prefix
-        return bool(items) and all(i.key.startswith(prefix) for i in items)
+    def _wait_for_more_changes(self) -> None:
+        """Waits, so that changes which come together are read in one call."""
+        self._process.tasks.stop.wait(BATCH_S)
 
     def _load_snapshot(self) -> int:
         snapshot = self._store.list("")
--- /dev/null
+++ b/bronzehold/process/store_news.py
@@ -0,0 +1,168 @@
+"""What this proxy knows of changes in the store without asking it.
+
+The proxies that watch the store report its newest revision in their digests,
+with the time at which it was the newest, and all proxies pass the latest report
+on. A proxy that does not watch reads the store when a report names a revision
+that it lacks. If no recent report reaches it, it watches the store itself.
+"""
+
+import collections.abc
+import dataclasses
+import random
+import threading
+
+from bronzehold.core import clock
+
+# A watch is cut by the client after this time. It must be well below the time
+# limit for a configuration change to take effect after a connection has hung; a
+# shorter time costs more calls.
+WATCH_TIMEOUT_S = 4.0
+# The maximum age of the latest report. It is well below the time limits for a
+# configuration change and for an endpoint that leaves.
+MAX_REPORT_AGE_S = 2.0
+# Mean interval at which a proxy that does not watch reads the changes anyway.
+REREAD_INTERVAL_S = 15.0
+REREAD_JITTER = 0.3
+# Maximum wait for a report before the store's removed entries are checked.
+MAX_WAIT_S = 0.5
+WATCHER_RETRY_INTERVAL_S = 0.25
+RETRY_INTERVAL_S = 1.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Report:
+    """A statement about the newest revision of the store.
+
+    Attributes:
+        revision: No relevant entry had a newer revision.
+        at: The time at which that was so, in seconds of clock.now().
+    """
+
+    revision: int
+    at: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Read:
+    """The changes after the known revision are to be read from the store.
+
+    Attributes:
+        wait_s: The time that the store waits for a change, in seconds; 0 if it
+            answers at once.
+    """
+
+    wait_s: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Wait:
+    """The store need not be asked.
+
+    Attributes:
+        timeout_s: The time to wait for news, in seconds.
+    """
+
+    timeout_s: float
+
+
+class StoreNews:
+    """Decides when the store is read; safe to use from any thread.
+
+    Args:
+        is_watcher: Returns whether this proxy is one of those that watch.
+        on_newer_revision: Called with each newer revision, so that the peers
+            are told.
+    """
+
+    def __init__(
+        self,
+        *,
+        is_watcher: collections.abc.Callable[[], bool],
+        on_newer_revision: collections.abc.Callable[[], None],
+    ):
+        self._is_watcher = is_watcher
+        self._on_newer_revision = on_newer_revision
+        self._lock = threading.Lock()
+        self._arrived = threading.Event()
+        self._report = Report(revision=0, at=-MAX_REPORT_AGE_S)
+        self._reread_at = 0.0
+        # The revision up to which all changes are known here.
+        self._known_revision = 0
+        # The newest revision of a relevant entry, while a watch waits.
+        self._watched: int | None = None
+
+    # Own reads.
+
+    def next_step(self, revision: int) -> Read | Wait:
+        """Returns what to do next.
+
+        Args:
+            revision: The revision up to which this proxy knows all changes.
+        """
+        now = clock.now()
+        with self._lock:
+            self._known_revision = revision
+            self._arrived.clear()
+            if self._is_watcher():
+                return Read(wait_s=WATCH_TIMEOUT_S)
+            if now - self._report.at > MAX_REPORT_AGE_S:
+                return Read(wait_s=WATCH_TIMEOUT_S)
+            if self._report.revision > revision or now >= self._reread_at:
+                return Read(wait_s=0.0)
+            return Wait(timeout_s=min(self._reread_at - now, MAX_WAIT_S))
+
+    def wait(self, timeout_s: float) -> None:
+        """Waits for a report of a newer revision."""
+        self._arrived.wait(timeout_s)
+
+    def note_read(self) -> None:
+        """Records that this proxy has read the changes."""
+        jitter = random.uniform(1 - REREAD_JITTER, 1 + REREAD_JITTER)  # noqa: S311
+        with self._lock:
+            self._reread_at = clock.now() + REREAD_INTERVAL_S * jitter
+
+    def set_watched(self, revision: int | None) -> None:
+        """Sets the newest relevant revision, while a watch waits for changes.
+
+        Args:
+            revision: The revision; None while no watch waits.
+        """
+        with self._lock:
+            self._watched = revision
+
+    # Reports.
+
+    def note_report(self, report: Report) -> None:
+        """Records a report of this proxy's own watch or of a peer."""
+        with self._lock:
+            if report.revision < self._report.revision:
+                # Its sender has not learned of the newest change yet.
+                return
+            is_new = report.revision > self._report.revision
+            at = max(report.at, self._report.at)
+            self._report = Report(revision=report.revision, at=at)
+        if is_new:
+            self._arrived.set()
+            self._on_newer_revision()
+
+    def report(self) -> Report | None:
+        """Returns the report to send to the peers, None if there is none.
+
+        It is this proxy's own while its watch waits and has missed nothing,
+        otherwise the latest from a peer.
+        """
+        with self._lock:
+            newest = self._report.revision
+            if self._watched is not None and newest <= self._known_revision:
+                revision = max(self._watched, newest)
+                return Report(revision=revision, at=clock.now())
+            return self._report if newest else None
+
+    def retry_interval_s(self) -> float:
+        """Returns the mean pause after a failed call to the store.
+
+        Proxies that watch find out for all when the store is back.
+        """
+        if self._is_watcher():
+            return WATCHER_RETRY_INTERVAL_S
+        return RETRY_INTERVAL_S
--- a/bronzehold/version/serving_set.py
+++ b/bronzehold/version/serving_set.py
@@ -9,11 +9,9 @@
 different sets for a while; a forwarded statement is served by whoever gets it.
 """
 
-import collections
 import collections.abc
-import dataclasses
 
-import xxhash
+from bronzehold.version import members as members_lib
 
 # All proxies serve a service as long as each has this many connections to an
 # endpoint.
@@ -23,24 +21,9 @@
 SET_SHARE_CONNECTIONS = 8
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Member:
-    """A live proxy.
-
-    Attributes:
-        name: Its name, unique among the proxies.
-        zone: Its availability zone.
-        address: "host:port" at which it takes forwarded statements.
-    """
-
-    name: str
-    zone: str
-    address: str
-
-
 def serving_set(
     service: str,
-    members: collections.abc.Collection[Member],
+    members: collections.abc.Collection[members_lib.Member],
     max_connections: int,
 ) -> frozenset[str]:
     """Returns the names of the proxies that serve a service.
@@ -53,26 +36,19 @@
     """
     if len(members) * MIN_SHARE_CONNECTIONS <= max_connections:
         return frozenset(member.name for member in members)
-    by_zone = collections.defaultdict(list)
-    for member in members:
-        by_zone[member.zone].append(member)
+    zone_count = len({member.zone for member in members})
     in_each_zone = max(
-        1, max_connections // (SET_SHARE_CONNECTIONS * len(by_zone))
-    )
-    return frozenset(
-        member.name
-        for in_zone in by_zone.values()
-        for member in rank(service, in_zone)[:in_each_zone]
+        1, max_connections // (SET_SHARE_CONNECTIONS * zone_count)
     )
+    return members_lib.first_in_each_zone(_key(service), members, in_each_zone)
 
 
 def rank(
-    service: str, members: collections.abc.Iterable[Member]
-) -> list[Member]:
+    service: str, members: collections.abc.Iterable[members_lib.Member]
+) -> list[members_lib.Member]:
     """Orders proxies for a service, the same on every proxy."""
-    return sorted(members, key=lambda m: _weight(service, m), reverse=True)
+    return members_lib.rank(_key(service), members)
 
 
-def _weight(service: str, member: Member) -> tuple[int, str]:
-    text = f"serve {service}\0{member.name}"
-    return xxhash.xxh3_64_intdigest(text.encode()), member.name
+def _key(service: str) -> str:
+    return f"serve {service}"
