Start of a fleet: serving sets at once, and room for lost connections

After the restart 13 of 28 connections of an endpoint were held by proxies that do not serve the group: at first each took itself for the only one. The endpoints still counted 16 to 20 connections from before the loss, and the first to start took the rest, with overflow, while others refused their zones for seconds (40 to 80 waiting).

Change: registrations hold the zone, and for a second after the start registered proxies count as live. Digests hold the uptime; while this proxy and most peers are younger than 3.5 s, a proxy uses half of its share and borrows nothing. A refused connection to a proxy that starts does not make it a suspect. Tests with the pattern; the borrowing test waits until the fleet is no longer new. Not measured yet.

--- a/bronzehold/connection/forward_client.py
+++ b/bronzehold/connection/forward_client.py
@@ -41,6 +41,14 @@
     """The other proxy has not read the statement and cannot run it."""
 
 
+class RefusedError(NotTakenError):
+    """No process listens at the other proxy: it has ended or is starting.
+
+    This costs one round trip on its instance's network, so the proxy is tried
+    again for the next statement.
+    """
+
+
 class Link:
     """A connection to another proxy, used by one caller at a time.
 
@@ -157,6 +165,8 @@
                 self.close_idle_to(target)
         try:
             return self._connect(target)
+        except RefusedError:
+            raise
         except NotTakenError as exc:
             self.suspect(target, str(exc))
             raise
@@ -173,6 +183,8 @@
                 (host, int(port)), CONNECT_TIMEOUT_S
             )
             frames.set_socket_options(sock)
+        except ConnectionRefusedError as exc:
+            raise RefusedError(f"no connection: {exc}") from exc
         except (OSError, ValueError) as exc:
             raise NotTakenError(f"no connection: {exc}") from exc
         link = Link(target=target, sock=sock)
--- a/bronzehold/platform/instance.py
+++ b/bronzehold/platform/instance.py
@@ -55,13 +55,14 @@
     def __init__(self, *, cfg: settings.PlatformSettings):
         self.cfg = cfg
         self.timeline = timeline_lib.Timeline(proxy=cfg.name, zone=cfg.zone)
+        own = members_lib.Member(
+            name=cfg.name,
+            zone=cfg.zone,
+            address=f"{cfg.host}:{cfg.peer_port}",
+        )
         # Lambdas, because gossip and mirror are created after the process.
         self.serving = serving_lib.Serving(
-            own=members_lib.Member(
-                name=cfg.name,
-                zone=cfg.zone,
-                address=f"{cfg.host}:{cfg.peer_port}",
-            ),
+            own=own,
             everyone=lambda: self.gossip.share_count(),  # noqa: PLW0108
             timeline=self.timeline,
         )
@@ -74,6 +75,7 @@
             cut_off=lambda: (
                 self.gossip.is_isolated() and self.mirror.store_unreachable()
             ),
+            fleet_restarted=lambda: self.gossip.is_fleet_new(),  # noqa: PLW0108
         )
         tasks = self.process.tasks
         self.gossip = gossip_lib.Gossip(
@@ -96,7 +98,7 @@
             process=self.process,
             store=store_client,
             key=MEMBERS_PREFIX + cfg.name,
-            address=self.gossip.address,
+            own=own,
         )
         self.promotions = promotions_lib.Promotions(
             process=self.process,
@@ -138,7 +140,15 @@
         return self._listener is not None
 
     def _on_members(self, values: dict[str, bytes]) -> None:
-        self.gossip.set_members(exchange_lib.decode_members(values))
+        registered = []
+        for name, value in values.items():
+            member = registration_lib.decode(name, value)
+            if member is None:
+                self.timeline.count("registration that cannot be read")
+            else:
+                registered.append(member)
+        self.gossip.set_members({m.name: m.address for m in registered})
+        self.serving.set_registered(registered)
         if self.cfg.name not in values:
             self.registration.register_again()
 
--- a/bronzehold/process/digest_exchange.py
+++ b/bronzehold/process/digest_exchange.py
@@ -249,8 +249,3 @@
         or promotions_lib.own_view(service).reach
         is not succession.Reach.UNKNOWN
     )
-
-
-def decode_members(values: dict[str, bytes]) -> dict[str, str]:
-    """Decodes the addresses of the registered proxies, by name."""
-    return {name: value.decode() for name, value in values.items()}
--- a/bronzehold/process/gossip.py
+++ b/bronzehold/process/gossip.py
@@ -40,8 +40,12 @@
 MAX_MISSED_ROUNDS = 4
 # Minimum time for which a silent peer may still hold endpoint connections.
 FORGET_TIMEOUT_S = 4.0
+# For about this time, an endpoint counts the connections of an instance that has
+# lost power.
+LOST_CONNECTIONS_S = 3.5
 MAX_DATAGRAM_BYTES = 60_000
 MICROSECONDS_PER_S = 1_000_000
+MILLISECONDS_PER_S = 1_000
 # Interval at which the receiver checks whether the process stops.
 RECEIVE_TIMEOUT_S = 1.0
 
@@ -98,6 +102,7 @@
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._sock.bind(address)
         self._sock.settimeout(RECEIVE_TIMEOUT_S)
+        self._started_at = clock.now()
         self._lock = threading.Lock()
         self._members: dict[str, str] = {}
         self._received: dict[str, ReceivedDigest] = {}
@@ -227,6 +232,7 @@
             zone=self._zone,
             stopping=self.stopping,
             stamp_us=int(now * MICROSECONDS_PER_S),
+            uptime_ms=int((now - self._started_at) * MILLISECONDS_PER_S),
         )
         if received is not None:
             digest.echo_us = received.digest.stamp_us
@@ -339,6 +345,15 @@
         with self._lock:
             return bool(self._members or self._received) and not self._live
 
+    def is_fleet_new(self) -> bool:
+        """Returns whether this proxy and most peers have just started."""
+        with self._lock:
+            peers_ms = [r.digest.uptime_ms for r in self._received.values()]
+        return has_fleet_restarted(
+            clock.now() - self._started_at,
+            [peer_ms / MILLISECONDS_PER_S for peer_ms in peers_ms],
+        )
+
     def share_count(self) -> int:
         """Returns the number of proxies that share the connections.
 
@@ -361,6 +376,21 @@
     return same and one.stamp_us <= other.stamp_us
 
 
+def has_fleet_restarted(
+    uptime_s: float, peer_uptimes_s: collections.abc.Collection[float]
+) -> bool:
+    """Returns whether a proxy and most of its peers have just started.
+
+    Args:
+        uptime_s: Uptime of the proxy in seconds.
+        peer_uptimes_s: Uptimes of the peers that it has heard, in seconds.
+    """
+    if uptime_s > LOST_CONNECTIONS_S:
+        return False
+    old_count = sum(up_s > LOST_CONNECTIONS_S for up_s in peer_uptimes_s)
+    return 2 * old_count <= len(peer_uptimes_s)
+
+
 def pack_entries(entries: collections.abc.Iterable[tuple[str, bytes]]) -> bytes:
     """Encodes and compresses store entries for a digest."""
     packed = pb.Entries(
--- a/bronzehold/process/platform_process.py
+++ b/bronzehold/process/platform_process.py
@@ -86,6 +86,7 @@
         dial: ports.Dial,
         serving: serving_lib.Serving,
         cut_off: collections.abc.Callable[[], bool],
+        fleet_restarted: collections.abc.Callable[[], bool],
     ):
         self.cfg = cfg
         self.name = cfg.name
@@ -102,6 +103,7 @@
             spawn_lasting=self.tasks.spawn_lasting,
             serving=serving,
             cut_off=cut_off,
+            fleet_restarted=fleet_restarted,
         )
         self._lock = threading.Lock()
         self._table = routes.EMPTY_TABLE
--- a/bronzehold/process/platform_service.py
+++ b/bronzehold/process/platform_service.py
@@ -26,6 +26,8 @@
 POOL_QUEUE_S = 0.5
 # The largest fraction of an endpoint's connections that one proxy uses.
 MAX_BORROWED_SHARE = 0.5
+# The fraction of its share that a proxy uses after all proxies have restarted.
+RESTART_SHARE = 0.5
 # The endpoint still counts the connections of an instance that lost power, so
 # unused connections are closed early.
 MAX_IDLE_S = 3.0
@@ -46,6 +48,9 @@
         cut_off: A function that returns whether this proxy reaches neither its
             peers nor the store. An endpoint that it cannot reach then may be
             healthy.
+        fleet_restarted: A function that returns whether most proxies have just
+            started, so that the endpoints may still count connections of the
+            processes before.
     """
 
     zone: str
@@ -55,6 +60,7 @@
     spawn_lasting: collections.abc.Callable[..., object]
     serving: serving_lib.Serving
     cut_off: collections.abc.Callable[[], bool]
+    fleet_restarted: collections.abc.Callable[[], bool]
 
 
 class PlatformService:
@@ -131,6 +137,12 @@
         if not self.serves():
             share = 1
         slots = listing.slots + EXTRA_SLOTS
+        if self.env.fleet_restarted():
+            # The rest is left for lost connections, so that a proxy that starts
+            # a little later finds some too.
+            return pool_lib.Limits(
+                connections=max(1, int(share * RESTART_SHARE)), slots=slots
+            )
         max_overflow = min(
             slots, int(max_connections * MAX_BORROWED_SHARE) - share
         )
@@ -159,6 +171,7 @@
 
     def sweep(self) -> None:
         """Closes idle connections, and starts probes that have become due."""
+        self.resize()
         for pool in list(self._pools.values()):
             pool.close_excess_idle()
         self.probes.refresh()
--- /dev/null
+++ b/bronzehold/process/platform_service_test.py
@@ -0,0 +1,91 @@
+import pytest
+
+from bronzehold.core import routes
+from bronzehold.process import platform_service
+from bronzehold.process import tasks as tasks_lib
+from bronzehold.process import timeline as timeline_lib
+
+ENDPOINT = "e"
+
+
+class FakeServing:
+    """Six of many proxies serve, with a share left for a lost one."""
+
+    is_serving = True
+
+    def serves(self, limits):
+        del limits
+        return self.is_serving
+
+    def share_count(self, limits):
+        del limits
+        return 7
+
+
+class Service:
+    """A service of one endpoint with 46 connections and 4 slots."""
+
+    def __init__(self):
+        self.serving = FakeServing()
+        self.has_fleet_restarted = False
+        timeline = timeline_lib.Timeline(proxy="me", zone="z")
+        tasks = tasks_lib.Tasks(timeline=timeline)
+        self.service = platform_service.PlatformService(
+            env=platform_service.Environment(
+                zone="z",
+                regions={"z": "r"},
+                timeline=timeline,
+                dial=lambda _: None,
+                spawn_lasting=lambda *_: tasks,
+                serving=self.serving,
+                cut_off=lambda: False,
+                fleet_restarted=lambda: self.has_fleet_restarted,
+            ),
+            limits=routes.ServiceLimits(
+                name="s", connections=46, synchronous=False
+            ),
+        )
+        listing = routes.Listing(
+            id=ENDPOINT,
+            service="s",
+            host="h",
+            port=1,
+            zone="z",
+            slots=4,
+            leaving=False,
+            leads=True,
+            started_ms=1,
+        )
+        self.service.apply(self.service.limits, {ENDPOINT: listing})
+
+    def limits(self):
+        self.service.sweep()
+        return self.service.pool(ENDPOINT).load().limits
+
+
+@pytest.fixture(name="service")
+def _service():
+    return Service()
+
+
+def test_proxy_that_does_not_serve_has_one_connection(service):
+    assert service.limits().connections == 46 // 7
+    service.serving.is_serving = False
+    assert service.limits().connections == 1
+
+
+def test_connections_are_left_to_late_starters_after_a_power_loss(service):
+    """Answers the pattern of a fleet whose instances all lost power.
+
+    The endpoints still count the connections from before. The proxies that
+    started first took all others and borrowed more, and the last ones refused
+    their zones' statements for seconds.
+    """
+    service.has_fleet_restarted = True
+    limits = service.limits()
+    assert limits.connections == 3
+    assert limits.max_overflow == 0
+    service.has_fleet_restarted = False
+    limits = service.limits()
+    assert limits.connections == 6
+    assert limits.max_overflow > 0
--- a/bronzehold/process/promotions_test.py
+++ b/bronzehold/process/promotions_test.py
@@ -99,6 +99,7 @@
                 timeline=timeline,
             ),
             cut_off=lambda: False,
+            fleet_restarted=lambda: False,
         )
         limits = routes.ServiceLimits(
             name="g", connections=4, synchronous=False
--- a/bronzehold/process/registration.py
+++ b/bronzehold/process/registration.py
@@ -4,11 +4,13 @@
 renewing the lease, so peers do not need to remove a proxy that has crashed.
 """
 
+import json
 import threading
 import time
 
 from bronzehold.core import ports
 from bronzehold.process import platform_process
+from bronzehold.version import members as members_lib
 
 LEASE_TTL_S = 4.0
 RENEW_INTERVAL_S = 1.3
@@ -25,7 +27,7 @@
         process: The process, for its stop event and its counters.
         store: The store.
         key: Key of this proxy in the store.
-        address: Address that peers connect to.
+        own: This proxy as its peers see it.
     """
 
     def __init__(
@@ -34,12 +36,12 @@
         process: platform_process.PlatformProcess,
         store: ports.Store,
         key: str,
-        address: str,
+        own: members_lib.Member,
     ):
         self._process = process
         self._store = store
         self._key = key
-        self._value = address.encode()
+        self._value = encode(own)
         self._lease_id = 0
         self._registered_at: float | None = None
         self._wake = threading.Event()
@@ -91,3 +93,27 @@
             self._store.revoke_lease(lease_id)
         except ports.StoreError as exc:
             self._process.timeline.count(f"registration: {exc}")
+
+
+def encode(member: members_lib.Member) -> bytes:
+    """Encodes the registration of a proxy."""
+    return json.dumps({"address": member.address, "zone": member.zone}).encode()
+
+
+def decode(name: str, value: bytes) -> members_lib.Member | None:
+    """Decodes the registration of a proxy.
+
+    Args:
+        name: The name of the proxy.
+        value: The value of its key.
+
+    Returns:
+        The proxy; None if the value is not a registration.
+    """
+    try:
+        fields = json.loads(value)
+        return members_lib.Member(
+            name=name, zone=str(fields["zone"]), address=str(fields["address"])
+        )
+    except (ValueError, TypeError, LookupError):
+        return None
--- a/bronzehold/process/registration_test.py
+++ b/bronzehold/process/registration_test.py
@@ -4,6 +4,9 @@
 from bronzehold.process import registration as registration_lib
 from bronzehold.process import tasks as tasks_lib
 from bronzehold.process import timeline as timeline_lib
+from bronzehold.version import members as members_lib
+
+OWN = members_lib.Member(name="me", zone="z", address="h:1")
 
 
 class FakeProcess:
@@ -44,7 +47,7 @@
 @pytest.fixture(name="registration")
 def _registration(store):
     return registration_lib.Registration(
-        process=FakeProcess(), store=store, key="proxies/me", address="h:1"
+        process=FakeProcess(), store=store, key="proxies/me", own=OWN
     )
 
 
@@ -71,3 +74,15 @@
     registration.register_again()
     registration._renew_or_register()
     assert store.calls == ["grant", "swap", "grant", "swap"]
+
+
+def test_registration_is_decoded():
+    value = registration_lib.encode(OWN)
+    assert registration_lib.decode("me", value) == OWN
+
+
+@pytest.mark.parametrize(
+    "value", [b"", b"h:1", b"[]", b"\xff", b"null", b"{}", b'{"zone": "z"}']
+)
+def test_value_that_is_no_registration_is_ignored(value):
+    assert registration_lib.decode("me", value) is None
--- a/bronzehold/process/serving.py
+++ b/bronzehold/process/serving.py
@@ -23,6 +23,9 @@
 MAX_SUSPECT_S = 15.0
 # Number of proxies that a statement is offered to before this proxy serves it.
 MAX_TARGETS = 2
+# After the start, a registered proxy counts as live for this time. Later, only
+# those whose digests arrive do.
+EXPECTED_S = 1.0
 
 
 class Serving:
@@ -46,6 +49,10 @@
         self._everyone = everyone
         self._timeline = timeline
         self._lock = threading.Lock()
+        self._live: dict[str, members_lib.Member] = {}
+        self._expected: dict[str, members_lib.Member] = {}
+        self._expected_until = clock.now() + EXPECTED_S
+        # This proxy, the live ones and the expected ones.
         self._members: dict[str, members_lib.Member] = {own.name: own}
         self._sets: dict[tuple[str, int], frozenset[str]] = {}
         self._watchers: frozenset[str] | None = None
@@ -56,21 +63,49 @@
         self, peers: collections.abc.Iterable[members_lib.Member]
     ) -> None:
         """Replaces the live peers that are not stopping."""
-        members = {peer.name: peer for peer in peers}
-        members[self._own.name] = self._own
         with self._lock:
-            if members == self._members:
-                return
-            self._members = members
-            self._sets.clear()
-            self._watchers = None
-            for name in self._suspected_at.keys() - members.keys():
-                del self._suspected_at[name]
+            self._live = {peer.name: peer for peer in peers}
+            self._update_members()
+
+    def set_registered(
+        self, registered: collections.abc.Iterable[members_lib.Member]
+    ) -> None:
+        """Sets the registered proxies, which count as live after the start.
+
+        Otherwise each proxy of a fleet that starts would serve everything at
+        first, and use up the connections of the endpoints.
+        """
+        with self._lock:
+            self._expected = {
+                member.name: member for member in registered if member.zone
+            }
+            self._update_members()
+
+    def _update_members(self) -> None:
+        if clock.now() >= self._expected_until:
+            self._expected = {}
+        members = {
+            **self._expected,
+            **self._live,
+            self._own.name: self._own,
+        }
+        if members == self._members:
+            return
+        self._members = members
+        self._sets.clear()
+        self._watchers = None
+        for name in self._suspected_at.keys() - members.keys():
+            del self._suspected_at[name]
+
+    def _forget_expected(self) -> None:
+        if self._expected and clock.now() >= self._expected_until:
+            self._update_members()
 
     def names(self, limits: routes.ServiceLimits) -> frozenset[str]:
         """Returns the proxies that serve a service."""
         key = (limits.name, limits.connections)
         with self._lock:
+            self._forget_expected()
             found = self._sets.get(key)
             if found is not None:
                 return found
@@ -92,6 +127,7 @@
     def watches_store(self) -> bool:
         """Returns whether this proxy is one of those that watch the store."""
         with self._lock:
+            self._forget_expected()
             if self._watchers is None:
                 self._watchers = watchers_lib.watchers(self._members.values())
             return self._own.name in self._watchers
--- a/bronzehold/process/serving_test.py
+++ b/bronzehold/process/serving_test.py
@@ -102,3 +102,25 @@
     while serving.targets(LIMITS):
         serving.suspect(serving.targets(LIMITS)[0].name, "no answer")
     assert serving.suspect_count() == 10 // len(ZONES) - 1
+
+
+def test_registered_proxies_count_as_live_after_the_start(at):
+    """Answers the pattern of a fleet that starts at once.
+
+    Until the first digests, each proxy took itself for the only one. It opened
+    connections to all endpoints, which those of the serving set then lacked.
+    """
+    members = [_member(n) for n in range(10)]
+    names = _fleet(10)["p0"].names(LIMITS)
+    own = next(m for m in members if m.name not in names)
+    serving = serving_lib.Serving(
+        own=own,
+        everyone=lambda: 1,
+        timeline=timeline_lib.Timeline(proxy=own.name, zone=own.zone),
+    )
+    assert serving.serves(LIMITS)
+    serving.set_registered(members)
+    assert not serving.serves(LIMITS)
+    assert serving.targets(LIMITS)[0].name in names
+    at[0] += serving_lib.EXPECTED_S
+    assert serving.serves(LIMITS), "none of them has sent a digest"
