--- a/bronzehold/process/gossip.py
+++ b/bronzehold/process/gossip.py
@@ -40,8 +40,8 @@
 MAX_MISSED_ROUNDS = 4
 # Minimum time for which a silent peer may still hold endpoint connections.
 FORGET_TIMEOUT_S = 4.0
-# For about this time, an endpoint counts the connections of an instance that has
-# lost power.
+# Time for which an endpoint still counts the connections of an instance that
+# has lost power.
 LOST_CONNECTIONS_S = 3.5
 MAX_DATAGRAM_BYTES = 60_000
 MICROSECONDS_PER_S = 1_000_000
