Store news: a revision that the store does not have is forgotten; digests with any values

Cause: a report of a revision that never comes (a wrong or restored peer) would have made every proxy that does not watch read the store without a pause, and pass the report on. Change: an answer of the store that was asked after the report arrived and has an older revision ends the report, and there is a pause after every read. The test fails without it. hypothesis now feeds digests with any values, and datagrams of any bytes, through the exchange: no error found.

--- a/bronzehold/process/digest_exchange_test.py
+++ b/bronzehold/process/digest_exchange_test.py
@@ -1,3 +1,6 @@
+from google.protobuf import message
+import hypothesis
+from hypothesis import strategies
 import pytest
 
 from bronzehold.core import clock
@@ -55,14 +58,21 @@
 
 
 class FakeService:
-    """A service whose group is not used."""
+    """A service without endpoints."""
 
     limits = routes.ServiceLimits(name="g", connections=4, synchronous=False)
-    group = None
+
+    def __init__(self):
+        self.group = platform_group.PlatformGroup(
+            name="g", timeline=timeline_lib.Timeline(proxy="me", zone="z")
+        )
 
     def wake_probe(self, name):
         del name
 
+    def recall(self, endpoint):
+        del endpoint
+
 
 class FakeProcess:
     """A process that has a configuration and no endpoints."""
@@ -70,6 +80,7 @@
     def __init__(self):
         self.listings_received = self
         self.version = 3
+        self.fake_service = FakeService()
 
     def is_set(self):
         return True
@@ -82,7 +93,7 @@
 
     def service(self, name):
         del name
-        return FakeService()
+        return self.fake_service
 
     def table(self):
         return routes.Table(
@@ -292,3 +303,62 @@
         service.group.note_not_leading("e")
         harness.process.services = lambda service=service: [service]
         assert harness.exchange._has_urgent_changes() is serves
+
+
+_NUMBERS = strategies.integers(min_value=-(1 << 63), max_value=(1 << 63) - 1)
+_TEXTS = strategies.text(max_size=12)
+_VIEWS = strategies.builds(
+    pb.GroupView,
+    service=_TEXTS,
+    leader=_TEXTS,
+    term=_NUMBERS,
+    reach=strategies.integers(min_value=0, max_value=9),
+    proof_term=_NUMBERS,
+    proof_number=_NUMBERS,
+    proof_after_us=_NUMBERS,
+    token=_NUMBERS,
+    holder=_TEXTS,
+    held_for=_TEXTS | strategies.just("p/x"),
+    quiet=strategies.booleans(),
+)
+_DIGESTS = strategies.builds(
+    pb.Digest,
+    proxy=strategies.just("p") | _TEXTS,
+    address=_TEXTS,
+    version=_NUMBERS,
+    groups=strategies.lists(_VIEWS, max_size=3),
+    leaving=strategies.lists(_TEXTS, max_size=3),
+    entries=strategies.binary(max_size=40),
+    crowded=strategies.lists(_TEXTS, max_size=3),
+    store_revision=_NUMBERS,
+    store_report_after_us=_NUMBERS,
+    uptime_ms=_NUMBERS,
+)
+
+
+@hypothesis.settings(
+    max_examples=300,
+    deadline=None,
+    suppress_health_check=[hypothesis.HealthCheck.function_scoped_fixture],
+)
+@hypothesis.given(digests=strategies.lists(_DIGESTS, min_size=1, max_size=4))
+def test_digests_with_any_values_are_handled_without_an_error(harness, digests):
+    """An error would end the task that receives, and peers would go silent."""
+    for digest in digests:
+        received = gossip_lib.ReceivedDigest(
+            digest=digest, received_at=harness.at, time_base=harness.at - 0.1
+        )
+        harness.exchange.receive(received)
+        answer = pb.Digest()
+        harness.exchange.fill_digest(answer, harness.at)
+        assert answer.SerializeToString()
+
+
+@hypothesis.given(data=strategies.binary(max_size=200))
+def test_datagrams_are_refused_or_decoded(data):
+    digest = pb.Digest()
+    try:
+        digest.ParseFromString(data)
+    except message.DecodeError:
+        return
+    gossip_lib.unpack_entries(digest.entries)
--- a/bronzehold/process/store_mirror.py
+++ b/bronzehold/process/store_mirror.py
@@ -88,8 +88,9 @@
     def _follow(self) -> None:
         """Reads the changes, or waits until there may be some."""
         if not self._revision:
+            started_at = clock.now()
             self._revision = self._newest_relevant = self._load_snapshot()
-            self._news.note_read()
+            self._news.note_read(self._revision, started_at)
         match self._news.next_step(self._revision):
             case news_lib.Read(wait_s=wait_s):
                 self._read_changes(wait_s)
@@ -105,7 +106,7 @@
         finally:
             self._news.set_watched(None)
         self._record_reachable()
-        self._news.note_read()
+        self._news.note_read(snapshot.revision, started_at)
         self._apply(snapshot.items)
         self._revision = snapshot.revision
         relevant = [
@@ -118,7 +119,7 @@
             self._news.note_report(
                 news_lib.Report(revision=self._newest_relevant, at=started_at)
             )
-        if snapshot.items:
+        if snapshot.items or not wait_s:
             self._wait_for_more_changes()
 
     def _wait_for_more_changes(self) -> None:
--- a/bronzehold/process/store_mirror_test.py
+++ b/bronzehold/process/store_mirror_test.py
@@ -36,10 +36,12 @@
         self.snapshots = 0
         self.watched = []
         self.waits = []
+        self.on_list = lambda: None
 
     def list(self, prefix):
         del prefix
         self.snapshots += 1
+        self.on_list()
         return SNAPSHOT
 
     def watch(self, prefix, after, wait_s):
@@ -60,14 +62,16 @@
     monkeypatch.setattr(news_lib, "WATCHER_RETRY_INTERVAL_S", 0.01)
     monkeypatch.setattr(mirror_lib, "BATCH_S", 0.0)
 
-    def run_mirror(*responses, is_watcher=True, reports=()):
+    def run_mirror(*responses, is_watcher=True, reported_revision=None):
         process = FakeProcess()
         store = FakeStore(process=process, responses=responses)
         news = news_lib.StoreNews(
             is_watcher=lambda: is_watcher, on_newer_revision=lambda: None
         )
-        for report in reports:
-            news.note_report(report)
+        if reported_revision is not None:
+            store.on_list = lambda: news.note_report(
+                news_lib.Report(revision=reported_revision, at=clock.now())
+            )
         mirror_lib.StoreMirror(
             process=process,
             store=store,
@@ -127,10 +131,7 @@
 
 
 def test_proxy_that_does_not_watch_reads_what_its_peers_report(run_mirror):
-    store = run_mirror(
-        is_watcher=False,
-        reports=[news_lib.Report(revision=9, at=clock.now())],
-    )
+    store = run_mirror(is_watcher=False, reported_revision=9)
     assert store.watched == [5]
     assert store.waits == [0.0]
 
--- a/bronzehold/process/store_news.py
+++ b/bronzehold/process/store_news.py
@@ -85,6 +85,8 @@
         self._lock = threading.Lock()
         self._arrived = threading.Event()
         self._report = Report(revision=0, at=-MAX_REPORT_AGE_S)
+        # The time at which the report's revision was heard of.
+        self._report_arrived = 0.0
         self._reread_at = 0.0
         # The revision up to which all changes are known here.
         self._known_revision = 0
@@ -115,11 +117,19 @@
         """Waits for a report of a newer revision."""
         self._arrived.wait(timeout_s)
 
-    def note_read(self) -> None:
-        """Records that this proxy has read the changes."""
+    def note_read(self, revision: int, at: float) -> None:
+        """Records that this proxy has read the changes.
+
+        Args:
+            revision: The store's revision in the answer.
+            at: The time of the request, in seconds of clock.now().
+        """
         jitter = random.uniform(1 - REREAD_JITTER, 1 + REREAD_JITTER)  # noqa: S311
         with self._lock:
             self._reread_at = clock.now() + REREAD_INTERVAL_S * jitter
+            if self._report.revision > revision and self._report_arrived < at:
+                # The store had no such revision after the report arrived.
+                self._report = Report(revision=revision, at=self._report.at)
 
     def set_watched(self, revision: int | None) -> None:
         """Sets the newest relevant revision, while a watch waits for changes.
@@ -139,6 +149,8 @@
                 # Its sender has not learned of the newest change yet.
                 return
             is_new = report.revision > self._report.revision
+            if is_new:
+                self._report_arrived = clock.now()
             at = max(report.at, self._report.at)
             self._report = Report(revision=report.revision, at=at)
         if is_new:
--- a/bronzehold/process/store_news_test.py
+++ b/bronzehold/process/store_news_test.py
@@ -19,7 +19,7 @@
             is_watcher=lambda: self.is_watcher,
             on_newer_revision=self._tell_peers,
         )
-        self.news.note_read()
+        self.news.note_read(0, self.at)
 
     def _tell_peers(self):
         self.told_peers += 1
@@ -81,7 +81,7 @@
     proxy.at += news_lib.REREAD_INTERVAL_S * (1 + news_lib.REREAD_JITTER)
     proxy.hear(7)
     assert proxy.news.next_step(7) == READ_AT_ONCE
-    proxy.news.note_read()
+    proxy.news.note_read(7, proxy.at)
     assert isinstance(proxy.news.next_step(7), news_lib.Wait)
 
 
@@ -114,3 +114,15 @@
     interval_s = proxy.news.retry_interval_s()
     proxy.is_watcher = True
     assert proxy.news.retry_interval_s() < interval_s
+
+
+def test_revision_that_the_store_does_not_have_is_forgotten(proxy):
+    """A wrong report must not make a proxy read the store again and again."""
+    proxy.hear(7)
+    proxy.hear(1 << 60)
+    assert proxy.news.next_step(7) == READ_AT_ONCE
+    proxy.news.note_read(7, proxy.at)
+    assert proxy.news.next_step(7) == READ_AT_ONCE, "read before the report"
+    proxy.at += 0.1
+    proxy.news.note_read(7, proxy.at)
+    assert isinstance(proxy.news.next_step(7), news_lib.Wait)
