--- a/bronzehold/process/store_mirror.py
+++ b/bronzehold/process/store_mirror.py
@@ -172,9 +172,10 @@
     ) -> None:
         members_changed = is_snapshot
         listings_changed = is_snapshot
+        configs = []
         for item in items:
             if item.key == self._directory.config_key:
-                self._apply_config(item)
+                configs.append(item)
             elif item.key.startswith(self._directory.listings_prefix):
                 self._apply_listing(item)
                 listings_changed = True
@@ -184,10 +185,13 @@
             elif item.key.startswith(self._records_prefix) and item.value:
                 service = item.key.removeprefix(self._records_prefix)
                 self._on_record(service, item.value, item.revision)
-        if listings_changed:
-            self._publish()
+        # The proxies come first: they determine which endpoints this one uses.
         if members_changed:
             self._on_members(dict(self._members))
+        for item in configs:
+            self._apply_config(item)
+        if listings_changed:
+            self._publish()
 
     def _apply_config(self, item: ports.Item) -> None:
         if item.value is None:
--- a/bronzehold/process/store_mirror_test.py
+++ b/bronzehold/process/store_mirror_test.py
@@ -22,9 +22,11 @@
     def __init__(self):
         self.timeline = timeline_lib.Timeline(proxy="me", zone="z")
         self.tasks = tasks_lib.Tasks(timeline=self.timeline)
+        self.applied = []
 
     def set_listings(self, listings):
         del listings
+        self.applied.append("endpoints")
 
 
 class FakeStore:
@@ -77,12 +79,13 @@
             store=store,
             directory=FakeDirectory(),
             members_prefix="members/",
-            on_members=lambda _: None,
+            on_members=lambda _: process.applied.append("proxies"),
             records_prefix="records/",
             on_record=lambda *_: None,
             news=news,
         ).run()
         store.last_report = news.report()
+        store.applied = process.applied
         return store
 
     return run_mirror
@@ -146,3 +149,12 @@
     record = dataclasses.replace(MEMBER, key="records/grp", value=None)
     store = run_mirror(ports.Snapshot(items=(record, MEMBER), revision=8))
     assert store.last_report.revision == record.revision
+
+
+def test_proxies_are_known_before_the_endpoints(run_mirror):
+    """Answers the pattern of a fleet that starts at once.
+
+    A proxy that knew the endpoints first took itself for the only one, and
+    opened a connection to each of them to probe it.
+    """
+    assert run_mirror().applied == ["proxies", "endpoints"]
