Serving sets: a proxy that replaces another one has its share of connections

Cause (by reading): in a large fleet a dead proxy is noticed late, after 13 s at 78 proxies and four rounds over all peers at any size. Its zone forwards to the next one meanwhile, which served all of them over the single connection that a proxy outside of the set keeps. Change: a proxy counts as serving for 2 s after each statement that is forwarded to it, so it has a share, probes and reports. The test failed first. Not measured yet.

--- a/bronzehold/connection/forward_server.py
+++ b/bronzehold/connection/forward_server.py
@@ -131,6 +131,7 @@
         ):
             # Without the service, the sender knows a newer configuration.
             raise errors.FailureError(errors.Stopping(proxy=self._process.name))
+        service.note_forwarded()
         context = blocks.StatementContext(
             route=call.route, service=service, deadline=call.deadline
         )
--- a/bronzehold/process/platform_service.py
+++ b/bronzehold/process/platform_service.py
@@ -7,6 +7,7 @@
 import collections.abc
 import dataclasses
 
+from bronzehold.core import clock
 from bronzehold.core import data
 from bronzehold.core import ports
 from bronzehold.core import routes
@@ -28,6 +29,10 @@
 MAX_BORROWED_SHARE = 0.5
 # The fraction of its share that a proxy uses after all proxies have restarted.
 RESTART_SHARE = 2 / 3
+# A proxy that others forward to counts as serving until this long after the last
+# such statement, also outside of the serving set: the others have found that the
+# one in the set does not answer.
+FORWARDED_S = 2.0
 # The endpoint still counts the connections of an instance that lost power, so
 # unused connections are closed early.
 MAX_IDLE_S = 3.0
@@ -75,6 +80,7 @@
         self.budget = budget.RetryBudget()
         self._pools: dict[str, pool_lib.Pool] = {}
         self.probes = probes_lib.Probes(service=self)
+        self._forwarded_at = -FORWARDED_S
 
     # Configuration and endpoints.
 
@@ -152,7 +158,18 @@
 
     def serves(self) -> bool:
         """Returns whether this proxy is one of those that serve the service."""
-        return self.env.serving.serves(self.limits)
+        return self._replaces_another() or self.env.serving.serves(self.limits)
+
+    def note_forwarded(self) -> None:
+        """Records that another proxy has forwarded a statement to this one."""
+        is_new = not self.serves()
+        self._forwarded_at = clock.now()
+        if is_new:
+            self.resize()
+            self.probes.refresh()
+
+    def _replaces_another(self) -> bool:
+        return clock.now() - self._forwarded_at < FORWARDED_S
 
     def pool(self, endpoint: str) -> pool_lib.Pool | None:
         """Returns the pool of an endpoint, None if it is not listed."""
--- a/bronzehold/process/platform_service_test.py
+++ b/bronzehold/process/platform_service_test.py
@@ -1,5 +1,6 @@
 import pytest
 
+from bronzehold.core import clock
 from bronzehold.core import routes
 from bronzehold.process import platform_service
 from bronzehold.process import tasks as tasks_lib
@@ -74,6 +75,22 @@
     assert service.limits().connections == 1
 
 
+def test_proxy_that_others_forward_to_serves_with_a_share(service, monkeypatch):
+    """Answers the pattern of a serving proxy that has died in a large fleet.
+
+    Until its silence is noticed, its zone's statements go to another one, which
+    had a single connection to each endpoint for them.
+    """
+    at = [100.0]
+    monkeypatch.setattr(clock, "now", lambda: at[0])
+    service.serving.is_serving = False
+    assert service.limits().connections == 1
+    service.service.note_forwarded()
+    assert service.service.pool(ENDPOINT).load().limits.connections == 46 // 7
+    at[0] += platform_service.FORWARDED_S
+    assert service.limits().connections == 1
+
+
 def test_connections_are_left_to_late_starters_after_a_power_loss(service):
     """Answers the pattern of a fleet whose instances all lost power.
 
