--- a/bronzehold/process/platform_service_test.py
+++ b/bronzehold/process/platform_service_test.py
@@ -75,7 +75,7 @@
     assert service.limits().connections == 1
 
 
-def test_proxy_that_others_forward_to_serves_with_a_share(service, monkeypatch):
+def test_proxy_that_replaces_another_has_a_share(service, monkeypatch):
     """Answers the pattern of a serving proxy that has died in a large fleet.
 
     Until its silence is noticed, its zone's statements go to another one, which
