--- a/bronzehold/process/platform_service.py
+++ b/bronzehold/process/platform_service.py
@@ -29,8 +29,8 @@
 MAX_BORROWED_SHARE = 0.5
 # The fraction of its share that a proxy uses after all proxies have restarted.
 RESTART_SHARE = 2 / 3
-# A proxy that others forward to counts as serving until this long after the last
-# such statement, also outside of the serving set: the proxy in the set does not
+# A proxy that others forward to counts as serving until this long after their
+# last statement, also outside of the serving set: the proxy in the set does not
 # answer then.
 FORWARDED_S = 2.0
 # The endpoint still counts the connections of an instance that lost power, so
