Start of a fleet: registered proxies count until they must have been heard

A second after the start the serving sets were computed from those heard so far, and changed with each one. Change: a registered proxy that has never been heard counts as live for a silence timeout after the start; one that is stopping or was heard and went silent does not. Statements still wait for a starting proxy in the first second only. Not measured yet.

Weighed and left: reports on other proxies in each digest (indirect liveness).

--- a/bronzehold/connection/forward_client.py
+++ b/bronzehold/connection/forward_client.py
@@ -147,9 +147,9 @@
         """Returns the proxies to forward to, none to serve here."""
         return self._serving.targets(limits)
 
-    def expects_proxies(self) -> bool:
+    def may_be_starting(self) -> bool:
         """Returns whether a proxy that refused a connection may be starting."""
-        return self._serving.expects_proxies()
+        return self._serving.may_be_starting()
 
     def acquire(self, target: members_lib.Member) -> Link:
         """Returns a connection that works.
--- a/bronzehold/connection/forwarding_runner.py
+++ b/bronzehold/connection/forwarding_runner.py
@@ -180,7 +180,7 @@
         those that serve for many.
         """
         return (
-            self._links.expects_proxies()
+            self._links.may_be_starting()
             and clock.now() + STARTING_RETRY_DELAY_S < call.deadline
         )
 
--- a/bronzehold/platform/instance.py
+++ b/bronzehold/platform/instance.py
@@ -64,6 +64,7 @@
         self.serving = serving_lib.Serving(
             own=own,
             everyone=lambda: self.gossip.share_count(),  # noqa: PLW0108
+            silence_s=lambda: self.gossip.silence_timeout_s(),  # noqa: PLW0108
             timeline=self.timeline,
         )
         self.links = forward_client.Links(serving=self.serving)
--- a/bronzehold/process/digest_exchange.py
+++ b/bronzehold/process/digest_exchange.py
@@ -59,7 +59,7 @@
 
     def _update_peers(self) -> None:
         """Applies a change of the live peers to the serving sets and pools."""
-        self._serving.set_peers(
+        peers = [
             members_lib.Member(
                 name=name,
                 zone=heard.digest.zone,
@@ -67,7 +67,8 @@
             )
             for name, heard in self._gossip.live_peers().items()
             if heard.digest.zone and not heard.digest.stopping
-        )
+        ]
+        self._serving.set_peers(peers, self._gossip.heard_names())
         self._process.resize()
 
     # Sending.
--- a/bronzehold/process/gossip.py
+++ b/bronzehold/process/gossip.py
@@ -301,7 +301,7 @@
         if digest.wants_entries:
             self._send(digest.address, received, entries=self.get_entries())
 
-    def _silence_timeout_s(self) -> float:
+    def silence_timeout_s(self) -> float:
         """Returns the time without a digest after which a peer is silent."""
         rounds = -(-self._peer_count // FANOUT)
         return max(
@@ -310,11 +310,11 @@
 
     def _forget_timeout_s(self) -> float:
         """Returns the time without a digest after which a peer is dropped."""
-        return max(FORGET_TIMEOUT_S, 2 * self._silence_timeout_s())
+        return max(FORGET_TIMEOUT_S, 2 * self.silence_timeout_s())
 
     def _detect_silent_peers(self) -> None:
         now = clock.now()
-        timeout_s = self._silence_timeout_s()
+        timeout_s = self.silence_timeout_s()
         with self._lock:
             silent = {
                 n
@@ -332,7 +332,7 @@
     def live_peers(self) -> dict[str, ReceivedDigest]:
         """Returns the last digest of every peer that is not silent."""
         now = clock.now()
-        timeout_s = self._silence_timeout_s()
+        timeout_s = self.silence_timeout_s()
         with self._lock:
             return {
                 name: received
@@ -340,6 +340,11 @@
                 if now - received.received_at < timeout_s
             }
 
+    def heard_names(self) -> frozenset[str]:
+        """Returns the names of all peers that have ever sent a digest."""
+        with self._lock:
+            return frozenset(self._received)
+
     def is_isolated(self) -> bool:
         """Returns whether peers are known and all of them are silent."""
         with self._lock:
--- a/bronzehold/process/promotions_test.py
+++ b/bronzehold/process/promotions_test.py
@@ -96,6 +96,7 @@
             serving=serving_lib.Serving(
                 own=members_lib.Member(name="me", zone="z", address="h:1"),
                 everyone=lambda: 1,
+                silence_s=lambda: 1.0,
                 timeline=timeline,
             ),
             cut_off=lambda: False,
--- a/bronzehold/process/serving.py
+++ b/bronzehold/process/serving.py
@@ -23,9 +23,8 @@
 MAX_SUSPECT_S = 15.0
 # Number of proxies that a statement is offered to before this proxy serves it.
 MAX_TARGETS = 2
-# After the start, a registered proxy counts as live for this time. Later, only
-# those whose digests arrive do.
-EXPECTED_S = 1.0
+# Time within which the proxies of a fleet that starts at once are ready.
+STARTING_S = 1.0
 
 
 class Serving:
@@ -35,6 +34,8 @@
         own: This proxy.
         everyone: Returns the number of proxies that may hold connections when
             all serve.
+        silence_s: Returns the time without a digest after which a peer counts
+            as silent, in seconds.
         timeline: The event log of the process.
     """
 
@@ -43,6 +44,7 @@
         *,
         own: members_lib.Member,
         everyone: collections.abc.Callable[[], int],
+        silence_s: collections.abc.Callable[[], float],
         timeline: timeline_lib.Timeline,
     ):
         self._own = own
@@ -50,8 +52,10 @@
         self._timeline = timeline
         self._lock = threading.Lock()
         self._live: dict[str, members_lib.Member] = {}
+        self._heard: frozenset[str] = frozenset()
         self._expected: dict[str, members_lib.Member] = {}
-        self._expected_until = clock.now() + EXPECTED_S
+        self._started_at = clock.now()
+        self._silence_s = silence_s
         # This proxy, the live ones and the expected ones.
         self._members: dict[str, members_lib.Member] = {own.name: own}
         self._sets: dict[tuple[str, int], frozenset[str]] = {}
@@ -60,20 +64,30 @@
         self._suspected_at: dict[str, float] = {}
 
     def set_peers(
-        self, peers: collections.abc.Iterable[members_lib.Member]
+        self,
+        peers: collections.abc.Iterable[members_lib.Member],
+        heard: frozenset[str] = frozenset(),
     ) -> None:
-        """Replaces the live peers that are not stopping."""
+        """Replaces the known peers.
+
+        Args:
+            peers: The live peers that are not stopping.
+            heard: Names of all peers that have sent a digest. Of these, only
+                the ones in peers count as live.
+        """
         with self._lock:
             self._live = {peer.name: peer for peer in peers}
+            self._heard = heard
             self._update_members()
 
     def set_registered(
         self, registered: collections.abc.Iterable[members_lib.Member]
     ) -> None:
-        """Sets the registered proxies, which count as live after the start.
+        """Sets the registered proxies.
 
-        Otherwise each proxy of a fleet that starts would serve everything at
-        first, and use up the connections of the endpoints.
+        They count as live after the start, until those that live must have sent
+        a digest. Otherwise each proxy of a fleet that starts would serve
+        everything at first, and use up the connections of the endpoints.
         """
         with self._lock:
             self._expected = {
@@ -81,18 +95,22 @@
             }
             self._update_members()
 
-    def expects_proxies(self) -> bool:
-        """Returns whether registered proxies may still be starting."""
-        return clock.now() < self._expected_until
+    def may_be_starting(self) -> bool:
+        """Returns whether other proxies may be starting along with this one."""
+        return clock.now() - self._started_at < STARTING_S
+
+    def _expects_registered(self) -> bool:
+        return clock.now() - self._started_at < self._silence_s()
 
     def _update_members(self) -> None:
-        if clock.now() >= self._expected_until:
+        if not self._expects_registered():
             self._expected = {}
-        members = {
-            **self._expected,
-            **self._live,
-            self._own.name: self._own,
+        expected = {
+            name: member
+            for name, member in self._expected.items()
+            if name not in self._heard
         }
+        members = {**expected, **self._live, self._own.name: self._own}
         if members == self._members:
             return
         self._members = members
@@ -102,7 +120,7 @@
             del self._suspected_at[name]
 
     def _forget_expected(self) -> None:
-        if self._expected and clock.now() >= self._expected_until:
+        if self._expected and not self._expects_registered():
             self._update_members()
 
     def names(self, limits: routes.ServiceLimits) -> frozenset[str]:
