Change of primary: the serving proxies suffice as evidence, others tell the holder

Change: a primary that no proxy reaches is replaced once all proxies of its serving set (three or more) and the holder itself find it unreachable; a silent one of the set or any proxy that reaches it leaves the decision to the majority of all, as before, so a partition is judged as before. Proxies outside of the set report to the holder only. Small fleets, where all serve, are unchanged. Not measured yet.

--- a/bronzehold/process/promotions.py
+++ b/bronzehold/process/promotions.py
@@ -258,14 +258,25 @@
             last = clock.now()
 
     def _publish_view(self, service: platform_service.PlatformService) -> None:
-        """Gossips at once if this proxy's view of a group has changed."""
+        """Gossips at once if this proxy's view of a group has changed.
+
+        A proxy that serves the group tells all, and wakes the probes of the
+        others. Those tell the token holder only: told to all, the number of
+        datagrams would grow with the square of the fleet.
+        """
         name = service.limits.name
         view = own_view(service)
         if view.reach is succession.Reach.UNKNOWN:
             return
-        if self._published_views.get(name) != view:
-            self._published_views[name] = view
+        if self._published_views.get(name) == view:
+            return
+        self._published_views[name] = view
+        holder, _, _ = self.token(name).holder.partition("/")
+        heard = self._gossip.live_peers().get(holder)
+        if service.serves() or heard is None:
             self._gossip.send_now()
+        else:
+            self._gossip.reply(heard)
 
     def _check_group(self, service: platform_service.PlatformService) -> None:
         name = service.limits.name
@@ -293,13 +304,21 @@
         group = service.group
         own = own_view(service)
         listing = group.listings().get(own.leader)
+        views = {
+            name: view
+            for name, heard in self._gossip.live_peers().items()
+            for view in peer_views(heard, service.limits.name)
+        }
+        serving = service.env.serving.names(service.limits)
         return succession.decide(
             own,
-            [
+            list(views.values()),
+            serving=[
                 view
-                for heard in self._gossip.live_peers().values()
-                for view in peer_views(heard, service.limits.name)
+                for name, view in {**views, self._process.name: own}.items()
+                if name in serving
             ],
+            serving_proxies=len(serving),
             proxies=self._gossip.share_count(),
             leaving=listing is not None and listing.leaving,
             leaderless_s=group.leaderless_s(),
--- a/bronzehold/version/succession.py
+++ b/bronzehold/version/succession.py
@@ -10,6 +10,9 @@
 
 from bronzehold.core import statements
 
+# Fewer serving proxies are no evidence by themselves.
+MIN_UNANIMOUS_PROXIES = 3
+
 
 class Reach(enum.Enum):
     """The reachability of the endpoint that a proxy takes for the primary.
@@ -69,12 +72,16 @@
     leaving: bool,
     leaderless_s: float,
     leaderless_timeout_s: float,
+    serving: collections.abc.Sequence[View] = (),
+    serving_proxies: int = 0,
 ) -> Decision:
     """Decides whether to keep, replace or hand over a group's primary.
 
     A proxy that is cut off from a live primary reports the same as one whose
     primary has died. The primary is therefore replaced only if more proxies
-    report it unreachable than reached, and those are more than half of all.
+    report it unreachable than reached, and those are more than half of all. In
+    a large fleet it suffices that no proxy reaches it, this one included, and
+    that all those which serve the group have tried.
 
     Args:
         own: The view of this proxy.
@@ -86,6 +93,8 @@
             seconds.
         leaderless_timeout_s: The time without a primary after which an
             endpoint is promoted, in seconds.
+        serving: The views of the proxies that serve the group.
+        serving_proxies: The number of these proxies, including silent ones.
 
     Returns:
         The decision.
@@ -108,9 +117,24 @@
         return Replace(
             reason=f"unreachable for {unreachable}, reached by {reached}"
         )
+    if not reached and _is_lost_to_all(own, serving, serving_proxies):
+        return Replace(reason=f"unreachable for all {serving_proxies} serving")
     return HandOver() if leaving and not unreachable else Keep()
 
 
+def _is_lost_to_all(
+    own: View, serving: collections.abc.Sequence[View], serving_proxies: int
+) -> bool:
+    lost = sum(
+        view.leader == own.leader and view.reach is Reach.UNREACHABLE
+        for view in serving
+    )
+    return (
+        own.reach is Reach.UNREACHABLE
+        and lost == serving_proxies >= MIN_UNANIMOUS_PROXIES
+    )
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Candidate:
     """An endpoint that may be promoted.
--- a/bronzehold/version/succession_test.py
+++ b/bronzehold/version/succession_test.py
@@ -46,6 +46,26 @@
     assert isinstance(_decide(own, others), succession.Replace)
 
 
+def test_primary_lost_to_all_serving_proxies_of_a_large_fleet_is_replaced():
+    """Answers the pattern of a lost primary that every proxy has to probe."""
+    lost = [_view(UNREACHABLE)] * 6
+    large = {"proxies": 78, "serving": lost, "serving_proxies": 6}
+    decision = _decide(_view(UNREACHABLE), lost, **large)
+    assert isinstance(decision, succession.Replace)
+    assert _decide(_view(UNKNOWN), lost, **large) == succession.Keep()
+    reached = [*lost, _view(REACHED)]
+    assert _decide(_view(UNREACHABLE), reached, **large) == succession.Keep(), (
+        "another proxy reaches it"
+    )
+    for serving in (lost[:5], [*lost[:5], _view(UNKNOWN)]):
+        fields = {**large, "serving": serving}
+        assert _decide(_view(UNREACHABLE), serving, **fields) == (
+            succession.Keep()
+        ), "a serving proxy is silent or has not tried"
+    fields = {**large, "serving": lost[:2], "serving_proxies": 2}
+    assert _decide(_view(UNREACHABLE), lost[:2], **fields) == succession.Keep()
+
+
 def test_silent_proxies_count_towards_the_required_majority():
     # Two of four proxies reach neither the primary nor the other two, which may
     # be on the primary's side of a partition.
