Start of a fleet: peers' entries hold the registered proxies, and no second target

And statements whose serving proxy was not open yet went to the second of the zone, which opened a share of connections of its own.

Change: entries for a peer hold the registered proxies too; while the fleet starts, a statement tries its first target only. Tests failed first.

--- a/bronzehold/connection/forwarding_runner.py
+++ b/bronzehold/connection/forwarding_runner.py
@@ -158,18 +158,18 @@
         run_here: collections.abc.Callable[[], statements.Completed],
     ) -> statements.Completed:
         """Forwards a statement that no transaction ties to a proxy yet."""
-        while True:
-            is_starting = False
-            for target in self._links.targets(context.service.limits):
-                try:
-                    return self._forward(target, call, context)
-                except _TryElsewhereError as exc:
-                    self._links.count(type(exc.failure).__name__)
-                    self.exchange.record_attempt(target.name, exc.failure)
-                    is_starting = exc.is_starting
-            if not (is_starting and self._may_wait(call)):
-                break
-            time.sleep(STARTING_RETRY_DELAY_S)
+        targets = self._links.targets(context.service.limits)
+        while targets:
+            target = targets[0]
+            try:
+                return self._forward(target, call, context)
+            except _TryElsewhereError as exc:
+                self._links.count(type(exc.failure).__name__)
+                self.exchange.record_attempt(target.name, exc.failure)
+                if exc.is_starting and self._may_wait(call):
+                    time.sleep(STARTING_RETRY_DELAY_S)
+                else:
+                    del targets[0]
         self.via = ""
         return run_here()
 
--- a/bronzehold/connection/forwarding_runner_test.py
+++ b/bronzehold/connection/forwarding_runner_test.py
@@ -13,6 +13,7 @@
 from bronzehold.version import members as members_lib
 
 TARGET = members_lib.Member(name="p1", zone="z", address="h:1")
+SECOND = members_lib.Member(name="p2", zone="z", address="h:2")
 ANSWER = statements.Completed(
     body=b"", state=statements.TransactionState.IDLE, position=None
 )
@@ -52,16 +53,17 @@
     def __init__(self):
         self.refusals = 0
         self.is_starting = True
+        self.tried = []
 
     def targets(self, limits):
         del limits
-        return [TARGET]
+        return [TARGET, SECOND]
 
     def may_be_starting(self):
         return self.is_starting
 
     def acquire(self, target):
-        del target
+        self.tried.append(target)
         if self.refusals:
             self.refusals -= 1
             raise forward_client.RefusedError("refused")
@@ -108,6 +110,7 @@
     """
     links.refusals = 5
     assert read() == ANSWER
+    assert links.tried == [TARGET] * 6, "the second has no connections yet"
 
 
 def test_wait_for_a_starting_proxy_ends_before_the_deadline(links, read):
@@ -116,6 +119,7 @@
 
 
 def test_refused_connection_is_no_reason_to_wait_later(links, read):
-    links.refusals = 1
+    links.refusals = 2
     links.is_starting = False
     assert read() == "served here"
+    assert links.tried == [TARGET, SECOND]
--- a/bronzehold/process/store_mirror.py
+++ b/bronzehold/process/store_mirror.py
@@ -139,6 +139,8 @@
         for name in self._listings:
             if prefix + name not in listed_keys:
                 self._missing.setdefault(name, now)
+        for name in self._members:
+            self._raw_items.pop(self._members_prefix + name, None)
         self._members = {}
         self._apply(snapshot.items, is_snapshot=True)
         return snapshot.revision
@@ -230,8 +232,10 @@
         name = item.key.removeprefix(self._members_prefix)
         if item.value is None:
             self._members.pop(name, None)
+            self._raw_items.pop(item.key, None)
         else:
             self._members[name] = item.value
+            self._raw_items[item.key] = item
 
     def _expire(self) -> None:
         if self._unreachable:
@@ -301,7 +305,7 @@
     def raw_entries(self) -> list[tuple[str, bytes]]:
         """Returns the keys and undecoded values of the store's valid entries.
 
-        They are the configuration and the endpoints.
+        They are the configuration, the endpoints and the registered proxies.
         """
         return [
             (item.key, item.value)
@@ -314,8 +318,8 @@
     ) -> None:
         """Applies store entries received from a peer.
 
-        The configuration is always applied, the endpoints only if this proxy
-        has none.
+        The configuration is always applied, the endpoints and the registered
+        proxies only if this proxy has no endpoints.
 
         Args:
             entries: Keys and undecoded values.
--- a/bronzehold/process/store_mirror_test.py
+++ b/bronzehold/process/store_mirror_test.py
@@ -74,7 +74,7 @@
             store.on_list = lambda: news.note_report(
                 news_lib.Report(revision=reported_revision, at=clock.now())
             )
-        mirror_lib.StoreMirror(
+        mirror = mirror_lib.StoreMirror(
             process=process,
             store=store,
             directory=FakeDirectory(),
@@ -83,7 +83,9 @@
             records_prefix="records/",
             on_record=lambda *_: None,
             news=news,
-        ).run()
+        )
+        mirror.run()
+        store.mirror = mirror
         store.last_report = news.report()
         store.applied = process.applied
         return store
@@ -158,3 +160,19 @@
     opened a connection to each of them to probe it.
     """
     assert run_mirror().applied == ["proxies", "endpoints"]
+
+
+def test_peers_get_the_registered_proxies_with_the_endpoints(run_mirror):
+    """Answers the pattern of a fleet that starts at once.
+
+    A proxy that had the endpoints from a peer, before its own snapshot, took
+    itself for the only one.
+    """
+    gone = dataclasses.replace(MEMBER, value=None, revision=7)
+    registered = ports.Snapshot(items=(MEMBER,), revision=6)
+    entries = run_mirror(registered).mirror.raw_entries()
+    assert entries == [(MEMBER.key, MEMBER.value)]
+    removed = ports.Snapshot(items=(gone,), revision=7)
+    assert run_mirror(registered, removed).mirror.raw_entries() == []
+    forgotten = ports.CompactedError("gone")
+    assert run_mirror(registered, forgotten).mirror.raw_entries() == []
