--- a/bronzehold/platform/demo.py
+++ b/bronzehold/platform/demo.py
@@ -76,7 +76,7 @@
         print_line("two proxies in front of a group that the platform fences")
         # Only a proxy that holds the fencing token can change the primary.
         local.wait_until(
-            lambda: any(p.promotions.held_tokens() for p in deployment.proxies)
+            lambda: any(p.tokens.held() for p in deployment.proxies)
         )
         callers = [
             _Caller(deployment=deployment, number=n)
--- a/bronzehold/platform/instance.py
+++ b/bronzehold/platform/instance.py
@@ -26,6 +26,7 @@
 from bronzehold.process import store_mirror as mirror_lib
 from bronzehold.process import store_news as news_lib
 from bronzehold.process import timeline as timeline_lib
+from bronzehold.process import tokens as tokens_lib
 from bronzehold.version import members as members_lib
 
 MEMBERS_PREFIX = "bronzehold/proxies/"
@@ -47,6 +48,7 @@
         process: Routing state and caller sessions of the proxy.
         gossip: Exchange of state with the other proxies.
         registration: Entry of this proxy in the store.
+        tokens: Fencing tokens of the groups.
         promotions: Failover of the primaries.
         mirror: Local copy of the entries in the store.
         news: Reports of the proxies that watch the store.
@@ -99,12 +101,17 @@
             key=MEMBERS_PREFIX + cfg.name,
             own=own,
         )
+        self.tokens = tokens_lib.Tokens(
+            proxy=cfg.name,
+            incarnation=os.urandom(INCARNATION_BYTES).hex(),
+            store=store_client,
+            timeline=self.timeline,
+        )
         self.promotions = promotions_lib.Promotions(
             process=self.process,
-            store=store_client,
+            tokens=self.tokens,
             promoter=promoter.Promoter(address=cfg.promoter),
             gossip=self.gossip,
-            incarnation=os.urandom(INCARNATION_BYTES).hex(),
         )
         self.mirror = mirror_lib.StoreMirror(
             process=self.process,
@@ -112,15 +119,15 @@
             directory=directory.Directory(zones=frozenset(cfg.regions)),
             members_prefix=MEMBERS_PREFIX,
             on_members=self._on_members,
-            records_prefix=promotions_lib.RECORDS_PREFIX,
-            on_record=self.promotions.apply_record,
+            records_prefix=tokens_lib.RECORDS_PREFIX,
+            on_record=self.tokens.apply_record,
             news=self.news,
         )
         exchange_lib.DigestExchange(
             process=self.process,
             gossip=self.gossip,
             mirror=self.mirror,
-            promotions=self.promotions,
+            tokens=self.tokens,
             serving=self.serving,
             news=self.news,
         )
@@ -163,7 +170,7 @@
             },
             **{
                 f"token_{name}": float(number)
-                for name, number in self.promotions.held_tokens().items()
+                for name, number in self.tokens.held().items()
             },
         }
         return exposition.render(self.process, extra)
--- a/bronzehold/process/digest_exchange.py
+++ b/bronzehold/process/digest_exchange.py
@@ -8,12 +8,13 @@
 from bronzehold.core import clock
 from bronzehold.core import statements
 from bronzehold.process import gossip as gossip_lib
+from bronzehold.process import group_views
 from bronzehold.process import platform_process
 from bronzehold.process import platform_service
-from bronzehold.process import promotions as promotions_lib
 from bronzehold.process import serving as serving_lib
 from bronzehold.process import store_mirror as mirror_lib
 from bronzehold.process import store_news as news_lib
+from bronzehold.process import tokens as tokens_lib
 from bronzehold.proto import gossip_pb2 as pb
 from bronzehold.version import freshness
 from bronzehold.version import members as members_lib
@@ -37,7 +38,7 @@
         process: platform_process.PlatformProcess,
         gossip: gossip_lib.Gossip,
         mirror: mirror_lib.StoreMirror,
-        promotions: promotions_lib.Promotions,
+        tokens: tokens_lib.Tokens,
         serving: serving_lib.Serving,
         news: news_lib.StoreNews,
     ):
@@ -45,7 +46,7 @@
         self._process = process
         self._gossip = gossip
         self._mirror = mirror
-        self._promotions = promotions
+        self._tokens = tokens
         self._serving = serving
         self._holds: dict[str, str] = {}
         self._newest_version = 1
@@ -126,14 +127,14 @@
     def _group_view(
         self, service: platform_service.PlatformService, echoed_at: float
     ) -> pb.GroupView:
-        own = promotions_lib.own_view(service)
+        own = group_views.own_view(service)
         group = service.group
-        token = self._promotions.token(service.limits.name)
+        token = self._tokens.known(service.limits.name)
         view = pb.GroupView(
             service=service.limits.name,
             leader=own.leader,
             term=own.term,
-            reach=promotions_lib.NUMBER_BY_REACH[own.reach],
+            reach=group_views.NUMBER_BY_REACH[own.reach],
             token=token.number,
             holder=token.holder,
             held_for=group.hold_attempt(),
@@ -204,7 +205,7 @@
             # next digest reports that to the peers.
             service.wake_probe(view.leader)
         primary_lost = view.reach == pb.GONE or not view.leader
-        if primary_lost and self._promotions.holds_token(service.limits.name):
+        if primary_lost and self._tokens.holds(service.limits.name):
             # The peers rely on this proxy, which holds the promotion token, as
             # long as they receive its digests.
             self._gossip.reply(received)
@@ -247,6 +248,5 @@
         service.serves()
         or bool(group.hold_attempt())
         or group.has_writes_in_flight()
-        or promotions_lib.own_view(service).reach
-        is not succession.Reach.UNKNOWN
+        or group_views.own_view(service).reach is not succession.Reach.UNKNOWN
     )
--- a/bronzehold/process/digest_exchange_test.py
+++ b/bronzehold/process/digest_exchange_test.py
@@ -8,9 +8,9 @@
 from bronzehold.process import digest_exchange as exchange_lib
 from bronzehold.process import gossip as gossip_lib
 from bronzehold.process import platform_group
-from bronzehold.process import promotions as promotions_lib
 from bronzehold.process import store_news as news_lib
 from bronzehold.process import timeline as timeline_lib
+from bronzehold.process import tokens as tokens_lib
 from bronzehold.proto import gossip_pb2 as pb
 
 
@@ -44,15 +44,15 @@
         self.replied_to.append(received.digest.proxy)
 
 
-class FakePromotions:
+class FakeTokens:
     def __init__(self):
         self.holds_group = True
 
-    def token(self, service):
+    def known(self, service):
         del service
-        return promotions_lib.NO_TOKEN
+        return tokens_lib.NO_TOKEN
 
-    def holds_token(self, service):
+    def holds(self, service):
         del service
         return self.holds_group
 
@@ -126,7 +126,7 @@
         self.process = FakeProcess()
         self.mirror = FakeMirror()
         self.gossip = FakeGossip()
-        self.promotions = FakePromotions()
+        self.tokens = FakeTokens()
         self.news = news_lib.StoreNews(
             is_watcher=lambda: False, on_newer_revision=lambda: None
         )
@@ -134,7 +134,7 @@
             process=self.process,
             gossip=self.gossip,
             mirror=self.mirror,
-            promotions=self.promotions,
+            tokens=self.tokens,
             serving=FakeServing(),
             news=self.news,
         )
@@ -224,7 +224,7 @@
     harness.receive(3, view)
     harness.receive(3, pb.GroupView(service="g", term=1))
     assert harness.gossip.replied_to == ["p", "p"]
-    harness.promotions.holds_group = False
+    harness.tokens.holds_group = False
     harness.receive(3, view)
     assert harness.gossip.replied_to == ["p", "p"]
 
--- a/bronzehold/process/promotions.py
+++ b/bronzehold/process/promotions.py
@@ -1,19 +1,14 @@
 """Fails over the primaries of groups whose primary the platform fences.
 
-In each group one proxy, the token holder, may order a change of primary. It
-acquires a fencing token by compare-and-swap on the group's record in the
-store. Because it acquires the token in advance, it can order a change at once,
-even while the store is unavailable, and every later holder has a higher token.
-A holder keeps its token until it is gone. A proxy whose token was taken over
-never uses the old token again.
+In each group one proxy, the holder of its fencing token (see tokens.py), may
+order a change of primary. A holder keeps its token until it is gone.
 
 `succession` decides from the views of all proxies whether a change is needed;
-this module collects the views, holds the token and carries the change out.
+this module collects the views and carries the change out.
 """
 
 from concurrent import futures
 import dataclasses
-import json
 
 import xxhash
 
@@ -21,12 +16,13 @@
 from bronzehold.core import events
 from bronzehold.core import ports
 from bronzehold.process import gossip as gossip_lib
+from bronzehold.process import group_views
 from bronzehold.process import platform_process
 from bronzehold.process import platform_service
+from bronzehold.process import tokens as tokens_lib
 from bronzehold.version import succession
 
 GROUP_EVALUATION_INTERVAL_S = 0.1
-RECORDS_PREFIX = "bronzehold/groups/"
 # A tick that is later than this means that the process was suspended.
 TICK_STALL_S = 0.5
 # After a start or a suspension, contacts are collected for this long before
@@ -52,24 +48,6 @@
 FENCE_RETRY_S = 1.0
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Token:
-    """The right to change a group's primary.
-
-    Attributes:
-        holder: The proxy that holds it, as "name/incarnation".
-        number: The fencing token; it increases with each acquisition.
-        revision: The revision of the group's record in the store.
-    """
-
-    holder: str
-    number: int
-    revision: int
-
-
-NO_TOKEN = Token(holder="", number=0, revision=0)
-
-
 @dataclasses.dataclass(kw_only=True, slots=True)
 class PrimaryChange:
     """One change of primary in progress.
@@ -99,18 +77,14 @@
         self,
         *,
         process: platform_process.PlatformProcess,
-        store: ports.Store,
+        tokens: tokens_lib.Tokens,
         promoter: ports.Promoter,
         gossip: gossip_lib.Gossip,
-        incarnation: str,
     ):
         self._process = process
-        self._store = store
+        self._tokens = tokens
         self._promoter = promoter
         self._gossip = gossip
-        self._holder_id = f"{process.name}/{incarnation}"
-        self._tokens: dict[str, Token] = {}
-        self._outranked_tokens: dict[str, int] = {}
         self._claim_tried_at: dict[str, float] = {}
         self._fence_due_at: dict[str, float] = {}
         self._published_views: dict[str, succession.View] = {}
@@ -122,61 +96,20 @@
 
     # Tokens.
 
-    def apply_record(self, service: str, value: bytes, revision: int) -> None:
-        """Applies a group's record from the store.
-
-        A record with a lower token than the known one is ignored.
-
-        Args:
-            service: The name of the group's service.
-            value: The record as stored.
-            revision: The record's revision in the store.
-        """
-        token = _read_record(value, revision)
-        if token is None:
-            return
-        old = self._tokens.get(service, NO_TOKEN)
-        if token.number < old.number:
-            return
-        self._tokens[service] = token
-        was_holder = old.holder == self._holder_id
-        if was_holder and token.holder != self._holder_id:
-            self._process.timeline.add(
-                events.TokenLost(group=service, token=token.number)
-            )
-
-    def token(self, service: str) -> Token:
-        """Returns the latest known token of a group, NO_TOKEN if none."""
-        return self._tokens.get(service, NO_TOKEN)
-
-    def held_tokens(self) -> dict[str, int]:
-        """Returns the fencing tokens that this proxy holds, by service."""
-        return {
-            name: token.number
-            for name, token in list(self._tokens.items())
-            if self.holds_token(name)
-        }
-
-    def holds_token(self, service: str) -> bool:
-        """Returns whether this proxy may change a group's primary."""
-        return self._can_use_token(service, self.token(service))
-
-    def _can_use_token(self, service: str, token: Token) -> bool:
-        is_holder = token.holder == self._holder_id
-        return (
-            is_holder and self._outranked_tokens.get(service, 0) < token.number
-        )
-
     def _claim_token(self, service: platform_service.PlatformService) -> None:
         """Acquires the token if its holder is gone and this proxy is next."""
         now = clock.now()
         name = service.limits.name
         if now - self._claim_tried_at.get(name, 0.0) < CLAIM_RETRY_S:
             return
-        token = self.token(name)
+        token = self._tokens.known(name)
         peers = self._eligible_peers(service)
         holder, _, _ = token.holder.partition("/")
-        if token.holder and holder in peers and token.holder != self._holder_id:
+        if (
+            token.holder
+            and holder in peers
+            and token.holder != self._tokens.holder_id
+        ):
             return
         if self._gossip.stopping:
             return
@@ -186,7 +119,7 @@
         ):
             return
         self._claim_tried_at[name] = now
-        self._acquire_token(name)
+        self._tokens.acquire(name)
 
     def _eligible_peers(
         self, service: platform_service.PlatformService
@@ -210,35 +143,6 @@
             )
         }
 
-    def _acquire_token(self, service: str, *, renew: bool = False) -> None:
-        key = RECORDS_PREFIX + service
-        try:
-            item = self._store.get(key)
-            if item.value is not None:
-                self.apply_record(service, item.value, item.revision)
-            token = self.token(service)
-            is_holder = (
-                self.holds_token(service) and token.revision == item.revision
-            )
-            if is_holder and not renew:
-                # The answer to an earlier swap was lost; the record shows that
-                # it succeeded.
-                return
-            number = token.number + 1
-            value = json.dumps(
-                {"holder": self._holder_id, "token": number}
-            ).encode()
-            outcome = self._store.swap(item, value)
-        except ports.StoreError as exc:
-            self._process.timeline.count(f"claim: {exc}")
-            return
-        match outcome:
-            case ports.Swapped(revision=revision):
-                self.apply_record(service, value, revision)
-                self._process.timeline.add(
-                    events.TokenWon(group=service, token=number)
-                )
-
     # Evaluation of the groups.
 
     def run(self) -> None:
@@ -265,13 +169,13 @@
         datagrams would grow with the square of the fleet.
         """
         name = service.limits.name
-        view = own_view(service)
+        view = group_views.own_view(service)
         if view.reach is succession.Reach.UNKNOWN:
             return
         if self._published_views.get(name) == view:
             return
         self._published_views[name] = view
-        holder, _, _ = self.token(name).holder.partition("/")
+        holder, _, _ = self._tokens.known(name).holder.partition("/")
         heard = self._gossip.live_peers().get(holder)
         if service.serves() or heard is None:
             self._gossip.send_now()
@@ -282,7 +186,7 @@
         name = service.limits.name
         if clock.now() < self._evaluate_from or self._gossip.stopping:
             return
-        if not self.holds_token(name):
+        if not self._tokens.holds(name):
             self._changes.pop(name, None)
             self._claim_token(service)
             return
@@ -302,12 +206,12 @@
         self, service: platform_service.PlatformService
     ) -> succession.Decision:
         group = service.group
-        own = own_view(service)
+        own = group_views.own_view(service)
         listing = group.listings().get(own.leader)
         views = {
             name: view
             for name, heard in self._gossip.live_peers().items()
-            for view in peer_views(heard, service.limits.name)
+            for view in group_views.peer_views(heard, service.limits.name)
         }
         serving = service.env.serving.names(service.limits)
         return succession.decide(
@@ -384,8 +288,8 @@
         position: str,
     ) -> ports.OrderOutcome:
         name = service.limits.name
-        token = self.token(name)
-        if not self._can_use_token(name, token):
+        token = self._tokens.known(name)
+        if not self._tokens.can_use(name, token):
             # Another proxy has acquired a later token since this change was
             # decided; its token must not be used.
             self._changes.pop(name, None)
@@ -408,9 +312,7 @@
         )
         match outcome:
             case ports.Outranked():
-                # The platform has seen a higher token, so this one is unusable
-                # even if the store still names this proxy as its holder.
-                self._outranked_tokens[name] = token.number
+                self._tokens.note_outranked(name, token)
                 self._changes.pop(name, None)
             case ports.NotRunning():
                 self._changes.pop(name, None)
@@ -475,9 +377,11 @@
         if leader is None or now < self._fence_due_at[name]:
             return
         self._fence_due_at[name] = now + FENCE_RETRY_S
-        old_number = self.token(name).number
-        self._acquire_token(name, renew=True)
-        if self.token(name).number == old_number or not self.holds_token(name):
+        old_number = self._tokens.known(name).number
+        self._tokens.acquire(name, renew=True)
+        if self._tokens.known(
+            name
+        ).number == old_number or not self._tokens.holds(name):
             return
         reason = "fence older orders"
         outcome = self._send_order(service, leader.endpoint, reason, "")
@@ -487,7 +391,7 @@
     # Planned changes.
 
     def _attempt_id(self, name: str) -> str:
-        return f"{self._holder_id}/{self.token(name).number}"
+        return f"{self._tokens.holder_id}/{self._tokens.known(name).number}"
 
     def _hand_over_primary(
         self, service: platform_service.PlatformService
@@ -547,59 +451,8 @@
         return successor
 
 
-def own_view(service: platform_service.PlatformService) -> succession.View:
-    """Returns this proxy's view of a group."""
-    leader = service.group.leader()
-    if leader is None:
-        return succession.View(
-            leader="",
-            term=service.group.term(),
-            reach=succession.Reach.UNKNOWN,
-        )
-    return succession.View(
-        leader=leader.endpoint,
-        term=leader.term,
-        reach=service.group.reach(leader.endpoint),
-    )
-
-
-def peer_views(
-    heard: gossip_lib.ReceivedDigest, service: str
-) -> list[succession.View]:
-    """Returns the views of a group in a peer's latest digest."""
-    return [
-        succession.View(
-            leader=view.leader,
-            term=view.term,
-            reach=_REACH_BY_NUMBER.get(view.reach, succession.Reach.UNKNOWN),
-        )
-        for view in heard.digest.groups
-        if view.service == service
-    ]
-
-
-_REACH_BY_NUMBER = {
-    0: succession.Reach.UNKNOWN,
-    1: succession.Reach.REACHED,
-    2: succession.Reach.UNREACHABLE,
-}
-NUMBER_BY_REACH = {reach: number for number, reach in _REACH_BY_NUMBER.items()}
-
-
 def _preferred_proxy(service: str, names: set[str]) -> str:
     return max(
         names,
         key=lambda n: xxhash.xxh3_64_intdigest(f"{service}\0{n}".encode()),
     )
-
-
-def _read_record(value: bytes, revision: int) -> Token | None:
-    try:
-        fields = json.loads(value)
-        return Token(
-            holder=str(fields["holder"]),
-            number=int(fields["token"]),
-            revision=revision,
-        )
-    except (ValueError, KeyError, TypeError):
-        return None
--- a/bronzehold/process/promotions_test.py
+++ b/bronzehold/process/promotions_test.py
@@ -7,11 +7,13 @@
 from bronzehold.core import routes
 from bronzehold.core import statements
 from bronzehold.process import gossip as gossip_lib
+from bronzehold.process import group_views
 from bronzehold.process import platform_service
 from bronzehold.process import promotions as promotions_lib
 from bronzehold.process import serving as serving_lib
 from bronzehold.process import tasks as tasks_lib
 from bronzehold.process import timeline as timeline_lib
+from bronzehold.process import tokens as tokens_lib
 from bronzehold.proto import gossip_pb2 as pb
 from bronzehold.version import members as members_lib
 from bronzehold.version import succession
@@ -84,14 +86,16 @@
         self.store = FakeStore()
         self.promoter = FakePromoter()
         self.gossip = FakeGossip()
+        timeline = timeline_lib.Timeline(proxy="me", zone="z")
+        self.tokens = tokens_lib.Tokens(
+            proxy="me", incarnation="1", store=self.store, timeline=timeline
+        )
         self.promotions = promotions_lib.Promotions(
             process=FakeProcess(),
-            store=self.store,
+            tokens=self.tokens,
             promoter=self.promoter,
             gossip=self.gossip,
-            incarnation="1",
         )
-        timeline = timeline_lib.Timeline(proxy="me", zone="z")
         env = platform_service.Environment(
             zone="z",
             regions={"z": "r"},
@@ -122,7 +126,7 @@
 
     def lose_token_to_peer(self, number):
         value = json.dumps({"holder": "you/1", "token": number}).encode()
-        self.promotions.apply_record("g", value, 99)
+        self.tokens.apply_record("g", value, 99)
 
 
 @pytest.fixture(name="harness")
@@ -131,7 +135,7 @@
 
 
 def test_token_holder_sends_orders_with_its_token(harness):
-    harness.promotions._acquire_token("g")
+    harness.tokens.acquire("g")
     harness.start_change()
     (call,) = harness.promoter.calls
     assert (call["holder"], call["token"]) == ("me", 1)
@@ -140,37 +144,37 @@
 def test_token_of_another_proxy_is_never_used(harness):
     # A holder is suspended in the middle of an order. When it resumes, it has
     # already read the record of the proxy that acquired the token meanwhile.
-    harness.promotions._acquire_token("g")
+    harness.tokens.acquire("g")
     harness.lose_token_to_peer(2)
     harness.start_change()
     assert not harness.promoter.calls
-    assert not harness.promotions.held_tokens()
+    assert not harness.tokens.held()
 
 
 def test_outranked_token_is_not_used_again(harness):
-    harness.promotions._acquire_token("g")
+    harness.tokens.acquire("g")
     harness.promoter.outcome = ports.Outranked()
     harness.start_change()
-    assert not harness.promotions.held_tokens()
+    assert not harness.tokens.held()
     harness.start_change()
     assert len(harness.promoter.calls) == 1
 
 
 def test_token_is_read_back_after_a_lost_store_answer(harness):
     harness.store.lose_answer = True
-    harness.promotions._acquire_token("g")
-    assert not harness.promotions.held_tokens()
+    harness.tokens.acquire("g")
+    assert not harness.tokens.held()
     harness.store.lose_answer = False
-    harness.promotions._acquire_token("g")
-    assert harness.promotions.held_tokens() == {"g": 1}
+    harness.tokens.acquire("g")
+    assert harness.tokens.held() == {"g": 1}
     harness.start_change()
     assert harness.promoter.calls[0]["token"] == 1
 
 
 def test_no_token_is_acquired_while_the_store_is_unavailable(harness):
     harness.store.unavailable = True
-    harness.promotions._acquire_token("g")
-    assert not harness.promotions.held_tokens()
+    harness.tokens.acquire("g")
+    assert not harness.tokens.held()
     harness.start_change()
     assert not harness.promoter.calls
 
@@ -215,7 +219,7 @@
     view = succession.View(
         leader="a", term=1, reach=succession.Reach.UNREACHABLE
     )
-    monkeypatch.setattr(promotions_lib, "own_view", lambda _: view)
+    monkeypatch.setattr(group_views, "own_view", lambda _: view)
     harness.gossip.heard = {"you": "digest of you"}
     harness.lose_token_to_peer(2)
     monkeypatch.setattr(harness.service.env.serving, "serves", lambda _: False)
--- a/tests/platform_failover_test.py
+++ b/tests/platform_failover_test.py
@@ -24,7 +24,7 @@
 def token_holder(deployment):
     """Returns the proxy that holds the promotion token, or None."""
     for proxy in deployment.proxies:
-        if proxy.promotions.holds_token(platform_local.SERVICE):
+        if proxy.tokens.holds(platform_local.SERVICE):
             return proxy
     return None
 
@@ -182,7 +182,7 @@
     refuses the older one.
     """
     proxy = token_holder(deployment)
-    token = proxy.promotions.token(platform_local.SERVICE).number
+    token = proxy.tokens.known(platform_local.SERVICE).number
     deployment.store.lose_promotion_answers = 1
     deployment.group.primary().kill()
     helpers.wait_for(
@@ -220,13 +220,11 @@
 def test_another_proxy_acquires_the_token_of_a_stopped_holder(deployment):
     """Guards against a group without failover after its token holder stops."""
     first = token_holder(deployment)
-    token = first.promotions.token(platform_local.SERVICE).number
+    token = first.tokens.known(platform_local.SERVICE).number
     first.close()
     (other,) = [p for p in deployment.proxies if p is not first]
-    helpers.wait_for(
-        lambda: other.promotions.holds_token(platform_local.SERVICE)
-    )
-    assert other.promotions.token(platform_local.SERVICE).number > token
+    helpers.wait_for(lambda: other.tokens.holds(platform_local.SERVICE))
+    assert other.tokens.known(platform_local.SERVICE).number > token
     old = deployment.group.primary()
     old.kill()
     helpers.wait_for(lambda: deployment.group.primary() is not old)
@@ -236,7 +234,7 @@
 def test_a_superseded_token_is_not_used_again(deployment):
     """Guards against failovers with a token that a newer one supersedes."""
     proxy = token_holder(deployment)
-    token = proxy.promotions.token(platform_local.SERVICE).number
+    token = proxy.tokens.known(platform_local.SERVICE).number
     deployment.store._highest_tokens[platform_local.SERVICE] = token + 1
     deployment.group.primary().kill()
     time.sleep(1.5)
