--- a/bronzehold/process/platform_service.py
+++ b/bronzehold/process/platform_service.py
@@ -28,7 +28,7 @@
 # The largest fraction of an endpoint's connections that one proxy uses.
 MAX_BORROWED_SHARE = 0.5
 # The fraction of its share that a proxy uses after all proxies have restarted.
-RESTART_SHARE = 2 / 3
+RESTART_SHARE = 0.5
 # A proxy that others forward to counts as serving until this long after their
 # last statement, also outside of the serving set: the proxy in the set does not
 # answer then.
