Change of primary: a holder without a majority asks who is still registered

Change: while a primary is unreachable and not replaced, its holder lets the registrations be read, at most once a second. Tests failed first. Not measured.

--- a/bronzehold/platform/instance.py
+++ b/bronzehold/platform/instance.py
@@ -112,6 +112,7 @@
             tokens=self.tokens,
             promoter=promoter.Promoter(address=cfg.promoter),
             gossip=self.gossip,
+            request_members=self.news.request_read,
         )
         self.mirror = mirror_lib.StoreMirror(
             process=self.process,
--- a/bronzehold/process/promotions.py
+++ b/bronzehold/process/promotions.py
@@ -7,6 +7,7 @@
 this module collects the views and carries the change out.
 """
 
+import collections.abc
 from concurrent import futures
 import dataclasses
 
@@ -71,7 +72,15 @@
 
 
 class Promotions:
-    """The task that keeps a primary in every group."""
+    """The task that keeps a primary in every group.
+
+    Args:
+        process: The process.
+        tokens: The fencing tokens of the groups.
+        promoter: The platform's interface for promotions.
+        gossip: The exchange of digests.
+        request_members: Lets the registrations of the proxies be read soon.
+    """
 
     def __init__(
         self,
@@ -80,8 +89,10 @@
         tokens: tokens_lib.Tokens,
         promoter: ports.Promoter,
         gossip: gossip_lib.Gossip,
+        request_members: collections.abc.Callable[[], None],
     ):
         self._process = process
+        self._request_members = request_members
         self._tokens = tokens
         self._promoter = promoter
         self._gossip = gossip
@@ -201,6 +212,10 @@
                 self._replace_primary(service, reason)
             case succession.HandOver():
                 self._hand_over_primary(service)
+            case succession.Keep() if service.group.primary_unreachable():
+                # A proxy that is gone counts against a majority as long as its
+                # registration is known.
+                self._request_members()
 
     def _decide(
         self, service: platform_service.PlatformService
--- a/bronzehold/process/promotions_test.py
+++ b/bronzehold/process/promotions_test.py
@@ -86,6 +86,7 @@
         self.store = FakeStore()
         self.promoter = FakePromoter()
         self.gossip = FakeGossip()
+        self.member_requests = 0
         timeline = timeline_lib.Timeline(proxy="me", zone="z")
         self.tokens = tokens_lib.Tokens(
             proxy="me", incarnation="1", store=self.store, timeline=timeline
@@ -95,6 +96,7 @@
             tokens=self.tokens,
             promoter=self.promoter,
             gossip=self.gossip,
+            request_members=self._request_members,
         )
         env = platform_service.Environment(
             zone="z",
@@ -116,6 +118,9 @@
         )
         self.service = platform_service.PlatformService(env=env, limits=limits)
 
+    def _request_members(self):
+        self.member_requests += 1
+
     def start_change(self):
         candidate = succession.Candidate(
             endpoint="b",
@@ -231,3 +236,23 @@
     harness.promotions._published_views.clear()
     harness.promotions._publish_view(harness.service)
     assert harness.gossip.rounds_to_all == 1
+
+
+def test_holder_without_a_majority_asks_who_is_registered(harness, monkeypatch):
+    """Answers the pattern of a large part of the fleet that is lost at once.
+
+    Proxies that do not watch the store are not told of registrations that
+    lapse; counted as proxies, the lost ones would hold a replacement up.
+    """
+    harness.tokens.acquire("g")
+    harness.promotions._evaluate_from = 0.0
+    monkeypatch.setattr(
+        harness.promotions, "_decide", lambda _: succession.Keep()
+    )
+    group = harness.service.group
+    monkeypatch.setattr(group, "primary_unreachable", lambda: False)
+    harness.promotions._check_group(harness.service)
+    assert harness.member_requests == 0
+    monkeypatch.setattr(group, "primary_unreachable", lambda: True)
+    harness.promotions._check_group(harness.service)
+    assert harness.member_requests == 1
--- a/bronzehold/process/store_news.py
+++ b/bronzehold/process/store_news.py
@@ -23,6 +23,7 @@
 # Mean interval at which a proxy that does not watch reads the changes anyway.
 REREAD_INTERVAL_S = 30.0
 REREAD_JITTER = 0.3
+MIN_REQUEST_INTERVAL_S = 1.0
 # Maximum wait for a report before the store's removed entries are checked.
 MAX_WAIT_S = 0.5
 WATCHER_RETRY_INTERVAL_S = 0.25
@@ -87,6 +88,7 @@
         self._report = Report(revision=0, at=-MAX_REPORT_AGE_S)
         # The time at which the report's revision was heard of.
         self._report_arrived = 0.0
+        self._read_at = 0.0
         self._reread_at = 0.0
         # The revision up to which all changes are known here.
         self._known_revision = 0
@@ -126,11 +128,25 @@
         """
         jitter = random.uniform(1 - REREAD_JITTER, 1 + REREAD_JITTER)  # noqa: S311
         with self._lock:
-            self._reread_at = clock.now() + REREAD_INTERVAL_S * jitter
+            self._read_at = clock.now()
+            self._reread_at = self._read_at + REREAD_INTERVAL_S * jitter
             if self._report.revision > revision and self._report_arrived < at:
                 # The store had no such revision after the report arrived.
                 self._report = Report(revision=revision, at=self._report.at)
 
+    def request_read(self) -> None:
+        """Lets the changes be read soon, if the last read is not recent.
+
+        Registrations of proxies that lapse are not reported, so who counts the
+        proxies asks for them.
+        """
+        with self._lock:
+            is_due = clock.now() - self._read_at > MIN_REQUEST_INTERVAL_S
+            if is_due:
+                self._reread_at = 0.0
+        if is_due:
+            self._arrived.set()
+
     def set_watched(self, revision: int | None) -> None:
         """Sets the newest relevant revision, while a watch waits for changes.
 
--- a/bronzehold/process/store_news_test.py
+++ b/bronzehold/process/store_news_test.py
@@ -126,3 +126,15 @@
     proxy.at += 0.1
     proxy.news.note_read(7, proxy.at)
     assert isinstance(proxy.news.next_step(7), news_lib.Wait)
+
+
+def test_requested_read_is_made_at_most_once_a_second(proxy):
+    proxy.hear(7)
+    proxy.news.request_read()
+    assert isinstance(proxy.news.next_step(7), news_lib.Wait), "read just now"
+    proxy.at += news_lib.MIN_REQUEST_INTERVAL_S + 0.1
+    proxy.hear(7)
+    proxy.news.request_read()
+    assert proxy.news.next_step(7) == READ_AT_ONCE
+    proxy.news.note_read(7, proxy.at)
+    assert isinstance(proxy.news.next_step(7), news_lib.Wait)
