Start of a fleet: a fleet in which all serve uses its whole shares

Four proxies share 16 connections, of which some 7 are open at a loss, so half of a share of 4 is less than what is free. Change: half shares after a restart only where a serving set is smaller than the fleet, as on the grown and large sites, whose code path stays. The test failed first.

--- a/bronzehold/process/platform_service.py
+++ b/bronzehold/process/platform_service.py
@@ -143,9 +143,12 @@
         if not self.serves():
             share = 1
         slots = listing.slots + EXTRA_SLOTS
-        if self.env.fleet_restarted():
+        if self.env.fleet_restarted() and not self.env.serving.all_serve(
+            self.limits
+        ):
             # The rest is left for lost connections, so that a proxy that starts
-            # a little later finds some too.
+            # a little later finds some too. In a small fleet a share is small,
+            # and its proxies keep few idle connections that could be lost.
             return pool_lib.Limits(
                 connections=max(1, int(share * RESTART_SHARE)), slots=slots
             )
--- a/bronzehold/process/platform_service_test.py
+++ b/bronzehold/process/platform_service_test.py
@@ -13,6 +13,11 @@
     """Six of many proxies serve, with a share left for a lost one."""
 
     is_serving = True
+    is_small_fleet = False
+
+    def all_serve(self, limits):
+        del limits
+        return self.is_small_fleet
 
     def serves(self, limits):
         del limits
@@ -102,6 +107,9 @@
     limits = service.limits()
     assert limits.connections == 3
     assert limits.max_overflow == 0
+    service.serving.is_small_fleet = True
+    assert service.limits().connections == 6
+    service.serving.is_small_fleet = False
     service.has_fleet_restarted = False
     limits = service.limits()
     assert limits.connections == 6
--- a/bronzehold/process/serving.py
+++ b/bronzehold/process/serving.py
@@ -164,10 +164,15 @@
         One share more than the set has is left for connections of a proxy that
         was in the set and of proxies that could not forward a statement.
         """
+        if self.all_serve(limits):
+            return self._everyone()
+        return len(self.names(limits)) + 1
+
+    def all_serve(self, limits: routes.ServiceLimits) -> bool:
+        """Returns whether all live proxies serve a service."""
         names = self.names(limits)
         with self._lock:
-            is_everyone = len(names) == len(self._members)
-        return self._everyone() if is_everyone else len(names) + 1
+            return len(names) == len(self._members)
 
     def targets(self, limits: routes.ServiceLimits) -> list[members_lib.Member]:
         """Returns the proxies to forward a service's statements to.
