A token is taken over once its holder's process has restarted

Cause: the holder of a token was compared with the live peers by name. A proxy that had started again under the holder's name kept the peers off, and itself left the token to the proxy that the hash prefers. So nobody ordered.

New tests failed before the change: test_token_of_a_process_that_has_restarted_is_taken_over[you/1-2-True], test_token_that_changed_hands_unseen_is_read_but_not_taken; with incarnations left out of the comparison of digests also the three in gossip_test.py.

Same cause on related paths: gossip took a process for its predecessor (a machine with a lower clock after a loss of power was not heard); acquire() took a token over that had changed hands since the decision.

A token record that a test applies now also stands in its store, as it does in the real one; the test of a silent holder checks the token in place of the store's contents.

--- a/bronzehold/platform/instance.py
+++ b/bronzehold/platform/instance.py
@@ -62,6 +62,7 @@
             zone=cfg.zone,
             address=f"{cfg.host}:{cfg.peer_port}",
         )
+        incarnation = os.urandom(INCARNATION_BYTES).hex()
         # Lambdas, because gossip and mirror are created after the process.
         self.serving = serving_lib.Serving(
             own=own,
@@ -83,6 +84,7 @@
         tasks = self.process.tasks
         self.gossip = gossip_lib.Gossip(
             name=cfg.name,
+            incarnation=incarnation,
             address=(cfg.host, cfg.peer_port),
             seeds=[f"{parse_address(s)[0]}:{cfg.peer_port}" for s in cfg.seeds],
             zone=cfg.zone,
@@ -103,7 +105,7 @@
         )
         self.tokens = tokens_lib.Tokens(
             proxy=cfg.name,
-            incarnation=os.urandom(INCARNATION_BYTES).hex(),
+            incarnation=incarnation,
             store=store_client,
             timeline=self.timeline,
         )
--- a/bronzehold/process/gossip.py
+++ b/bronzehold/process/gossip.py
@@ -87,6 +87,7 @@
         self,
         *,
         name: str,
+        incarnation: str,
         address: tuple[str, int],
         seeds: collections.abc.Iterable[str],
         zone: str,
@@ -94,6 +95,7 @@
         tasks: tasks_lib.Tasks,
     ):
         self._name = name
+        self._incarnation = incarnation
         self._zone = zone
         self._address = f"{address[0]}:{address[1]}"
         self._seeds = frozenset(seeds) - {self._address}
@@ -106,6 +108,8 @@
         self._lock = threading.Lock()
         self._members: dict[str, str] = {}
         self._received: dict[str, ReceivedDigest] = {}
+        # The incarnation that a peer's present one has replaced, by peer.
+        self._replaced: dict[str, str] = {}
         self._live: set[str] = set()
         self._wake = threading.Event()
         self._is_next_to_all = False
@@ -228,6 +232,7 @@
         now = clock.now()
         digest = pb.Digest(
             proxy=self._name,
+            incarnation=self._incarnation,
             address=self._address,
             zone=self._zone,
             stopping=self.stopping,
@@ -286,8 +291,10 @@
         )
         with self._lock:
             previous = self._received.get(digest.proxy)
-            if previous is not None and _is_older(digest, previous.digest):
+            if self._is_outdated(digest, previous):
                 return
+            if previous is not None and _is_restarted(digest, previous.digest):
+                self._replaced[digest.proxy] = previous.digest.incarnation
             self._received[digest.proxy] = received
             is_new = digest.proxy not in self._live
             self._live.add(digest.proxy)
@@ -301,6 +308,21 @@
         if digest.wants_entries:
             self._send(digest.address, received, entries=self.get_entries())
 
+    def _is_outdated(
+        self, digest: pb.Digest, previous: ReceivedDigest | None
+    ) -> bool:
+        """Returns whether a digest was sent before the previous one.
+
+        The stamps of two incarnations cannot be compared: the clock of a
+        machine that lost power may start anew.
+        """
+        if previous is None:
+            return False
+        if _is_restarted(digest, previous.digest):
+            replaced = self._replaced.get(digest.proxy)
+            return bool(replaced) and digest.incarnation == replaced
+        return _is_older(digest, previous.digest)
+
     def silence_timeout_s(self) -> float:
         """Returns the time without a digest after which a peer is silent."""
         rounds = -(-self._peer_count // FANOUT)
@@ -376,6 +398,10 @@
             return 1 + len(recent | set(self._members))
 
 
+def _is_restarted(one: pb.Digest, other: pb.Digest) -> bool:
+    return one.incarnation != other.incarnation
+
+
 def _is_older(one: pb.Digest, other: pb.Digest) -> bool:
     same = one.address == other.address
     return same and one.stamp_us <= other.stamp_us
--- a/bronzehold/process/gossip_test.py
+++ b/bronzehold/process/gossip_test.py
@@ -1,6 +1,9 @@
 import pytest
 
 from bronzehold.process import gossip as gossip_lib
+from bronzehold.process import tasks as tasks_lib
+from bronzehold.process import timeline as timeline_lib
+from bronzehold.proto import gossip_pb2 as pb
 
 NEW_S = 0.2
 OLD_S = 100.0
@@ -24,3 +27,51 @@
         gossip_lib.has_fleet_restarted(uptime_s, peer_uptimes_s)
         is has_restarted
     )
+
+
+@pytest.fixture(name="gossip")
+def _gossip():
+    timeline = timeline_lib.Timeline(proxy="me", zone="z")
+    gossip = gossip_lib.Gossip(
+        name="me",
+        incarnation="i",
+        address=("127.0.0.1", 0),
+        seeds=[],
+        zone="z",
+        timeline=timeline,
+        tasks=tasks_lib.Tasks(timeline=timeline),
+    )
+    gossip.on_peers_changed = lambda: None
+    gossip.on_digest = lambda _: None
+    yield gossip
+    gossip.close()
+
+
+def _hear(gossip, *, incarnation, stamp_us):
+    digest = pb.Digest(
+        proxy="p", address="h:1", incarnation=incarnation, stamp_us=stamp_us
+    )
+    gossip._receive(digest, 0.0)
+    return gossip._received["p"].digest
+
+
+def test_peer_that_starts_again_with_a_lower_clock_is_heard(gossip):
+    """Guards against RECOVER: a machine that lost power was not heard again.
+
+    Its clock started anew, so that all of its digests counted as old ones.
+    """
+    _hear(gossip, incarnation="1", stamp_us=9_000_000)
+    heard = _hear(gossip, incarnation="2", stamp_us=5)
+    assert heard.incarnation == "2"
+
+
+@pytest.mark.parametrize(
+    ("incarnation", "stamp_us"), [("2", 40), ("1", 9_000_000)]
+)
+def test_late_digest_does_not_replace_a_newer_one(
+    gossip, incarnation, stamp_us
+):
+    _hear(gossip, incarnation="1", stamp_us=9_000_000)
+    _hear(gossip, incarnation="2", stamp_us=50)
+    heard = _hear(gossip, incarnation=incarnation, stamp_us=stamp_us)
+    assert (heard.incarnation, heard.stamp_us) == ("2", 50)
--- a/bronzehold/process/promotions.py
+++ b/bronzehold/process/promotions.py
@@ -113,28 +113,30 @@
         name = service.limits.name
         if now - self._claim_tried_at.get(name, 0.0) < CLAIM_RETRY_S:
             return
-        token = self._tokens.known(name)
         peers = self._eligible_peers(service)
-        holder, _, _ = token.holder.partition("/")
-        if (
-            token.holder
-            and holder in peers
-            and token.holder != self._tokens.holder_id
-        ):
+        if self._gossip.stopping or self._has_holder(name, peers):
             return
-        if self._gossip.stopping:
-            return
-        if (
-            _preferred_proxy(name, peers | {self._process.name})
-            != self._process.name
-        ):
+        candidates = {*peers, self._process.name}
+        if _preferred_proxy(name, candidates) != self._process.name:
             return
         self._claim_tried_at[name] = now
         self._tokens.acquire(name)
 
+    def _has_holder(
+        self,
+        name: str,
+        peers: collections.abc.Mapping[str, gossip_lib.ReceivedDigest],
+    ) -> bool:
+        """Returns whether the process of a peer holds a group's token."""
+        holder, _, _ = self._tokens.known(name).holder.partition("/")
+        heard = peers.get(holder)
+        return heard is not None and not self._tokens.is_replaced(
+            name, heard.digest.incarnation, heard.received_at
+        )
+
     def _eligible_peers(
         self, service: platform_service.PlatformService
-    ) -> set[str]:
+    ) -> dict[str, gossip_lib.ReceivedDigest]:
         """Returns the live peers that may hold a group's token.
 
         In a large fleet a peer gossips with this proxy only rarely, so silence
@@ -145,7 +147,7 @@
         now = clock.now()
         is_primary_unreachable = service.group.leaderless_s() > PEER_SILENCE_S
         return {
-            name
+            name: heard
             for name, heard in self._gossip.live_peers().items()
             if not heard.digest.stopping
             and not (
--- a/bronzehold/process/promotions_test.py
+++ b/bronzehold/process/promotions_test.py
@@ -129,9 +129,13 @@
         )
         self.promotions._begin_change(self.service, candidate, "test")
 
-    def lose_token_to_peer(self, number):
-        value = json.dumps({"holder": "you/1", "token": number}).encode()
-        self.tokens.apply_record("g", value, 99)
+    def lose_token_to_peer(self, number, holder="you/1"):
+        value = json.dumps({"holder": holder, "token": number}).encode()
+        item = ports.Item(
+            key=tokens_lib.RECORDS_PREFIX + "g", value=value, revision=99
+        )
+        self.store.items[item.key] = item
+        self.tokens.apply_record("g", value, item.revision)
 
 
 @pytest.fixture(name="harness")
@@ -210,7 +214,7 @@
         harness.service.group, "leaderless_s", lambda: unreachable_s
     )
     harness.promotions._claim_token(harness.service)
-    assert bool(harness.store.items) == is_claimed
+    assert bool(harness.tokens.held()) == is_claimed
 
 
 def test_proxy_outside_of_the_set_reports_a_lost_primary_to_the_holder_only(
@@ -256,3 +260,63 @@
     monkeypatch.setattr(group, "primary_unreachable", lambda: True)
     harness.promotions._check_group(harness.service)
     assert harness.member_requests == 1
+
+
+@pytest.mark.parametrize(
+    ("record_holder", "peer_incarnation", "is_claimed"),
+    [
+        ("you/1", "2", True),
+        ("you/1", "1", False),
+        ("you/1", "", False),
+        ("me/0", "2", True),
+    ],
+)
+def test_token_of_a_process_that_has_restarted_is_taken_over(
+    harness, monkeypatch, record_holder, peer_incarnation, is_claimed
+):
+    """Guards against RECOVER: a proxy restarted, and nobody held its token.
+
+    Its peers heard a proxy of the holder's name, and the new process of that
+    name left the token to the one that the hash prefers.
+    """
+    harness.lose_token_to_peer(2, holder=record_holder)
+    _hear_peer(harness, incarnation=peer_incarnation)
+    _prefer(monkeypatch, "me")
+    harness.promotions._claim_token(harness.service)
+    assert bool(harness.tokens.held()) == is_claimed
+
+
+def test_digest_from_before_the_token_is_no_evidence_against_its_holder(
+    harness, monkeypatch
+):
+    _hear_peer(harness, incarnation="1")
+    harness.lose_token_to_peer(2, holder="you/2")
+    _prefer(monkeypatch, "me")
+    harness.promotions._claim_token(harness.service)
+    assert not harness.tokens.held()
+
+
+def test_token_that_changed_hands_unseen_is_read_but_not_taken(harness):
+    value = json.dumps({"holder": "you/1", "token": 7}).encode()
+    harness.store.items[tokens_lib.RECORDS_PREFIX + "g"] = ports.Item(
+        key=tokens_lib.RECORDS_PREFIX + "g", value=value, revision=3
+    )
+    harness.tokens.acquire("g")
+    assert not harness.tokens.held()
+    assert harness.tokens.known("g").holder == "you/1"
+
+
+def _hear_peer(harness, *, incarnation):
+    harness.gossip.heard = {
+        "you": gossip_lib.ReceivedDigest(
+            digest=pb.Digest(proxy="you", incarnation=incarnation),
+            received_at=clock.now(),
+            time_base=None,
+        )
+    }
+
+
+def _prefer(monkeypatch, name):
+    monkeypatch.setattr(
+        promotions_lib, "_preferred_proxy", lambda _service, _names: name
+    )
--- a/bronzehold/process/tokens.py
+++ b/bronzehold/process/tokens.py
@@ -10,6 +10,7 @@
 import dataclasses
 import json
 
+from bronzehold.core import clock
 from bronzehold.core import events
 from bronzehold.core import ports
 from bronzehold.process import timeline as timeline_lib
@@ -60,6 +61,7 @@
         self._store = store
         self._timeline = timeline
         self._tokens: dict[str, Token] = {}
+        self._learned_at: dict[str, float] = {}
         self._outranked: dict[str, int] = {}
 
     def apply_record(self, service: str, value: bytes, revision: int) -> None:
@@ -79,6 +81,8 @@
         if token.number < old.number:
             return
         self._tokens[service] = token
+        if token.holder != old.holder:
+            self._learned_at[service] = clock.now()
         was_holder = old.holder == self.holder_id
         if was_holder and token.holder != self.holder_id:
             self._timeline.add(
@@ -89,6 +93,26 @@
         """Returns the latest known token of a group, NO_TOKEN if none."""
         return self._tokens.get(service, NO_TOKEN)
 
+    def is_replaced(
+        self, service: str, incarnation: str, heard_at: float
+    ) -> bool:
+        """Returns whether a token's holder was replaced by a later process.
+
+        A restarted proxy has its name but not its token.
+
+        Args:
+            service: The name of the group's service.
+            incarnation: The incarnation of the process that has the holder's
+                name now; "" if it does not report one.
+            heard_at: The time at which that process was heard, in seconds of
+                clock.now(). What was heard before the holder was known is no
+                evidence against the holder.
+        """
+        _, _, held_by = self.known(service).holder.partition("/")
+        if not incarnation or incarnation == held_by:
+            return False
+        return heard_at > self._learned_at.get(service, 0.0)
+
     def held(self) -> dict[str, int]:
         """Returns the fencing tokens that this proxy holds, by service."""
         return {
@@ -109,11 +133,15 @@
     def acquire(self, service: str, *, renew: bool = False) -> None:
         """Takes a group's token over, with the next higher number.
 
+        A token that another proxy has acquired since this one last read the
+        record is only read, not taken over.
+
         Args:
             service: The name of the group's service.
             renew: Whether to take a higher token also if this proxy holds one.
         """
         key = RECORDS_PREFIX + service
+        expected = self.known(service)
         try:
             item = self._store.get(key)
             if item.value is not None:
@@ -124,6 +152,9 @@
                 # The answer to an earlier swap was lost; the record shows that
                 # it succeeded.
                 return
+            is_own = token.holder == self.holder_id
+            if token.number != expected.number and not is_own:
+                return
             number = token.number + 1
             value = json.dumps(
                 {"holder": self.holder_id, "token": number}
