An entry that cannot be decoded no longer stops the mirror

Cause: json.loads raises RecursionError for nested text, int() and math.isfinite() raise for large numbers; the mirror caught ProblemsError only, so its task ended before it advanced the revision, and met the entry again.

Same cause on related paths: token records, registrations of proxies.

OWN in registration_test.py has an IP address now, since the host of a registration must be one: names are not looked up by gossip.

--- a/bronzehold/platform/directory.py
+++ b/bronzehold/platform/directory.py
@@ -6,6 +6,10 @@
 Directory, which implements ports.Directory.
 """
 
+import ipaddress
+import re
+
+from bronzehold.core import addresses
 from bronzehold.core import ports
 from bronzehold.core import routes
 from bronzehold.platform import fields as fields_lib
@@ -13,6 +17,8 @@
 CONFIG_KEY = "op/config"
 LISTINGS_PREFIX = "servers/"
 SECONDS_PER_MS = 0.001
+# An endpoint's id is the last field of a line of the endpoints' protocol.
+_ID = re.compile(r"[!-~]+")
 
 
 class Directory:
@@ -69,17 +75,22 @@
         )
         zone = fields.text("zone")
         if zone not in self._zones:
-            raise fields.problem("zone", f"{zone!r} is not a configured zone")
-        host, _, port = fields.address("address").rpartition(":")
+            raise fields.problem(
+                "zone", f"{fields_lib.quoted(zone)} is not a configured zone"
+            )
+        name = source.removeprefix(LISTINGS_PREFIX)
+        if not _ID.fullmatch(name):
+            raise fields.problem("$", "has a key that is no id")
+        host, port = _ip_address(fields)
         # These fields are validated but otherwise unused.
         fields.text("version")
         fields.integer("sequence")
         fields.number("cold_remaining_ms")
         return routes.Listing(
-            id=item.key.removeprefix(LISTINGS_PREFIX),
+            id=name,
             service=fields.text("service"),
             host=host,
-            port=int(port),
+            port=port,
             zone=zone,
             slots=max(1, fields.integer("capacity")),
             leaving=fields.one_of("state", ("ready", "draining")) == "draining",
@@ -88,6 +99,15 @@
         )
 
 
+def _ip_address(fields: fields_lib.Fields) -> tuple[str, int]:
+    host, port = addresses.split(fields.address("address"))
+    try:
+        ipaddress.ip_address(host)
+    except ValueError as exc:
+        raise fields.problem("address", "has a host that is no IP") from exc
+    return host, port
+
+
 def _decode_route(fields: fields_lib.Fields) -> routes.Route:
     return routes.Route(
         name=fields.text("name"),
--- a/bronzehold/platform/directory_test.py
+++ b/bronzehold/platform/directory_test.py
@@ -1,5 +1,7 @@
 import json
 
+import hypothesis
+from hypothesis import strategies as st
 import pytest
 
 from bronzehold.core import ports
@@ -60,6 +62,14 @@
         {"sequence": 1.5},
         {"cold_remaining_ms": "0"},
         {"born": "17"},
+        {"address": "10.0.0.9:" + "9" * 5000},
+        {"address": "a..b:80"},
+        {"address": "host\0:80"},
+        {"cold_remaining_ms": 10**400},
+        {"capacity": 10**400},
+        {"born": 1 << 64},
+        {"service": "\ud800"},
+        {"service": "g\r\nQUERY"},
     ],
 )
 def test_listing_with_invalid_field_is_rejected(fields):
@@ -67,13 +77,49 @@
         _listing(**fields)
 
 
-@pytest.mark.parametrize("value", [b"", b"\xff", b"[]", b"7", b"{}"])
+@pytest.mark.parametrize(
+    "value",
+    [b"", b"\xff", b"[]", b"7", b"{}", b"[" * 4000, b'{"a":' * 4000],
+)
 def test_unreadable_listing_is_rejected(value):
     item = ports.Item(key="servers/i-1", value=value, revision=1)
     with pytest.raises(validation.ProblemsError):
         directory.Directory(zones=frozenset({"z1"})).decode_listing(item)
 
 
+@pytest.mark.parametrize("name", ["", "i 1", "i-1\r\nQUERY", "\u00e9", "\n"])
+def test_listing_under_a_key_that_is_no_id_is_rejected(name):
+    item = ports.Item(
+        key=f"servers/{name}", value=json.dumps(ENTRY).encode(), revision=1
+    )
+    with pytest.raises(validation.ProblemsError):
+        directory.Directory(zones=frozenset({"z1"})).decode_listing(item)
+
+
+JSON_VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+    lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
+)
+
+
+@hypothesis.given(
+    st.binary()
+    | st.dictionaries(st.sampled_from([*ENTRY, "other"]), JSON_VALUES).map(
+        lambda fields: json.dumps({**ENTRY, **fields}).encode()
+    )
+)
+def test_any_listing_is_decoded_or_rejected(value):
+    """Guards against CONFIG: the task that follows the store ended."""
+    item = ports.Item(key="servers/i-1", value=value, revision=1)
+    try:
+        listing = directory.Directory(zones=frozenset({"z1"})).decode_listing(
+            item
+        )
+    except validation.ProblemsError:
+        return
+    assert isinstance(listing, routes.Listing)
+
+
 def test_each_kind_of_route_is_decoded():
     route = {
         "name": "r",
--- a/bronzehold/platform/fields.py
+++ b/bronzehold/platform/fields.py
@@ -5,12 +5,16 @@
 """
 
 import collections.abc
-import json
 import math
 
+from bronzehold.core import addresses
+from bronzehold.core import json_text
 from bronzehold.core import validation
 
-MAX_PORT = 65535
+# Digests carry integers as signed 64-bit numbers.
+MAX_INTEGER = (1 << 63) - 1
+# Part of a refused value that messages quote.
+MAX_QUOTED_CHARS = 60
 
 
 def parse(source: str, value: bytes | str) -> object:
@@ -24,7 +28,7 @@
         validation.ProblemsError: The text is not valid JSON.
     """
     try:
-        return json.loads(value)
+        return json_text.parse(value)
     except ValueError as exc:
         problem = validation.Problem(
             source=source, location="$", message=str(exc)
@@ -92,20 +96,21 @@
     def address(self, name: str) -> str:
         """Returns a string of the form host:port."""
         value = self.text(name)
-        host, _, port = value.rpartition(":")
-        if not (host and port.isascii() and port.isdigit()):
-            raise self.problem(name, "is not host:port")
-        if not 0 < int(port) <= MAX_PORT:
-            raise self.problem(name, f"has a port outside 1 to {MAX_PORT}")
+        try:
+            addresses.split(value)
+        except ValueError as exc:
+            raise self.problem(name, str(exc)) from exc
         return value
 
     def text(self, name: str, default: str | None = None) -> str:
-        """Returns a non-empty string, or the default for a missing field."""
+        """Returns a printable string, or the default for a missing field."""
         if default is not None and name not in self._value:
             return default
         value = self.typed(name, str)
         if not value:
             raise self.problem(name, "is empty")
+        if not value.isprintable():
+            raise self.problem(name, "has a character that is not printable")
         return value
 
     def list(self, name: str) -> list:
@@ -116,7 +121,10 @@
         """Returns an integer, or the default for a missing field."""
         if default is not None and name not in self._value:
             return default
-        return self.typed(name, int)
+        value = self.typed(name, int)
+        if abs(value) > MAX_INTEGER:
+            raise self.problem(name, "is outside of 64 bits")
+        return value
 
     def number(self, name: str, default: float | None = None) -> float:
         """Returns a number, or the default for a missing field."""
@@ -125,15 +133,24 @@
         value = self._value.get(name)
         if isinstance(value, bool) or not isinstance(value, int | float):
             raise self.problem(name, "is not a number")
-        if not math.isfinite(value):
+        try:
+            number = float(value)
+        except OverflowError as exc:
+            raise self.problem(name, "is too large") from exc
+        if not math.isfinite(number):
             raise self.problem(name, "is not finite")
-        return float(value)
+        return number
 
     def one_of(self, name: str, allowed: tuple[str, ...]) -> str:
         """Returns a string that is one of the allowed values."""
         value = self.text(name)
         if value not in allowed:
             raise self.problem(
-                name, f"{value!r} is not one of {', '.join(allowed)}"
+                name, f"{quoted(value)} is not one of {', '.join(allowed)}"
             )
         return value
+
+
+def quoted(value: str) -> str:
+    """Returns a text as error messages quote it, cut where it is long."""
+    return repr(value[:MAX_QUOTED_CHARS])
--- a/bronzehold/platform/store.py
+++ b/bronzehold/platform/store.py
@@ -9,6 +9,7 @@
 import threading
 import urllib.parse
 
+from bronzehold.core import json_text
 from bronzehold.core import ports
 
 # The service usually answers within a few milliseconds, and within a few
@@ -34,7 +35,7 @@
 
     def json_object(self) -> dict:
         try:
-            value = json.loads(self._body)
+            value = json_text.parse(self._body)
         except ValueError as exc:
             raise ports.StoreError("an answer that is no JSON") from exc
         if not isinstance(value, dict):
--- a/bronzehold/process/promotions_test.py
+++ b/bronzehold/process/promotions_test.py
@@ -306,6 +306,23 @@
     assert harness.tokens.known("g").holder == "you/1"
 
 
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"[" * 4000,
+        b'{"holder": "you/1", "token": 1e999}',
+        b'{"holder": "you/1", "token": %d}' % (1 << 64),
+        b'{"holder": "\\ud800", "token": 3}',
+        b'{"holder": null, "token": 3}',
+        b"[]",
+    ],
+)
+def test_record_that_is_no_token_is_ignored(harness, value):
+    """Guards against CONFIG: the task that follows the store ended."""
+    harness.tokens.apply_record("g", value, 4)
+    assert harness.tokens.known("g") is tokens_lib.NO_TOKEN
+
+
 def _hear_peer(harness, *, incarnation):
     harness.gossip.heard = {
         "you": gossip_lib.ReceivedDigest(
--- a/bronzehold/process/registration.py
+++ b/bronzehold/process/registration.py
@@ -4,10 +4,13 @@
 renewing the lease, so peers do not need to remove a proxy that has crashed.
 """
 
+import ipaddress
 import json
 import threading
 import time
 
+from bronzehold.core import addresses
+from bronzehold.core import json_text
 from bronzehold.core import ports
 from bronzehold.process import platform_process
 from bronzehold.version import members as members_lib
@@ -115,9 +118,24 @@
         The proxy; None if the value is not a registration.
     """
     try:
-        fields = json.loads(value)
-        return members_lib.Member(
-            name=name, zone=str(fields["zone"]), address=str(fields["address"])
-        )
-    except (ValueError, TypeError, LookupError):
+        fields = json_text.parse(value)
+    except ValueError:
         return None
+    match fields:
+        case {"zone": str(zone), "address": str(address)} if (
+            name.isprintable()
+            and zone.isprintable()
+            and _is_ip_address(address)
+        ):
+            return members_lib.Member(name=name, zone=zone, address=address)
+        case _:
+            return None
+
+
+def _is_ip_address(text: str) -> bool:
+    try:
+        host, _ = addresses.split(text)
+        ipaddress.ip_address(host)
+    except ValueError:
+        return False
+    return True
--- a/bronzehold/process/registration_test.py
+++ b/bronzehold/process/registration_test.py
@@ -1,3 +1,5 @@
+import json
+
 import pytest
 
 from bronzehold.core import ports
@@ -6,7 +8,7 @@
 from bronzehold.process import timeline as timeline_lib
 from bronzehold.version import members as members_lib
 
-OWN = members_lib.Member(name="me", zone="z", address="h:1")
+OWN = members_lib.Member(name="me", zone="z", address="10.0.0.1:1")
 
 
 class FakeProcess:
@@ -93,3 +95,17 @@
 )
 def test_value_that_is_no_registration_is_ignored(value):
     assert registration_lib.decode("me", value) is None
+
+
+@pytest.mark.parametrize(
+    "address", ["10.0.0.1:99999", "10.0.0.1", "host.example:80", "a..b:80", 7]
+)
+def test_registration_without_a_usable_address_is_ignored(address):
+    """Guards against CONFIG: gossip ended at an address that none can have."""
+    value = json.dumps({"zone": "z", "address": address}).encode()
+    assert registration_lib.decode("me", value) is None
+
+
+def test_registration_that_is_nested_deeply_is_ignored():
+    """Guards against CONFIG: the task that follows the store ended."""
+    assert registration_lib.decode("me", b"[" * 4000) is None
--- a/bronzehold/process/store_mirror.py
+++ b/bronzehold/process/store_mirror.py
@@ -10,6 +10,7 @@
 import dataclasses
 import random
 import threading
+import typing
 
 from bronzehold.core import clock
 from bronzehold.core import events
@@ -19,6 +20,9 @@
 from bronzehold.process import platform_process
 from bronzehold.process import store_news as news_lib
 
+_EncodedT = typing.TypeVar("_EncodedT")
+_DecodedT = typing.TypeVar("_DecodedT")
+
 # Time for which further changes are collected after some have been read. When a
 # fleet starts, every proxy and endpoint that registers wakes all watches.
 BATCH_S = 0.3
@@ -198,11 +202,10 @@
     def _apply_config(self, item: ports.Item) -> None:
         if item.value is None:
             return
-        try:
-            table = self._directory.decode_table(item.value)
-        except validation.ProblemsError as exc:
+        table = _decode(self._directory.decode_table, item.value)
+        if isinstance(table, _Undecodable):
             self._process.timeline.add(
-                events.ConfigRefused(source="store", problems=str(exc))
+                events.ConfigRefused(source="store", problems=table.why)
             )
             return
         self._raw_items[item.key] = item
@@ -211,17 +214,18 @@
     def _apply_listing(self, item: ports.Item) -> None:
         name = item.key.removeprefix(self._directory.listings_prefix)
         if item.value is None:
+            self._refused_revisions.pop(item.key, None)
             if name in self._listings:
                 self._missing.setdefault(name, clock.now())
             return
-        try:
-            listing = self._directory.decode_listing(item)
-        except validation.ProblemsError as exc:
+        listing = _decode(self._directory.decode_listing, item)
+        if isinstance(listing, _Undecodable):
             self._listings.pop(name, None)
+            self._raw_items.pop(item.key, None)
             if self._refused_revisions.get(item.key) != item.revision:
                 self._refused_revisions[item.key] = item.revision
                 self._process.timeline.add(
-                    events.ListingRefused(key=item.key, why=str(exc))
+                    events.ListingRefused(key=item.key, why=listing.why)
                 )
             return
         self._missing.pop(name, None)
@@ -335,5 +339,25 @@
         self._apply(items)
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Undecodable:
+    why: str
+
+
+def _decode(
+    decode: collections.abc.Callable[[_EncodedT], _DecodedT],
+    encoded: _EncodedT,
+) -> _DecodedT | _Undecodable:
+    """Decodes one entry, so that no entry can keep the others from use."""
+    try:
+        return decode(encoded)
+    except validation.ProblemsError as exc:
+        return _Undecodable(why=str(exc))
+    except Exception as exc:  # noqa: BLE001
+        # Other programs write the entries, and the changes that come with this
+        # one must be applied whatever it holds.
+        return _Undecodable(why=f"{type(exc).__name__}: {exc}")
+
+
 def _incarnation(listing: routes.Listing) -> str:
     return f"{listing.id}@{listing.started_ms}"
--- a/bronzehold/process/store_mirror_test.py
+++ b/bronzehold/process/store_mirror_test.py
@@ -4,6 +4,7 @@
 
 from bronzehold.core import clock
 from bronzehold.core import ports
+from bronzehold.core import validation
 from bronzehold.process import store_mirror as mirror_lib
 from bronzehold.process import store_news as news_lib
 from bronzehold.process import tasks as tasks_lib
@@ -14,8 +15,17 @@
 
 
 class FakeDirectory:
+    """Decodes every configuration, and fails on every listing as it is told."""
+
     config_key = "config"
     listings_prefix = "listings/"
+    listing_error: Exception | None = None
+
+    def decode_table(self, value):
+        return value
+
+    def decode_listing(self, item):
+        raise self.listing_error
 
 
 class FakeProcess:
@@ -28,6 +38,10 @@
         del listings
         self.applied.append("endpoints")
 
+    def adopt_table(self, table, source):
+        del source
+        self.applied.append(table)
+
 
 class FakeStore:
     """Returns scripted watch responses, then stops the process."""
@@ -64,7 +78,14 @@
     monkeypatch.setattr(news_lib, "WATCHER_RETRY_INTERVAL_S", 0.01)
     monkeypatch.setattr(mirror_lib, "BATCH_S", 0.0)
 
-    def run_mirror(*responses, is_watcher=True, reported_revision=None):
+    def run_mirror(
+        *responses,
+        is_watcher=True,
+        reported_revision=None,
+        listing_error=None,
+    ):
+        directory = FakeDirectory()
+        directory.listing_error = listing_error
         process = FakeProcess()
         store = FakeStore(process=process, responses=responses)
         news = news_lib.StoreNews(
@@ -77,7 +98,7 @@
         mirror = mirror_lib.StoreMirror(
             process=process,
             store=store,
-            directory=FakeDirectory(),
+            directory=directory,
             members_prefix="members/",
             on_members=lambda _: process.applied.append("proxies"),
             records_prefix="records/",
@@ -176,3 +197,28 @@
     assert run_mirror(registered, removed).mirror.raw_entries() == []
     forgotten = ports.CompactedError("gone")
     assert run_mirror(registered, forgotten).mirror.raw_entries() == []
+
+
+@pytest.mark.parametrize(
+    "error",
+    [
+        validation.ProblemsError(()),
+        RecursionError("nested"),
+        ValueError("digits"),
+        OverflowError("large"),
+    ],
+)
+def test_entry_that_cannot_be_decoded_does_not_stop_the_changes_after_it(
+    run_mirror, error
+):
+    """Guards against CONFIG: an odd entry ended the mirror for ever."""
+    odd = ports.Item(key="listings/odd", value=b"[[[", revision=6)
+    config = ports.Item(key="config", value=b"table", revision=7)
+    store = run_mirror(
+        ports.Snapshot(items=(odd,), revision=6),
+        ports.Snapshot(items=(config,), revision=7),
+        listing_error=error,
+    )
+    assert store.watched == [5, 6, 7]
+    assert b"table" in store.applied
+    assert store.mirror.raw_entries() == [("config", b"table")]
--- a/bronzehold/process/tokens.py
+++ b/bronzehold/process/tokens.py
@@ -12,10 +12,13 @@
 
 from bronzehold.core import clock
 from bronzehold.core import events
+from bronzehold.core import json_text
 from bronzehold.core import ports
 from bronzehold.process import timeline as timeline_lib
 
 RECORDS_PREFIX = "bronzehold/groups/"
+# Digests carry tokens as signed 64-bit numbers.
+MAX_NUMBER = (1 << 63) - 1
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -178,11 +181,13 @@
 
 def _read_record(value: bytes, revision: int) -> Token | None:
     try:
-        fields = json.loads(value)
-        return Token(
-            holder=str(fields["holder"]),
-            number=int(fields["token"]),
-            revision=revision,
-        )
-    except (ValueError, KeyError, TypeError):
+        fields = json_text.parse(value)
+    except ValueError:
         return None
+    match fields:
+        case {"holder": str(holder), "token": int(number)} if (
+            0 < number <= MAX_NUMBER and holder.isprintable()
+        ):
+            return Token(holder=holder, number=number, revision=revision)
+        case _:
+            return None
