Prepared statements keep the blanks at the end of their data

Cause: wire.py builds the text of a renamed EXECUTE anew and called rstrip() on it, meant for a statement without fields.

Before the change failed test_prepared_statement_keeps_every_blank_of_its_fields in three cases, and 'EXECUTE s1 ' was not refused.

The hop kept the fields before; a test shows it now.

--- a/bronzehold/connection/forward_codec_test.py
+++ b/bronzehold/connection/forward_codec_test.py
@@ -61,6 +61,20 @@
     assert decoded.deadline <= call.deadline + 0.01
 
 
+def test_prepared_statement_keeps_the_blanks_at_its_end():
+    """Guards against UNASKED: data lost the blanks at its end."""
+    session = platform_session.PlatformSession(name="p/1")
+    session.names["s1"] = platform_session.Prepared(
+        writes=True, shape="q2c", shared_name="r1"
+    )
+    statement = statements.Execute(name="s1", arguments="1a4 SHRED     ")
+    call = _call(statement, prepared_name="r1", writes=True)
+    packed = codec.encode_call(call, session)
+    request = codec.parse_request(packed.SerializeToString())
+    decoded = codec.decode_call(request, clock.now())
+    assert decoded.request.statement.arguments == statement.arguments
+
+
 def test_session_is_sent_with_each_statement():
     session = platform_session.PlatformSession(name="p/1")
     session.values["tenant"] = "a \xff"
--- a/bronzehold/platform/wire.py
+++ b/bronzehold/platform/wire.py
@@ -174,7 +174,7 @@
             return statements.Prepare(
                 name=name, writes=kind == "WRITE", shape=shape
             )
-        case "EXECUTE", [name, *_] if name:
+        case "EXECUTE", [name, *items] if name and items != [""]:
             return statements.Execute(
                 name=name, arguments=rest[len(name) + 1 :]
             )
@@ -240,7 +240,9 @@
             text = req.text
             if prepared:
                 arguments = req.statement.arguments
-                text = f"EXECUTE {prepared} {arguments}".rstrip(" ")
+                # Blanks at the end are part of the data.
+                text = f"EXECUTE {prepared}"
+                text += f" {arguments}" if arguments else ""
             return req.id, _position_prefix(min_position) + text
         case statements.OpenTransaction(
             read_only=read_only, min_position=min_position
--- a/bronzehold/platform/wire_test.py
+++ b/bronzehold/platform/wire_test.py
@@ -40,7 +40,15 @@
 
 @pytest.mark.parametrize(
     "text",
-    [b"", b"READ", b"WRITE a", b"COMMIT now", b"BEGIN WRITE", b"STATUS"],
+    [
+        b"",
+        b"READ",
+        b"WRITE a",
+        b"COMMIT now",
+        b"BEGIN WRITE",
+        b"STATUS",
+        b"EXECUTE s1 ",
+    ],
 )
 def test_unknown_statement_is_invalid(text):
     assert isinstance(_parse(text), statements.Invalid)
@@ -71,6 +79,19 @@
     assert line == b"QUERY 5c0e SINCE 3.1207 EXECUTE r1 1a4\r\n"
 
 
+@pytest.mark.parametrize(
+    "fields",
+    [b"", b" 1a4", b" 1a4 ", b" 1a4 SHRED     ", b" 1a4   a  b  ", b"  x"],
+)
+def test_prepared_statement_keeps_every_blank_of_its_fields(fields):
+    """Guards against UNASKED: data lost the blanks at its end."""
+    req = wire.parse_query(b"QUERY 5c0e EXECUTE s1" + fields, 0.0)
+    line = wire.encode_command(
+        statements.ForwardStatement(request=req, prepared_name="r1")
+    )
+    assert line == b"QUERY 5c0e EXECUTE r1" + fields + b"\r\n"
+
+
 def _reader(data: bytes, *, close: bool = True) -> wire.LineReader:
     local_sock, remote_sock = socket.socketpair()
     remote_sock.sendall(data)
