Synchronous groups: all replicas are compared before one is promoted

Cause: the choice of a successor took the best of the replicas that answered within 0.45 s. Where a commit is acknowledged once one replica has it, any replica may hold the only copy; the setting was read and used nowhere.

Same cause on related paths: the planned change; a primary that only is out of reach and goes on with one replica. The choice stands in successors.py; other groups choose as before.

--- a/bronzehold/core/events.py
+++ b/bronzehold/core/events.py
@@ -377,6 +377,19 @@
     outcome: str
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class SuccessorAwaited:
+    """A lost primary is not replaced yet: no endpoint is known to have all.
+
+    Attributes:
+        group: Name of the group, whose commits a replica confirms.
+        endpoints: The listed endpoints that have not reported their logs.
+    """
+
+    group: str
+    endpoints: tuple[str, ...]
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class RequestFailed:
     """A statement failed.
@@ -562,6 +575,7 @@
     | TokenWon
     | TokenLost
     | PromotionOrdered
+    | SuccessorAwaited
     | RequestFailed
     | RequestSlow
     | RequestServed
--- a/bronzehold/core/ports.py
+++ b/bronzehold/core/ports.py
@@ -125,10 +125,15 @@
     def discard_next_answer(self) -> None:
         """Discards the answer to the last command when it arrives."""
 
-    def status(self, deadline: float) -> statements.Status:
-        """Requests the status of the endpoint.
+    def status(
+        self,
+        deadline: float,
+        command: statements.StatusCommand = statements.GET_STATUS,
+    ) -> statements.Status:
+        """Sends a command that the endpoint answers with its status.
 
         Raises:
+            RefusedStatusError: The endpoint refused the command.
             TransportError: The endpoint did not return its status.
         """
 
--- a/bronzehold/core/statements.py
+++ b/bronzehold/core/statements.py
@@ -213,12 +213,35 @@
     """Requests the status of the endpoint."""
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class PauseReplication:
+    """Stops a replica from receiving, until it is resumed or one is promoted.
+
+    Attributes:
+        term: A term above the newest one that any endpoint has reported.
+    """
+
+    term: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ResumeReplication:
+    """Lets a paused replica receive again."""
+
+
+GET_STATUS = GetStatus()
+
+# The commands that an endpoint answers with its status.
+StatusCommand = GetStatus | PauseReplication | ResumeReplication
+
 Command = (
     ForwardStatement
     | OpenTransaction
     | RollbackTransaction
     | ResetSession
     | GetStatus
+    | PauseReplication
+    | ResumeReplication
     | SetValue
     | Prepare
 )
@@ -304,6 +327,7 @@
         leads: Whether it considers itself the primary.
         term: Term of the endpoint.
         received: Last position that its log holds.
+        paused_term: Term of the pause of its replication, 0 if there is none.
         lag_s: Replication lag of its readers in seconds.
         busy_slots: Number of slots in use.
         connections: Number of open connections, from all callers.
@@ -312,6 +336,7 @@
     leads: bool
     term: int
     received: LogPosition
+    paused_term: int
     lag_s: float
     busy_slots: int
     connections: int
--- a/bronzehold/platform/endpoint.py
+++ b/bronzehold/platform/endpoint.py
@@ -92,14 +92,18 @@
         """Discards the answer to the last command when it arrives."""
         self._answers_to_discard += 1
 
-    def status(self, deadline: float) -> statements.Status:
-        """Requests the status of the endpoint.
+    def status(
+        self,
+        deadline: float,
+        command: statements.StatusCommand = statements.GET_STATUS,
+    ) -> statements.Status:
+        """Sends a command that the endpoint answers with its status.
 
         Raises:
             ports.RefusedStatusError: The endpoint answered with an error.
             ports.TransportError: The endpoint did not return its status.
         """
-        self.send((statements.GetStatus(),))
+        self.send((command,))
         match self.receive(deadline):
             case statements.Completed(rows=(row, *_)):
                 try:
--- a/bronzehold/platform/standin_group.py
+++ b/bronzehold/platform/standin_group.py
@@ -156,6 +156,7 @@
                     e for e in endpoint.log if e.position <= last_held
                 ]
                 endpoint.epoch += endpoint is not chosen
+                endpoint.paused_term = 0
             chosen.primary_term = self.term
         self.on_role_change()
 
@@ -173,6 +174,8 @@
         blocked = conditions.frozen or primary.name in conditions.cut_in
         if endpoint is primary or blocked or not endpoint.running:
             return
+        if endpoint.paused_term:
+            return
         lag_s = max(self.settings.lag_s, conditions.lag_s)
         cutoff = time.monotonic() - lag_s
         for entry in primary.log[len(endpoint.log) :]:
@@ -195,6 +198,7 @@
             was never promoted.
         epoch: Number of promotions of other endpoints. A read-write
             transaction that spans one of them is refused.
+        paused_term: Term of the pause of its replication, 0 if there is none.
         running: Whether the endpoint accepts connections.
         connections: Number of open sessions.
         waiting: Number of statements waiting for a slot.
@@ -216,6 +220,7 @@
         self.is_primary = False
         self.primary_term = 1
         self.epoch = 0
+        self.paused_term = 0
         self.running = False
         self.connections = 0
         self.waiting = 0
@@ -282,6 +287,11 @@
             )
         )
 
+    def pause(self, term: int) -> None:
+        """Stops receiving entries, unless the term is known already."""
+        if not self.is_primary and term > self.group.term:
+            self.paused_term = term
+
     # Network and process lifecycle.
 
     def listen(self) -> None:
@@ -420,6 +430,12 @@
         match command:
             case "STATUS":
                 self._send_status()
+            case "PAUSE":
+                self._endpoint.pause(int(rest))
+                self._send_status()
+            case "RESUME":
+                self._endpoint.paused_term = 0
+                self._send_status()
             case "BEGIN":
                 self._begin(read_write=rest != "READ")
             case "ROLLBACK":
@@ -449,7 +465,8 @@
         term = (
             endpoint.primary_term if endpoint.is_primary else self._group.term
         )
-        row = f"{role} {term} {endpoint.last_position()} {term} 0 0 1"
+        held = endpoint.paused_term
+        row = f"{role} {term} {endpoint.last_position()} {held} 0 0 1"
         self._send_result(row)
 
     def _begin(self, *, read_write: bool) -> None:
--- a/bronzehold/platform/wire.py
+++ b/bronzehold/platform/wire.py
@@ -255,6 +255,10 @@
             return NO_ID, "RESET"
         case statements.GetStatus():
             return NO_ID, "STATUS"
+        case statements.PauseReplication(term=term):
+            return NO_ID, f"PAUSE {term}"
+        case statements.ResumeReplication():
+            return NO_ID, "RESUME"
         case statements.SetValue(name=name, value=value):
             return NO_ID, f"SET {name} {value}"
         case statements.Prepare(name=name, writes=writes, shape=shape):
@@ -378,7 +382,7 @@
     """
     fields = row.split(" ")
     try:
-        role, term, received, _held, lag_ms, busy, connections = fields[:7]
+        role, term, received, held, lag_ms, busy, connections = fields[:7]
         position = parse_position(received)
         if role not in ("primary", "replica"):
             raise ValueError(role)
@@ -387,6 +391,7 @@
             term=int(term),
             received=position
             or statements.LogPosition(term=int(term), number=0),
+            paused_term=int(held),
             lag_s=float(lag_ms) / 1000,
             busy_slots=int(busy),
             connections=int(connections),
--- a/bronzehold/process/platform_group_test.py
+++ b/bronzehold/process/platform_group_test.py
@@ -53,6 +53,7 @@
         leads=leads,
         term=term,
         received=statements.LogPosition(term=term, number=number),
+        paused_term=1,
         lag_s=0.0,
         busy_slots=0,
         connections=0,
--- a/bronzehold/process/platform_service.py
+++ b/bronzehold/process/platform_service.py
@@ -272,9 +272,13 @@
         """Probes an endpoint soon."""
         self.probes.wake(name)
 
-    def probe(self, name: str) -> statements.Status | None:
-        """Requests an endpoint's status now, None if it reports none."""
-        return self.probes.probe(name)
+    def probe(
+        self,
+        name: str,
+        command: statements.StatusCommand = statements.GET_STATUS,
+    ) -> statements.Status | None:
+        """Sends a command for an endpoint's status now, None if it has none."""
+        return self.probes.probe(name, command)
 
     def dial(self, endpoint: str) -> ports.EndpointConn:
         """Opens a connection to an endpoint; raises ports.DialError."""
--- a/bronzehold/process/probes.py
+++ b/bronzehold/process/probes.py
@@ -198,9 +198,17 @@
 
     # One probe.
 
-    def probe(self, name: str) -> statements.Status | None:
+    def probe(
+        self,
+        name: str,
+        command: statements.StatusCommand = statements.GET_STATUS,
+    ) -> statements.Status | None:
         """Requests an endpoint's status, over a pooled connection if possible.
 
+        Args:
+            name: The id of the endpoint.
+            command: What to send; the endpoint answers it with its status.
+
         Returns:
             The status, None if the endpoint did not report one.
         """
@@ -208,17 +216,20 @@
         if pool is None:
             return None
         try:
-            return self._probe_pooled(name, pool)
+            return self._probe_pooled(name, pool, command)
         except errors.FailureError:
             # All connections are in use, perhaps because the endpoint does not
             # answer on any of them.
-            return self._probe_new_connection(name)
+            return self._probe_new_connection(name, command)
         except ports.DialError as exc:
             self._service.note_dial_failed(name, exc)
             return None
 
     def _probe_pooled(
-        self, name: str, pool: pool_lib.Pool
+        self,
+        name: str,
+        pool: pool_lib.Pool,
+        command: statements.StatusCommand,
     ) -> statements.Status | None:
         conn = pool.acquire(
             session="probe",
@@ -228,30 +239,35 @@
         )
         usable = False
         try:
-            usable, status = self._request_status(name, conn)
+            usable, status = self._request_status(name, conn, command)
             return status
         finally:
             pool.end_statement(None)
             pool.release(conn, reusable=usable)
 
-    def _probe_new_connection(self, name: str) -> statements.Status | None:
+    def _probe_new_connection(
+        self, name: str, command: statements.StatusCommand
+    ) -> statements.Status | None:
         try:
             conn = self._service.dial(name)
         except ports.DialError as exc:
             self._service.note_dial_failed(name, exc)
             return None
         try:
-            return self._request_status(name, conn)[1]
+            return self._request_status(name, conn, command)[1]
         finally:
             conn.close()
 
     def _request_status(
-        self, name: str, conn: ports.EndpointConn
+        self,
+        name: str,
+        conn: ports.EndpointConn,
+        command: statements.StatusCommand,
     ) -> tuple[bool, statements.Status | None]:
         """Returns whether the connection is usable, and the status if any."""
         sent = clock.now()
         try:
-            status = conn.status(sent + PROBE_TIMEOUT_S)
+            status = conn.status(sent + PROBE_TIMEOUT_S, command)
         except ports.RefusedStatusError:
             self._service.group.note_answered(name)
             return True, None
--- a/bronzehold/process/probes_test.py
+++ b/bronzehold/process/probes_test.py
@@ -28,7 +28,8 @@
         self.service = service
         self.name = name
 
-    def status(self, deadline):
+    def status(self, deadline, command):
+        del command
         del deadline
         self.service.probed.append(self.name)
         if self.name in self.service.silent:
@@ -37,6 +38,7 @@
             leads=self.name == "e1",
             term=1,
             received=statements.LogPosition(term=1, number=0),
+            paused_term=1,
             lag_s=0.0,
             busy_slots=0,
             connections=1,
--- a/bronzehold/process/promotions.py
+++ b/bronzehold/process/promotions.py
@@ -8,7 +8,6 @@
 """
 
 import collections.abc
-from concurrent import futures
 import dataclasses
 
 import xxhash
@@ -20,6 +19,7 @@
 from bronzehold.process import group_views
 from bronzehold.process import platform_process
 from bronzehold.process import platform_service
+from bronzehold.process import successors as successors_lib
 from bronzehold.process import tokens as tokens_lib
 from bronzehold.version import succession
 
@@ -31,7 +31,6 @@
 EVIDENCE_RECOVERY_S = 1.0
 # A group without a leader for longer than this has an endpoint promoted.
 LEADERLESS_TIMEOUT_S = 1.5
-STATUS_TIMEOUT_S = 0.45
 # Writes in flight get this long to end before a planned change.
 DRAIN_TIMEOUT_S = 0.5
 # A change that has no effect after this is given up. The platform takes some
@@ -47,6 +46,9 @@
 # peer that has been silent for as long counts as gone.
 PEER_SILENCE_S = 1.2
 FENCE_RETRY_S = 1.0
+TAKE_OVER_RETRY_S = 1.0
+# Writes go on for this long after a planned change that found no successor.
+HAND_OVER_RETRY_S = 2.0
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -103,7 +105,12 @@
         # A process that has just started knows neither peers nor endpoints, so
         # its first evaluation waits.
         self._evaluate_from = clock.now() + EVIDENCE_RECOVERY_S
-        self._status_executor = futures.ThreadPoolExecutor(4)
+        self._successors = successors_lib.Successors(timeline=process.timeline)
+        # The synchronous groups in which this proxy has looked for replicas
+        # that an earlier holder of the token left paused.
+        self._taken_over: set[str] = set()
+        self._take_over_due_at: dict[str, float] = {}
+        self._hand_over_due_at: dict[str, float] = {}
 
     # Tokens.
 
@@ -201,8 +208,10 @@
             return
         if not self._tokens.holds(name):
             self._changes.pop(name, None)
+            self._taken_over.discard(name)
             self._claim_token(service)
             return
+        self._take_over(service)
         change = self._changes.get(name)
         if change is not None:
             self._continue_change(service, change)
@@ -218,6 +227,29 @@
                 # A proxy that is gone counts against a majority as long as its
                 # registration is known.
                 self._request_members()
+            case succession.Keep() if name not in self._fence_due_at:
+                self._successors.resume(service)
+
+    def _take_over(self, service: platform_service.PlatformService) -> None:
+        """Ends what the earlier holder of a synchronous group's token left.
+
+        If that proxy has paused replicas for a change, the platform may still
+        carry its last order out. An order of this proxy ends that, and then the
+        replicas may receive again.
+        """
+        name = service.limits.name
+        now = clock.now()
+        if not service.limits.synchronous or name in self._taken_over:
+            return
+        if now < self._take_over_due_at.get(name, 0.0):
+            return
+        self._take_over_due_at[name] = now + TAKE_OVER_RETRY_S
+        match self._successors.find_paused(service):
+            case True:
+                self._fence_due_at[name] = now
+                self._taken_over.add(name)
+            case False:
+                self._taken_over.add(name)
 
     def _decide(
         self, service: platform_service.PlatformService
@@ -250,35 +282,12 @@
         self, service: platform_service.PlatformService, reason: str
     ) -> None:
         leader = service.group.leader()
-        successor = self._choose_successor(
+        successor = self._successors.choose(
             service, leader.endpoint if leader else ""
         )
         if successor is not None:
             self._begin_change(service, successor, reason)
 
-    def _choose_successor(
-        self, service: platform_service.PlatformService, leader: str
-    ) -> succession.Candidate | None:
-        listings = service.group.listings()
-        status_by_endpoint = {
-            name: self._status_executor.submit(service.probe, name)
-            for name in listings
-            if name != leader
-        }
-        futures.wait(status_by_endpoint.values(), STATUS_TIMEOUT_S)
-        candidates = []
-        for name, fut in status_by_endpoint.items():
-            status = fut.result() if fut.done() else None
-            if status is not None:
-                candidates.append(
-                    succession.Candidate(
-                        endpoint=name,
-                        received=status.received,
-                        leaving=listings[name].leaving,
-                    )
-                )
-        return succession.choose_successor(candidates)
-
     def _begin_change(
         self,
         service: platform_service.PlatformService,
@@ -359,6 +368,7 @@
         leader = group.leader()
         if leader is not None and leader.term > change.term:
             self._changes.pop(name, None)
+            self._successors.note_promoted(name)
             group.release_writes(self._attempt_id(name))
             self._gossip.send_now()
             if change.has_unanswered_orders:
@@ -367,6 +377,10 @@
         if now - change.started_at > CHANGE_TIMEOUT_S:
             self._changes.pop(name, None)
             group.release_writes(self._attempt_id(name))
+            if service.limits.synchronous:
+                # The order may still be carried out; until it is fenced, no
+                # replica may receive more than the chosen one.
+                self._fence_due_at[name] = now
             return
         if now - change.started_at < MAX_WRITE_HOLD_S:
             group.renew_hold(self._attempt_id(name), now + WRITE_HOLD_S)
@@ -421,7 +435,7 @@
         group = service.group
         name = service.limits.name
         leader = group.leader()
-        if leader is None:
+        if leader is None or clock.now() < self._hand_over_due_at.get(name, 0):
             return
         attempt = self._attempt_id(name)
         group.hold_writes(attempt, clock.now() + DRAIN_TIMEOUT_S + WRITE_HOLD_S)
@@ -432,8 +446,14 @@
         ):
             self._process.tasks.stop.wait(0.02)
         successor = self._wait_for_successor(service, leader.endpoint)
+        if service.limits.synchronous:
+            successor = self._successors.choose(service, leader.endpoint)
         if successor is None:
             group.release_writes(attempt)
+            if service.limits.synchronous:
+                self._successors.resume(service)
+                retry_at = clock.now() + HAND_OVER_RETRY_S
+                self._hand_over_due_at[name] = retry_at
             return
         self._begin_change(service, successor, "the primary is leaving")
 
@@ -459,7 +479,7 @@
         """
         status = service.probe(leader)
         for _ in range(3):
-            successor = self._choose_successor(service, leader)
+            successor = self._successors.best(service, leader)
             if status is None or successor is None:
                 return successor
             if successor.received >= status.received:
--- a/bronzehold/process/promotions_test.py
+++ b/bronzehold/process/promotions_test.py
@@ -323,6 +323,87 @@
     assert harness.tokens.known("g") is tokens_lib.NO_TOKEN
 
 
+def _list_endpoints(harness, *names):
+    harness.service.limits = routes.ServiceLimits(
+        name="g", connections=4, synchronous=True
+    )
+    harness.service.group.set_listings(
+        {
+            name: routes.Listing(
+                id=name,
+                service="g",
+                host="h",
+                port=1,
+                zone="z",
+                slots=1,
+                leaving=False,
+                leads=name == names[0],
+                started_ms=0,
+            )
+            for name in names
+        }
+    )
+
+
+def _status(number, *, paused_term=0):
+    return statements.Status(
+        leads=False,
+        term=1,
+        received=statements.LogPosition(term=1, number=number),
+        paused_term=paused_term,
+        lag_s=0.0,
+        busy_slots=0,
+        connections=1,
+    )
+
+
+def test_synchronous_group_gets_no_primary_without_the_last_commits(
+    harness, monkeypatch
+):
+    """Guards against LOST: a replica without the commits was promoted."""
+    _list_endpoints(harness, "a", "b", "c")
+    harness.tokens.acquire("g")
+    answers = {"b": _status(5), "c": None}
+    monkeypatch.setattr(
+        harness.service, "probe", lambda name, _command=None: answers[name]
+    )
+    harness.promotions._replace_primary(harness.service, "test")
+    assert not harness.promoter.calls
+    answers["c"] = _status(9)
+    harness.promotions._replace_primary(harness.service, "test")
+    assert [call["endpoint"] for call in harness.promoter.calls] == ["c"]
+
+
+def test_replicas_left_paused_are_resumed_once_old_orders_are_fenced(
+    harness, monkeypatch
+):
+    _list_endpoints(harness, "a", "b", "c")
+    harness.tokens.acquire("g")
+    harness.promotions._evaluate_from = 0.0
+    sent = []
+
+    def probe(name, command=statements.GET_STATUS):
+        sent.append((name, type(command)))
+        return _status(5, paused_term=2 if name == "c" else 0)
+
+    monkeypatch.setattr(harness.service, "probe", probe)
+    monkeypatch.setattr(
+        harness.promotions, "_decide", lambda _: succession.Keep()
+    )
+    monkeypatch.setattr(
+        harness.service.group, "primary_unreachable", lambda: False
+    )
+    harness.promoter.outcome = ports.Unanswered(reason="lost")
+    harness.promotions._check_group(harness.service)
+    assert ("c", statements.ResumeReplication) not in sent
+    monkeypatch.setattr(promotions_lib, "FENCE_RETRY_S", 0.0)
+    harness.promotions._fence_due_at["g"] = 0.0
+    harness.promoter.outcome = ports.Ordered()
+    harness.promotions._check_group(harness.service)
+    assert [call["endpoint"] for call in harness.promoter.calls] == ["a", "a"]
+    assert ("c", statements.ResumeReplication) in sent
+
+
 def _hear_peer(harness, *, incarnation):
     harness.gossip.heard = {
         "you": gossip_lib.ReceivedDigest(
--- /dev/null
+++ b/bronzehold/process/successors.py
@@ -0,0 +1,193 @@
+"""Chooses the endpoint that takes over from a group's primary.
+
+Without synchronous replication, the endpoints that answer in time are compared.
+With it, a commit is acknowledged once one replica has received it, so any
+replica may hold the only copy of a commit. A successor is then chosen only when
+all replicas that are listed have stopped receiving and have reported their
+logs: nothing can be acknowledged any more, and the longest log holds all that
+was.
+"""
+
+import collections.abc
+from concurrent import futures
+
+from bronzehold.core import clock
+from bronzehold.core import events
+from bronzehold.core import statements
+from bronzehold.process import platform_service
+from bronzehold.process import timeline as timeline_lib
+from bronzehold.version import succession
+
+STATUS_TIMEOUT_S = 0.45
+RESUME_RETRY_S = 1.0
+WORKERS = 4
+
+
+class Successors:
+    """Compares the logs of a group's endpoints; used by one thread.
+
+    Args:
+        timeline: The event log of the process.
+    """
+
+    def __init__(self, *, timeline: timeline_lib.Timeline):
+        self._timeline = timeline
+        self._executor = futures.ThreadPoolExecutor(WORKERS)
+        # Replicas that may be paused, by service.
+        self._paused: dict[str, set[str]] = {}
+        self._resumed_at: dict[str, float] = {}
+        # Endpoints whose log a choice waits for, by service.
+        self._awaited: dict[str, tuple[str, ...]] = {}
+
+    def best(
+        self, service: platform_service.PlatformService, leader: str
+    ) -> succession.Candidate | None:
+        """Returns the best endpoint of those that answer in time.
+
+        Args:
+            service: The service.
+            leader: The endpoint to replace, "" if none is known.
+        """
+        names = _others(service, leader)
+        return _choose(service, self._ask(service, names))
+
+    def choose(
+        self, service: platform_service.PlatformService, leader: str
+    ) -> succession.Candidate | None:
+        """Returns the endpoint to promote, None if none may be promoted yet.
+
+        With synchronous replication, the replicas are left paused: a promotion
+        ends that, and so does resume().
+
+        Args:
+            service: The service.
+            leader: The endpoint to replace, "" if none is known.
+        """
+        if not service.limits.synchronous:
+            return self.best(service, leader)
+        names = _others(service, leader)
+        found = self._ask(service, names)
+        if not self._is_complete(service, names, found):
+            return None
+        if any(status.leads for status in found.values()):
+            return None
+        pause = statements.PauseReplication(
+            term=1 + _newest_term(service, found.values())
+        )
+        self._paused.setdefault(service.limits.name, set()).update(names)
+        found = self._ask(service, names, pause)
+        if not self._is_complete(service, names, found):
+            return None
+        return _choose(service, found)
+
+    def _is_complete(
+        self,
+        service: platform_service.PlatformService,
+        names: set[str],
+        found: collections.abc.Mapping[str, statements.Status],
+    ) -> bool:
+        group = service.limits.name
+        missing = tuple(sorted(names - set(found)))
+        if missing and self._awaited.get(group) != missing:
+            self._timeline.add(
+                events.SuccessorAwaited(group=group, endpoints=missing)
+            )
+        self._awaited[group] = missing
+        return not missing
+
+    def _ask(
+        self,
+        service: platform_service.PlatformService,
+        names: collections.abc.Iterable[str],
+        command: statements.StatusCommand = statements.GET_STATUS,
+    ) -> dict[str, statements.Status]:
+        """Returns the status of each endpoint that answers in time."""
+        asked = {
+            name: self._executor.submit(service.probe, name, command)
+            for name in names
+        }
+        futures.wait(asked.values(), STATUS_TIMEOUT_S)
+        answers = {
+            name: fut.result() for name, fut in asked.items() if fut.done()
+        }
+        return {
+            name: status
+            for name, status in answers.items()
+            if status is not None
+        }
+
+    # Paused replicas.
+
+    def find_paused(
+        self, service: platform_service.PlatformService
+    ) -> bool | None:
+        """Finds the replicas that an earlier token holder has left paused.
+
+        Returns:
+            Whether there are any; None while not all replicas have answered.
+        """
+        names = _others(service, _leader_name(service))
+        found = self._ask(service, names)
+        if names - set(found):
+            return None
+        paused = {name for name, status in found.items() if status.paused_term}
+        if paused:
+            self._paused.setdefault(service.limits.name, set()).update(paused)
+        return bool(paused)
+
+    def note_promoted(self, name: str) -> None:
+        """Records that an endpoint was promoted, which ends all pauses."""
+        self._paused.pop(name, None)
+        self._awaited.pop(name, None)
+
+    def resume(self, service: platform_service.PlatformService) -> None:
+        """Lets the replicas that are paused receive again.
+
+        Those that do not answer are asked again by a later call.
+        """
+        name = service.limits.name
+        self._awaited.pop(name, None)
+        now = clock.now()
+        paused = self._paused.get(name, set())
+        paused &= _others(service, _leader_name(service))
+        if not paused:
+            self._paused.pop(name, None)
+            return
+        if now - self._resumed_at.get(name, -RESUME_RETRY_S) < RESUME_RETRY_S:
+            return
+        self._resumed_at[name] = now
+        answered = self._ask(service, paused, statements.ResumeReplication())
+        self._paused[name] = paused - set(answered)
+
+
+def _leader_name(service: platform_service.PlatformService) -> str:
+    leader = service.group.leader()
+    return leader.endpoint if leader else ""
+
+
+def _others(service: platform_service.PlatformService, leader: str) -> set[str]:
+    return set(service.group.listings()) - {leader}
+
+
+def _newest_term(
+    service: platform_service.PlatformService,
+    found: collections.abc.Iterable[statements.Status],
+) -> int:
+    reported = [max(status.term, status.paused_term) for status in found]
+    return max([service.group.term(), *reported])
+
+
+def _choose(
+    service: platform_service.PlatformService,
+    found: collections.abc.Mapping[str, statements.Status],
+) -> succession.Candidate | None:
+    listings = service.group.listings()
+    return succession.choose_successor(
+        succession.Candidate(
+            endpoint=name,
+            received=status.received,
+            leaving=listings[name].leaving,
+        )
+        for name, status in found.items()
+        if name in listings
+    )
--- /dev/null
+++ b/bronzehold/process/successors_test.py
@@ -0,0 +1,183 @@
+import dataclasses
+
+import pytest
+
+from bronzehold.core import events
+from bronzehold.core import routes
+from bronzehold.core import statements
+from bronzehold.process import successors as successors_lib
+from bronzehold.process import timeline as timeline_lib
+
+PAUSE = statements.PauseReplication
+RESUME = statements.ResumeReplication
+
+
+def position(number):
+    return statements.LogPosition(term=3, number=number)
+
+
+@dataclasses.dataclass
+class FakeReplica:
+    """Answers a command with its status, None while it is busy."""
+
+    received: int
+    paused_term: int = 0
+    is_busy: bool = False
+    leads: bool = False
+
+    def answer(self, command):
+        if self.is_busy:
+            return None
+        match command:
+            case PAUSE(term=term):
+                self.paused_term = term
+            case RESUME():
+                self.paused_term = 0
+        return statements.Status(
+            leads=self.leads,
+            term=3,
+            received=position(self.received),
+            paused_term=self.paused_term,
+            lag_s=0.0,
+            busy_slots=0,
+            connections=1,
+        )
+
+
+class FakeGroup:
+    def __init__(self, service):
+        self._service = service
+
+    def listings(self):
+        return {
+            name: routes.Listing(
+                id=name,
+                service="g",
+                host="h",
+                port=1,
+                zone="z",
+                slots=1,
+                leaving=False,
+                leads=False,
+                started_ms=0,
+            )
+            for name in self._service.replicas
+        }
+
+    def leader(self):
+        return None
+
+    def term(self):
+        return 3
+
+
+class FakeService:
+    def __init__(self, *, synchronous):
+        self.limits = routes.ServiceLimits(
+            name="g", connections=4, synchronous=synchronous
+        )
+        self.replicas = {
+            "a": FakeReplica(received=9),
+            "b": FakeReplica(received=5),
+            "c": FakeReplica(received=7),
+        }
+        self.group = FakeGroup(self)
+
+    def probe(self, name, command=statements.GET_STATUS):
+        return self.replicas[name].answer(command)
+
+    def paused(self):
+        return {n for n, r in self.replicas.items() if r.paused_term}
+
+
+@pytest.fixture(name="successors")
+def _successors(monkeypatch):
+    monkeypatch.setattr(successors_lib, "RESUME_RETRY_S", 0.0)
+    timeline = timeline_lib.Timeline(proxy="me", zone="z")
+    return successors_lib.Successors(timeline=timeline)
+
+
+def test_asynchronous_group_takes_the_best_of_those_that_answer(successors):
+    service = FakeService(synchronous=False)
+    service.replicas["c"].is_busy = True
+    assert successors.choose(service, "a").endpoint == "b"
+    assert not service.paused()
+
+
+def test_busy_replica_of_a_synchronous_group_is_waited_for(successors):
+    """Guards against LOST: a replica without the commits was promoted.
+
+    The only replica that had received the acknowledged commits had no free slot
+    for its status.
+    """
+    service = FakeService(synchronous=True)
+    service.replicas["c"].is_busy = True
+    assert successors.choose(service, "a") is None
+    service.replicas["c"].is_busy = False
+    chosen = successors.choose(service, "a")
+    assert (chosen.endpoint, chosen.received) == ("c", position(7))
+
+
+def test_replica_is_paused_before_its_log_is_compared(successors):
+    """Guards against LOST: a primary out of reach went on with one replica.
+
+    What it acknowledged between the comparison and the promotion was lost.
+    """
+    service = FakeService(synchronous=True)
+    assert successors.choose(service, "a").endpoint == "c"
+    assert service.paused() == {"b", "c"}
+    assert service.replicas["b"].paused_term == 4
+
+
+def test_pause_names_a_term_above_all_that_are_known(successors):
+    service = FakeService(synchronous=True)
+    service.replicas["b"].paused_term = 8
+    successors.choose(service, "a")
+    assert service.replicas["c"].paused_term == 9
+
+
+def test_replica_that_is_no_longer_listed_is_not_waited_for(successors):
+    service = FakeService(synchronous=True)
+    del service.replicas["c"]
+    assert successors.choose(service, "a").endpoint == "b"
+
+
+def test_no_other_is_chosen_while_one_leads(successors):
+    service = FakeService(synchronous=True)
+    service.replicas["b"].leads = True
+    assert successors.choose(service, "a") is None
+    assert not service.paused()
+
+
+def test_replicas_are_resumed_until_each_has_answered(successors):
+    service = FakeService(synchronous=True)
+    successors.choose(service, "a")
+    service.replicas["b"].is_busy = True
+    successors.resume(service)
+    assert service.paused() == {"b"}
+    service.replicas["b"].is_busy = False
+    successors.resume(service)
+    assert not service.paused()
+
+
+def test_replicas_that_another_proxy_has_paused_are_resumed(successors):
+    service = FakeService(synchronous=True)
+    assert successors.find_paused(service) is False
+    service.replicas["c"].is_busy = True
+    assert successors.find_paused(service) is None
+    service.replicas["c"] = FakeReplica(received=7, paused_term=4)
+    assert successors.find_paused(service) is True
+    successors.resume(service)
+    assert not service.paused()
+
+
+def test_wait_for_a_replica_is_logged_once(monkeypatch):
+    timeline = timeline_lib.Timeline(proxy="me", zone="z")
+    logged = []
+    monkeypatch.setattr(timeline, "add", logged.append)
+    successors = successors_lib.Successors(timeline=timeline)
+    service = FakeService(synchronous=True)
+    service.replicas["c"].is_busy = True
+    successors.choose(service, "a")
+    successors.choose(service, "a")
+    assert logged == [events.SuccessorAwaited(group="g", endpoints=("c",))]
