A peer at an odd address no longer ends the gossip

Callers saw (reports of other operators): machines stopped following a list in which another writer had left an entry with a port out of range.

Cause: Gossip._send expected OSError and ValueError of an address, but sockets raise OverflowError for a port above 65535 and TypeError for a NUL in the host. The round ended there, again and again; peers that sort after the odd address got no digest.

Why this works: addresses are split and checked in one place, core/addresses, and those of peers and endpoints must be IP addresses, so that none is looked up. Entries in a digest are unpacked to a limit.

--- a/bronzehold/connection/forward_client.py
+++ b/bronzehold/connection/forward_client.py
@@ -16,6 +16,7 @@
 from bronzehold.connection import forward_codec as codec
 from bronzehold.connection import frames
 from bronzehold.connection import platform_session
+from bronzehold.core import addresses
 from bronzehold.core import clock
 from bronzehold.core import ports
 from bronzehold.core import routes
@@ -181,10 +182,9 @@
             return idle.pop() if idle else None
 
     def _connect(self, target: members_lib.Member) -> Link:
-        host, _, port = target.address.rpartition(":")
         try:
             sock = socket.create_connection(
-                (host, int(port)), CONNECT_TIMEOUT_S
+                addresses.split(target.address), CONNECT_TIMEOUT_S
             )
             frames.set_socket_options(sock)
         except ConnectionRefusedError as exc:
--- a/bronzehold/platform/directory.py
+++ b/bronzehold/platform/directory.py
@@ -6,7 +6,6 @@
 Directory, which implements ports.Directory.
 """
 
-import ipaddress
 import re
 
 from bronzehold.core import addresses
@@ -100,12 +99,10 @@
 
 
 def _ip_address(fields: fields_lib.Fields) -> tuple[str, int]:
-    host, port = addresses.split(fields.address("address"))
     try:
-        ipaddress.ip_address(host)
+        return addresses.split_ip(fields.address("address"))
     except ValueError as exc:
         raise fields.problem("address", "has a host that is no IP") from exc
-    return host, port
 
 
 def _decode_route(fields: fields_lib.Fields) -> routes.Route:
--- a/bronzehold/process/gossip.py
+++ b/bronzehold/process/gossip.py
@@ -19,6 +19,7 @@
 
 from google.protobuf import message
 
+from bronzehold.core import addresses
 from bronzehold.core import clock
 from bronzehold.core import events
 from bronzehold.process import tasks as tasks_lib
@@ -44,6 +45,8 @@
 # has lost power.
 LOST_CONNECTIONS_S = 3.5
 MAX_DATAGRAM_BYTES = 60_000
+# The largest configuration of the store, with the listings beside it.
+MAX_ENTRIES_BYTES = 4 << 20
 MICROSECONDS_PER_S = 1_000_000
 MILLISECONDS_PER_S = 1_000
 # Interval at which the receiver checks whether the process stops.
@@ -254,9 +257,8 @@
             self._timeline.count("entries that no datagram holds")
             digest.ClearField("entries")
             datagram = digest.SerializeToString()
-        host, _, port = address.rpartition(":")
         try:
-            self._sock.sendto(datagram, (host, int(port)))
+            self._sock.sendto(datagram, addresses.split(address))
         except (OSError, ValueError) as exc:
             self._timeline.count(f"gossip to {address}: {type(exc).__name__}")
 
@@ -279,7 +281,9 @@
             except message.DecodeError:
                 self._timeline.count("gossip that cannot be read")
                 continue
-            if digest.proxy and digest.proxy != self._name:
+            if not addresses.is_ip(digest.address):
+                self._timeline.count("gossip without an address")
+            elif digest.proxy and digest.proxy != self._name:
                 self._receive(digest, at)
 
     def _receive(self, digest: pb.Digest, at: float) -> None:
@@ -434,7 +438,8 @@
     """Decodes the store entries of a digest; returns none if it is invalid."""
     packed = pb.Entries()
     try:
-        packed.ParseFromString(zlib.decompress(data))
+        unpacked = zlib.decompressobj().decompress(data, MAX_ENTRIES_BYTES)
+        packed.ParseFromString(unpacked)
     except (zlib.error, message.DecodeError):
         return []
     return [(one.key, one.value) for one in packed.entries]
--- a/bronzehold/process/gossip_test.py
+++ b/bronzehold/process/gossip_test.py
@@ -1,3 +1,5 @@
+import zlib
+
 import pytest
 
 from bronzehold.process import gossip as gossip_lib
@@ -75,3 +77,29 @@
     _hear(gossip, incarnation="2", stamp_us=50)
     heard = _hear(gossip, incarnation=incarnation, stamp_us=stamp_us)
     assert (heard.incarnation, heard.stamp_us) == ("2", 50)
+
+
+@pytest.mark.parametrize(
+    "address", ["127.0.0.1:99999", "127.0.0.1:x", "a..b:80", "no port", "\0:80"]
+)
+def test_peer_at_an_odd_address_does_not_end_the_round(gossip, address):
+    """Guards against CONFIG and LOST: an odd port ended every round."""
+    sent = []
+    gossip.fill_digest = lambda digest, at: sent.append(at)
+    gossip.needs_entries = lambda: False
+    gossip.set_members({"odd": address, "you": "127.0.0.1:9"})
+    gossip._send_round(to_all=True)
+    assert len(sent) == 2
+
+
+@pytest.mark.parametrize(
+    "data", [b"", b"odd", zlib.compress(b"\xff"), zlib.compress(bytes(1 << 28))]
+)
+def test_odd_entries_of_a_peer_are_dropped(data):
+    assert gossip_lib.unpack_entries(data) == []
+
+
+def test_entries_arrive_as_they_were_sent():
+    entries = [("a", b"1"), ("b", bytes(1 << 20))]
+    packed = gossip_lib.pack_entries(entries)
+    assert gossip_lib.unpack_entries(packed) == entries
--- a/bronzehold/process/registration.py
+++ b/bronzehold/process/registration.py
@@ -4,7 +4,6 @@
 renewing the lease, so peers do not need to remove a proxy that has crashed.
 """
 
-import ipaddress
 import json
 import threading
 import time
@@ -125,17 +124,8 @@
         case {"zone": str(zone), "address": str(address)} if (
             name.isprintable()
             and zone.isprintable()
-            and _is_ip_address(address)
+            and addresses.is_ip(address)
         ):
             return members_lib.Member(name=name, zone=zone, address=address)
         case _:
             return None
-
-
-def _is_ip_address(text: str) -> bool:
-    try:
-        host, _ = addresses.split(text)
-        ipaddress.ip_address(host)
-    except ValueError:
-        return False
-    return True
