An overwritten entry keeps its endpoint for as long as a missing one

Callers saw: an odd value written over the entry of a working endpoint closed its pool at once and, for a primary, led to a promotion.

Cause: entries that disappear have 2.5 s to come back, those that cannot be decoded had none, though the endpoint writes its own again with its next heartbeat.

Evidence: test_endpoint_whose_entry_is_overwritten_is_kept_for_a_while failed before.

Why this works: both cases take the same way; the odd value is not passed on to peers.

--- a/bronzehold/process/store_mirror.py
+++ b/bronzehold/process/store_mirror.py
@@ -220,7 +220,10 @@
             return
         listing = _decode(self._directory.decode_listing, item)
         if isinstance(listing, _Undecodable):
-            self._listings.pop(name, None)
+            # Another program may have overwritten the entry of an endpoint that
+            # works; it writes its own again with its next heartbeat.
+            if name in self._listings:
+                self._missing.setdefault(name, clock.now())
             self._raw_items.pop(item.key, None)
             if self._refused_revisions.get(item.key) != item.revision:
                 self._refused_revisions[item.key] = item.revision
--- a/bronzehold/process/store_mirror_test.py
+++ b/bronzehold/process/store_mirror_test.py
@@ -4,6 +4,7 @@
 
 from bronzehold.core import clock
 from bronzehold.core import ports
+from bronzehold.core import routes
 from bronzehold.core import validation
 from bronzehold.process import store_mirror as mirror_lib
 from bronzehold.process import store_news as news_lib
@@ -15,17 +16,20 @@
 
 
 class FakeDirectory:
-    """Decodes every configuration, and fails on every listing as it is told."""
+    """Decodes every configuration, and fails on listings as it is told."""
 
     config_key = "config"
     listings_prefix = "listings/"
     listing_error: Exception | None = None
+    listings: dict[bytes, object] = {}
 
     def decode_table(self, value):
         return value
 
     def decode_listing(self, item):
-        raise self.listing_error
+        if item.value in self.listings:
+            return self.listings[item.value]
+        raise self.listing_error or ValueError("odd")
 
 
 class FakeProcess:
@@ -222,3 +226,35 @@
     assert store.watched == [5, 6, 7]
     assert b"table" in store.applied
     assert store.mirror.raw_entries() == [("config", b"table")]
+
+
+def test_endpoint_whose_entry_is_overwritten_is_kept_for_a_while(
+    run_mirror, monkeypatch
+):
+    """Guards against LOST: one odd write dropped a primary that worked.
+
+    Its connections were closed and another endpoint was promoted.
+    """
+    listing = routes.Listing(
+        id="e1",
+        service="g",
+        host="10.0.0.1",
+        port=80,
+        zone="z",
+        slots=1,
+        leaving=False,
+        leads=True,
+        started_ms=0,
+    )
+    monkeypatch.setitem(FakeDirectory.listings, b"good", listing)
+    good = ports.Item(key="listings/e1", value=b"good", revision=6)
+    odd = ports.Item(key="listings/e1", value=b"[[[", revision=7)
+    mirror = run_mirror(
+        ports.Snapshot(items=(good,), revision=6),
+        ports.Snapshot(items=(odd,), revision=7),
+    ).mirror
+    assert set(mirror._listings) == {"e1"}
+    assert mirror.raw_entries() == []
+    monkeypatch.setattr(mirror_lib, "LAPSE_GRACE_S", -1.0)
+    mirror._expire()
+    assert not mirror._listings
