Odd numbers of endpoints and listings that cannot be dialed are errors

Callers would see: a session that ends without an answer after an endpoint's position such as '²' or one of 5,000 digits, or beside a listing whose service or id the line protocol cannot carry; the latter also ended each change of primary.

Cause: str.isdigit() accepts what int() refuses, and dial let UnicodeEncodeError through.

Why this works: numbers are ASCII digits that fit into 64 bits, dial reports a DialError, and a failed status leaves only its endpoint out of a choice.

--- a/bronzehold/platform/endpoint.py
+++ b/bronzehold/platform/endpoint.py
@@ -179,7 +179,13 @@
         raise ports.DialError(
             str(exc), ports.DialFailure.CONNECTION_REFUSED
         ) from exc
-    except (OSError, wire.ProtocolError, ports.TransportError) as exc:
+    except (
+        OSError,
+        ValueError,
+        wire.ProtocolError,
+        ports.TransportError,
+    ) as exc:
+        # A ValueError is a service or id that the protocol cannot carry.
         sock.close()
         raise ports.DialError(str(exc)) from exc
 
--- a/bronzehold/platform/wire.py
+++ b/bronzehold/platform/wire.py
@@ -8,6 +8,7 @@
 """
 
 import collections.abc
+import math
 import socket
 
 from bronzehold.core import errors
@@ -18,6 +19,8 @@
 LINE_END = b"\r\n"
 MAX_LINE_BYTES = 1 << 20
 RECEIVE_BUFFER_BYTES = 65536
+# The longest numbers that fit into 64 bits with any digits.
+MAX_DIGITS = 18
 # Request id of commands that the proxy itself sends; invalid for callers.
 NO_ID = "-"
 
@@ -369,9 +372,29 @@
 def parse_position(text: str) -> statements.LogPosition | None:
     """Parses a position written TERM.NUMBER; returns None for other text."""
     term, _, number = text.partition(".")
-    if not (term.isdigit() and number.isdigit()):
+    try:
+        return statements.LogPosition(
+            term=_parse_number(term), number=_parse_number(number)
+        )
+    except ValueError:
         return None
-    return statements.LogPosition(term=int(term), number=int(number))
+
+
+def _parse_number(text: str) -> int:
+    """Parses digits; raises ValueError for other text or a large number.
+
+    Proxies exchange terms and positions as signed 64-bit numbers.
+    """
+    if not (text.isascii() and text.isdigit() and len(text) <= MAX_DIGITS):
+        raise ValueError(f"{text[:MAX_DIGITS]!r} is not a number")
+    return int(text)
+
+
+def _parse_duration_ms(text: str) -> float:
+    duration_ms = float(text)
+    if not 0 <= duration_ms < math.inf:
+        raise ValueError(f"{text!r} is not a duration")
+    return duration_ms
 
 
 def parse_status(row: str) -> statements.Status:
@@ -388,13 +411,13 @@
             raise ValueError(role)
         return statements.Status(
             leads=role == "primary",
-            term=int(term),
+            term=_parse_number(term),
             received=position
-            or statements.LogPosition(term=int(term), number=0),
-            paused_term=int(held),
-            lag_s=float(lag_ms) / 1000,
-            busy_slots=int(busy),
-            connections=int(connections),
+            or statements.LogPosition(term=_parse_number(term), number=0),
+            paused_term=_parse_number(held),
+            lag_s=_parse_duration_ms(lag_ms) / 1000,
+            busy_slots=_parse_number(busy),
+            connections=_parse_number(connections),
         )
     except ValueError as exc:
         raise ProtocolError(f"status {row[:60]!r}") from exc
--- a/bronzehold/platform/wire_test.py
+++ b/bronzehold/platform/wire_test.py
@@ -155,3 +155,42 @@
     not_executed_codes = {"BUSY", "ABORTED", "LAGGING", "READONLY"}
     if errors.report(failure).outcome is errors.Outcome.UNKNOWN:
         assert code not in not_executed_codes
+
+
+ODD_NUMBERS = ["", "-1", "\u00b2", "9" * 19, "9" * 5000, "1e9", "nan", " 1"]
+
+
+@pytest.mark.parametrize("number", ODD_NUMBERS)
+def test_position_with_an_odd_number_is_none(number):
+    """Guards against LOST: an odd number ended the caller's session."""
+    assert wire.parse_position(f"{number}.1") is None
+    assert wire.parse_position(f"1.{number}") is None
+
+
+@pytest.mark.parametrize("number", ODD_NUMBERS)
+@pytest.mark.parametrize("index", [1, 3, 5, 6])
+def test_status_with_an_odd_number_is_a_protocol_error(number, index):
+    fields = ["replica", "3", "3.1209", "0", "12", "2", "17"]
+    fields[index] = number
+    with pytest.raises(wire.ProtocolError):
+        wire.parse_status(" ".join(fields))
+
+
+@pytest.mark.parametrize("lag", ["", "nan", "inf", "-1", "x"])
+def test_status_with_an_odd_lag_is_a_protocol_error(lag):
+    with pytest.raises(wire.ProtocolError):
+        wire.parse_status(f"replica 3 3.1209 0 {lag} 2 17")
+
+
+def test_status_is_parsed():
+    assert wire.parse_status("replica 3 3.1209 4 12.5 2 17") == (
+        statements.Status(
+            leads=False,
+            term=3,
+            received=statements.LogPosition(term=3, number=1209),
+            paused_term=4,
+            lag_s=0.0125,
+            busy_slots=2,
+            connections=17,
+        )
+    )
--- a/bronzehold/process/successors.py
+++ b/bronzehold/process/successors.py
@@ -107,14 +107,18 @@
             for name in names
         }
         futures.wait(asked.values(), STATUS_TIMEOUT_S)
-        answers = {
-            name: fut.result() for name, fut in asked.items() if fut.done()
-        }
-        return {
-            name: status
-            for name, status in answers.items()
-            if status is not None
-        }
+        found = {}
+        for name, fut in asked.items():
+            exc = fut.exception() if fut.done() else None
+            if exc is not None:
+                # One endpoint must not keep the others from being compared.
+                error = f"{type(exc).__name__}: {exc}"
+                self._timeline.add(
+                    events.TaskFailed(task=f"status of {name}", error=error)
+                )
+            elif fut.done() and fut.result() is not None:
+                found[name] = fut.result()
+        return found
 
     # Paused replicas.
 
--- a/bronzehold/process/successors_test.py
+++ b/bronzehold/process/successors_test.py
@@ -181,3 +181,19 @@
     successors.choose(service, "a")
     successors.choose(service, "a")
     assert logged == [events.SuccessorAwaited(group="g", endpoints=("c",))]
+
+
+def test_endpoint_whose_status_fails_does_not_hold_up_the_choice(
+    successors, monkeypatch
+):
+    """Guards against RECOVER: an odd listing ended every choice."""
+    service = FakeService(synchronous=False)
+    answer = service.probe
+
+    def probe(name, command):
+        if name == "c":
+            raise TypeError("odd")
+        return answer(name, command)
+
+    monkeypatch.setattr(service, "probe", probe)
+    assert successors.choose(service, "a").endpoint == "b"
