A leaving endpoint is promoted only if no other can be

Cause: the choice compared logs first, leaving only among equal logs.

Why this works: staying endpoints come first. Synchronous groups keep the order, since no acknowledged commit may be lost there.

--- a/bronzehold/process/successors.py
+++ b/bronzehold/process/successors.py
@@ -186,7 +186,7 @@
     found: collections.abc.Mapping[str, statements.Status],
 ) -> succession.Candidate | None:
     listings = service.group.listings()
-    return succession.choose_successor(
+    candidates = (
         succession.Candidate(
             endpoint=name,
             received=status.received,
@@ -195,3 +195,6 @@
         for name, status in found.items()
         if name in listings
     )
+    return succession.choose_successor(
+        candidates, synchronous=service.limits.synchronous
+    )
--- a/bronzehold/version/succession.py
+++ b/bronzehold/version/succession.py
@@ -151,16 +151,28 @@
 
 
 def choose_successor(
-    candidates: collections.abc.Iterable[Candidate],
+    candidates: collections.abc.Iterable[Candidate], *, synchronous: bool
 ) -> Candidate | None:
-    """Returns the candidate whose promotion loses the fewest writes.
+    """Returns the candidate to promote, None if there is none.
 
-    Writes that the log of the new primary lacks are lost. A leaving endpoint is
-    therefore chosen if it alone holds the latest writes; among equal logs, one
-    that stays is preferred.
+    A leaving endpoint may end at any time and would have to be replaced again,
+    so it is chosen only if no other can be. Among the others, the one whose
+    promotion loses the fewest writes is chosen: what the log of the new primary
+    lacks is lost. If commits are acknowledged only once a replica has them,
+    none may be lost, and the logs decide first.
+
+    Args:
+        candidates: The endpoints that have reported their logs.
+        synchronous: Whether replicas confirm commits.
     """
+    if synchronous:
+        return max(
+            candidates,
+            key=lambda s: (s.received, not s.leaving, s.endpoint),
+            default=None,
+        )
     return max(
         candidates,
-        key=lambda s: (s.received, not s.leaving, s.endpoint),
+        key=lambda s: (not s.leaving, s.received, s.endpoint),
         default=None,
     )
--- a/bronzehold/version/succession_test.py
+++ b/bronzehold/version/succession_test.py
@@ -103,21 +103,43 @@
     )
 
 
-def test_successor_has_the_highest_position_by_term_then_number():
+@pytest.mark.parametrize("synchronous", [False, True])
+def test_successor_has_the_highest_position_by_term_then_number(synchronous):
     chosen = succession.choose_successor(
-        [_candidate("a", 2, 900), _candidate("b", 3, 5), _candidate("c", 3, 4)]
+        [_candidate("a", 2, 900), _candidate("b", 3, 5), _candidate("c", 3, 4)],
+        synchronous=synchronous,
     )
     assert chosen.endpoint == "b"
-    assert succession.choose_successor([]) is None
+    assert succession.choose_successor([], synchronous=synchronous) is None
 
 
-def test_endpoint_that_stays_is_preferred_among_equal_logs():
+@pytest.mark.parametrize("synchronous", [False, True])
+def test_endpoint_that_stays_is_preferred_among_equal_logs(synchronous):
     chosen = succession.choose_successor(
-        [_candidate("z", 3, 5, leaving=True), _candidate("a", 3, 5)]
+        [_candidate("z", 3, 5, leaving=True), _candidate("a", 3, 5)],
+        synchronous=synchronous,
     )
     assert chosen.endpoint == "a"
 
 
+@pytest.mark.parametrize(("synchronous", "chosen"), [(False, "a"), (True, "z")])
+def test_leaving_endpoint_leads_again_only_for_confirmed_commits(
+    synchronous, chosen
+):
+    """Guards against DRAIN: requests reached one that had left for long.
+
+    It was promoted as the others had received nothing for a while.
+    """
+    candidates = [_candidate("z", 3, 9, leaving=True), _candidate("a", 3, 5)]
+    successor = succession.choose_successor(candidates, synchronous=synchronous)
+    assert successor.endpoint == chosen
+
+
+def test_leaving_endpoint_is_chosen_if_it_is_the_only_one():
+    only = _candidate("z", 3, 9, leaving=True)
+    assert succession.choose_successor([only], synchronous=False) == only
+
+
 def test_reports_about_the_previous_primary_do_not_count():
     # The peers still report the previous primary; news of the new one has not
     # reached them yet.
