PostgreSQL path and hop: odd entries end no task

Callers would see: after one odd registration or list of leaving instances in the store, no change is applied any more; after a nested failure in a forwarded reply, a session without an answer.

Cause: json.loads raises RecursionError, and shapes were taken for granted.

Why this works: one decoder limits the nesting, shapes are matched, and each reader reports what its callers expect. An unreadable group record stops a change of primary in place of restarting the terms.

--- a/bronzehold/connection/control.py
+++ b/bronzehold/connection/control.py
@@ -5,9 +5,11 @@
 """
 
 import json
+import math
 
 from bronzehold.connection import client
 from bronzehold.core import data
+from bronzehold.core import json_text
 
 MARK_PARAMETER = "bronzehold.mark"
 NOT_PRIMARY_SQLSTATE = "25006"
@@ -35,21 +37,43 @@
 
 
 def status_from_json(text: str) -> data.EndpointStatus:
-    """Parses a status from JSON."""
-    fields = json.loads(text)
-    return data.EndpointStatus(
-        role=data.Role(fields["role"]),
-        term=fields["term"],
-        log_term=fields["log_term"],
-        received=fields["received"],
-        applied=fields["applied"],
-        age=fields["age"],
-        following=fields["following"],
-        history=tuple(
-            data.TermStart(term=term, fork=fork)
-            for term, fork in fields["history"]
-        ),
-    )
+    """Parses a status from JSON.
+
+    Raises:
+        ValueError: The text is not a status.
+    """
+    fields = json_text.parse(text)
+    match fields:
+        case {
+            "role": str(role),
+            "term": int(term),
+            "log_term": int(log_term),
+            "received": int(received),
+            "applied": int(applied),
+            "age": int(age) | float(age),
+            "following": str(following),
+            "history": [*history],
+        } if math.isfinite(float(age)):
+            return data.EndpointStatus(
+                role=data.Role(role),
+                term=term,
+                log_term=log_term,
+                received=received,
+                applied=applied,
+                age=age,
+                following=following,
+                history=tuple(_term_start(start) for start in history),
+            )
+        case _:
+            raise ValueError(f"status {text[:60]!r}")
+
+
+def _term_start(fields: object) -> data.TermStart:
+    match fields:
+        case [int(term), int(fork)]:
+            return data.TermStart(term=term, fork=fork)
+        case _:
+            raise ValueError("the start of a term is not a pair of numbers")
 
 
 def status(
--- a/bronzehold/connection/forward_codec.py
+++ b/bronzehold/connection/forward_codec.py
@@ -16,6 +16,7 @@
 from bronzehold.connection import platform_session
 from bronzehold.core import clock
 from bronzehold.core import errors
+from bronzehold.core import json_text
 from bronzehold.core import ports
 from bronzehold.core import routes
 from bronzehold.core import statements
@@ -374,7 +375,7 @@
     if kind is None:
         raise CodecError(f"failure {packed.failure[:40]!r}")
     try:
-        fields = json.loads(packed.failure_fields)
+        fields = json_text.parse(packed.failure_fields)
         if kind is errors.EndpointError:
             fields["reason"] = statements.RefusalReason(fields["reason"])
         failure = kind(**fields)
--- a/bronzehold/connection/forward_codec_test.py
+++ b/bronzehold/connection/forward_codec_test.py
@@ -155,6 +155,7 @@
         {"failure": "NoPrimary", "failure_fields": "{}"},
         {"failure": "NoPrimary", "failure_fields": "["},
         {"failure": "NoPrimary", "failure_fields": "[1]"},
+        {"failure": "NoPrimary", "failure_fields": "[" * 4000},
         {"failure": "EndpointError", "failure_fields": '{"reason": "odd"}'},
         {"state": 9},
     ],
--- a/bronzehold/core/data.py
+++ b/bronzehold/core/data.py
@@ -10,6 +10,8 @@
 
 # One millisecond in seconds.
 MILLISECOND = 0.001
+# Numbers of up to 18 digits fit into 64 bits.
+MAX_DIGITS = 18
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -40,11 +42,15 @@
         The mark, or None if the text is not a valid mark.
     """
     parts = text.rsplit(":", 2)
-    if len(parts) != 3 or not (parts[1].isdigit() and parts[2].isdigit()):
+    if len(parts) != 3 or not (_is_number(parts[1]) and _is_number(parts[2])):
         return None
     return Mark(group=parts[0], term=int(parts[1]), position=int(parts[2]))
 
 
+def _is_number(text: str) -> bool:
+    return text.isascii() and text.isdigit() and len(text) <= MAX_DIGITS
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class TermStart:
     """The start of a term in a log.
--- a/bronzehold/core/data_test.py
+++ b/bronzehold/core/data_test.py
@@ -50,6 +50,9 @@
     assert data.parse_mark(str(mark)) == mark
 
 
-@pytest.mark.parametrize("text", ["", "g", "g:1", "g:x:1", "g:1:-1"])
+@pytest.mark.parametrize(
+    "text",
+    ["", "g", "g:1", "g:x:1", "g:1:-1", "g:\u00b2:1", "g:1:" + "9" * 5000],
+)
 def test_parse_mark_rejects_invalid_text(text):
     assert data.parse_mark(text) is None
--- a/bronzehold/core/structure.py
+++ b/bronzehold/core/structure.py
@@ -4,13 +4,14 @@
 problems of an input are reported together.
 """
 
-import json
+import reprlib
 import typing
 
 import cattrs
 from cattrs import errors as cattrs_errors
 from cattrs import v
 
+from bronzehold.core import json_text
 from bronzehold.core import validation
 
 _T = typing.TypeVar("_T")
@@ -21,7 +22,8 @@
         allowed = (int, float) if expected is float else expected
         is_bool = isinstance(value, bool)
         if not isinstance(value, allowed) or (is_bool and expected is not bool):
-            raise ValueError(f"{value!r} is not of type {expected.__name__}")
+            text = reprlib.repr(value)
+            raise ValueError(f"{text} is not of type {expected.__name__}")
         return expected(value)
 
     return check
@@ -96,8 +98,8 @@
     """
     try:
         with open(path, encoding="utf-8") as file:
-            value = json.load(file)
-    except (OSError, UnicodeDecodeError, json.JSONDecodeError) as exc:
+            value = json_text.parse(file.read())
+    except (OSError, ValueError) as exc:
         problem = validation.Problem(
             source=path, location="$", message=str(exc)
         )
--- a/bronzehold/process/etcd_store.py
+++ b/bronzehold/process/etcd_store.py
@@ -273,7 +273,9 @@
 
 def _versioned_value(kv: pb.KeyValue) -> VersionedValue:
     return VersionedValue(
-        key=kv.key.decode(), value=kv.value, revision=kv.mod_revision
+        key=kv.key.decode(errors="replace"),
+        value=kv.value,
+        revision=kv.mod_revision,
     )
 
 
--- a/bronzehold/process/store_sync.py
+++ b/bronzehold/process/store_sync.py
@@ -11,7 +11,9 @@
 import random
 import threading
 
+from bronzehold.core import addresses
 from bronzehold.core import events
+from bronzehold.core import json_text
 from bronzehold.core import settings
 from bronzehold.process import catalog as catalog_lib
 from bronzehold.process import etcd_store
@@ -141,11 +143,11 @@
 
     def _read_instances(self) -> None:
         found = self._store.get(etcd_store.INSTANCES_KEY)
-        try:
-            names = json.loads(found.value or b"{}").get("leaving", [])
-        except ValueError:
-            return
-        self._catalog.mark_leaving(frozenset(names))
+        names = _leaving_names(found.value)
+        if names is None:
+            self._timeline.count("leaving instances that cannot be read")
+        else:
+            self._catalog.mark_leaving(names)
 
     def _watch_forever(self, prefix: str) -> None:
         while not self._tasks.stop.is_set():
@@ -174,12 +176,45 @@
 def read_members(store: etcd_store.EtcdStore) -> dict[str, peers_lib.Member]:
     """Returns the proxies that are registered in the store, by name.
 
+    A registration that cannot be read names no proxy.
+
     Raises:
         etcd_store.EtcdError: The store did not answer.
     """
     members = {}
     for found in store.list(etcd_store.PROXIES_PREFIX):
         name = found.key.removeprefix(etcd_store.PROXIES_PREFIX)
-        fields = json.loads(found.value)
-        members[name] = peers_lib.Member(name=name, address=fields["address"])
+        address = _member_address(found.value)
+        if address is not None:
+            members[name] = peers_lib.Member(name=name, address=address)
     return members
+
+
+def _leaving_names(value: bytes) -> frozenset[str] | None:
+    """Decodes the instances that leave; None if the value is no such list."""
+    try:
+        fields = json_text.parse(value or b"{}")
+    except ValueError:
+        return None
+    match fields:
+        case {"leaving": [*names]} if all(isinstance(n, str) for n in names):
+            return frozenset(names)
+        case {"leaving": _}:
+            return None
+        case {}:
+            return frozenset()
+        case _:
+            return None
+
+
+def _member_address(value: bytes) -> str | None:
+    """Decodes the address in a registration; None if it holds no address."""
+    try:
+        fields = json_text.parse(value)
+    except ValueError:
+        return None
+    match fields:
+        case {"address": str(address)} if addresses.is_ip(address):
+            return address
+        case _:
+            return None
--- a/bronzehold/version/change.py
+++ b/bronzehold/version/change.py
@@ -23,6 +23,9 @@
 from bronzehold.connection import control
 from bronzehold.core import data
 from bronzehold.core import events
+from bronzehold.core import json_text
+from bronzehold.core import structure
+from bronzehold.core import validation
 from bronzehold.process import etcd_store
 from bronzehold.process import timeline as timeline_lib
 from bronzehold.version import grant as grant_lib
@@ -128,10 +131,20 @@
 
 
 def parse_record(found: etcd_store.VersionedValue) -> Record:
-    """Decodes a group's record; an absent record gets default values."""
+    """Decodes a group's record; an absent record gets default values.
+
+    Raises:
+        etcd_store.EtcdError: The record cannot be read. It may have held a term
+            that another proxy has claimed, so no term can be claimed then.
+    """
     if not found.value:
         return Record()
-    return Record(**json.loads(found.value))
+    try:
+        return structure.structure(
+            json_text.parse(found.value), Record, found.key
+        )
+    except (ValueError, validation.ProblemsError) as exc:
+        raise etcd_store.EtcdError(f"record of the group: {exc}") from exc
 
 
 class Change:
--- a/bronzehold/version/change_test.py
+++ b/bronzehold/version/change_test.py
@@ -2,8 +2,11 @@
 import threading
 import time
 
+import pytest
+
 from bronzehold.connection import client
 from bronzehold.core import data
+from bronzehold.process import etcd_store
 from bronzehold.process import timeline as timeline_lib
 from bronzehold.version import change
 from tests import helpers
@@ -109,3 +112,12 @@
     assert running.choose_primary().name == "b"
     running = make_change(lambda name, _call: ahead[name], endpoints=group)
     assert running.choose_primary().name == "c"
+
+
+@pytest.mark.parametrize(
+    "value", [b"[" * 4000, b"[]", b'{"term": "3"}', b'{"other": 1}', b"\xff"]
+)
+def test_record_that_cannot_be_read_lets_no_term_be_claimed(value):
+    found = etcd_store.VersionedValue(key="g", value=value, revision=1)
+    with pytest.raises(etcd_store.EtcdError):
+        change.parse_record(found)
--- a/bronzehold/version/config.py
+++ b/bronzehold/version/config.py
@@ -8,6 +8,7 @@
 import uuid
 
 from bronzehold.core import data
+from bronzehold.core import json_text
 from bronzehold.core import structure
 from bronzehold.core import validation
 
@@ -64,7 +65,7 @@
     if not text:
         return EMPTY
     try:
-        value = json.loads(text)
+        value = json_text.parse(text)
     except ValueError as exc:
         problem = validation.Problem(
             source=source, location="$", message=str(exc)
--- a/bronzehold/version/sheet.py
+++ b/bronzehold/version/sheet.py
@@ -10,6 +10,7 @@
 import dataclasses
 import io
 import ipaddress
+import re
 
 from bronzehold.core import data
 from bronzehold.core import validation
@@ -33,6 +34,8 @@
 )
 MAX_PORT = 65535
 MAX_NAME_CHARS = 63
+# Numbers of up to 18 digits fit into 64 bits.
+_INTEGER = re.compile(r"-?[0-9]{1,18}")
 _TRUE = ("yes", "true", "1")
 _FALSE = ("no", "false", "0", "")
 _SERVICE_FIELDS = (
@@ -104,8 +107,8 @@
         value = self.cells.get(column, "").strip()
         if not value and default is not None:
             return default
-        if not value.lstrip("-").isdigit():
-            self.add_problem(column, f"{value!r} is not a whole number")
+        if not _INTEGER.fullmatch(value):
+            self.add_problem(column, f"{value[:20]!r} is not a whole number")
             return minimum
         if int(value) < minimum:
             self.add_problem(column, f"{value} is less than {minimum}")
