A silent watch ends before the proxy counts as in touch

Cause: a watch on a silent connection was given up after 4.7 s.

Why this works: wait, margin, pause and read are below 4 s in sum.

--- a/bronzehold/platform/store.py
+++ b/bronzehold/platform/store.py
@@ -16,7 +16,7 @@
 # hundred milliseconds when it is slow.
 REQUEST_TIMEOUT_S = 1.0
 # Time past the requested wait after which a watch without an answer fails.
-WATCH_TIMEOUT_MARGIN_S = 0.7
+WATCH_TIMEOUT_MARGIN_S = 0.5
 HTTP_OK = 200
 HTTP_NOT_FOUND = 404
 HTTP_GONE = 410
--- a/bronzehold/process/store_news.py
+++ b/bronzehold/process/store_news.py
@@ -13,10 +13,10 @@
 
 from bronzehold.core import clock
 
-# A watch is cut by the client after this time. It must be well below the time
-# limit for a configuration change to take effect after a connection has hung; a
-# shorter time costs more calls.
-WATCH_TIMEOUT_S = 4.0
+# A watch without changes is answered after this time. If its connection has
+# gone silent, it fails a margin later; by then, a proxy must not yet count as
+# being in touch again. A shorter time costs more calls.
+WATCH_TIMEOUT_S = 2.8
 # The maximum age of the latest report. It is well below the time limits for a
 # configuration change and for an endpoint that leaves.
 MAX_REPORT_AGE_S = 2.0
