A token that the first proxy does not claim goes to the next

If the holder of a token is gone and the proxy that the hash prefers is cut off from the store, the others left the token to it for as long as that lasted, and a lost primary was not replaced.

The next two proxies now try, 1.5 s and 3 s after the holder was found gone; more do not, so that a store that is away gets few calls from a large fleet. The swap lets one of them win, and a token that has changed hands since the decision is only read.

--- a/bronzehold/process/promotions.py
+++ b/bronzehold/process/promotions.py
@@ -10,11 +10,10 @@
 import collections.abc
 import dataclasses
 
-import xxhash
-
 from bronzehold.core import clock
 from bronzehold.core import events
 from bronzehold.core import ports
+from bronzehold.process import claims as claims_lib
 from bronzehold.process import gossip as gossip_lib
 from bronzehold.process import group_views
 from bronzehold.process import platform_process
@@ -41,10 +40,6 @@
 # Writes wait at most this long for a planned change: the platform takes up to a
 # second, and callers have deadlines of some seconds.
 MAX_WRITE_HOLD_S = 1.4
-CLAIM_RETRY_S = 0.5
-# Several rounds of gossip. Once a primary has been unreachable for this long, a
-# peer that has been silent for as long counts as gone.
-PEER_SILENCE_S = 1.2
 FENCE_RETRY_S = 1.0
 TAKE_OVER_RETRY_S = 1.0
 # Writes go on for this long after a planned change that found no successor.
@@ -98,7 +93,9 @@
         self._tokens = tokens
         self._promoter = promoter
         self._gossip = gossip
-        self._claim_tried_at: dict[str, float] = {}
+        self._claims = claims_lib.Claims(
+            own=process.name, tokens=tokens, gossip=gossip
+        )
         self._fence_due_at: dict[str, float] = {}
         self._published_views: dict[str, succession.View] = {}
         self._changes: dict[str, PrimaryChange] = {}
@@ -112,57 +109,6 @@
         self._take_over_due_at: dict[str, float] = {}
         self._hand_over_due_at: dict[str, float] = {}
 
-    # Tokens.
-
-    def _claim_token(self, service: platform_service.PlatformService) -> None:
-        """Acquires the token if its holder is gone and this proxy is next."""
-        now = clock.now()
-        name = service.limits.name
-        if now - self._claim_tried_at.get(name, 0.0) < CLAIM_RETRY_S:
-            return
-        peers = self._eligible_peers(service)
-        if self._gossip.stopping or self._has_holder(name, peers):
-            return
-        candidates = {*peers, self._process.name}
-        if _preferred_proxy(name, candidates) != self._process.name:
-            return
-        self._claim_tried_at[name] = now
-        self._tokens.acquire(name)
-
-    def _has_holder(
-        self,
-        name: str,
-        peers: collections.abc.Mapping[str, gossip_lib.ReceivedDigest],
-    ) -> bool:
-        """Returns whether the process of a peer holds a group's token."""
-        holder, _, _ = self._tokens.known(name).holder.partition("/")
-        heard = peers.get(holder)
-        return heard is not None and not self._tokens.is_replaced(
-            name, heard.digest.incarnation, heard.received_at
-        )
-
-    def _eligible_peers(
-        self, service: platform_service.PlatformService
-    ) -> dict[str, gossip_lib.ReceivedDigest]:
-        """Returns the live peers that may hold a group's token.
-
-        In a large fleet a peer gossips with this proxy only rarely, so silence
-        says little. A proxy that cannot reach a primary, however, sends to all
-        peers in each round, and the token holder answers. While the primary is
-        unreachable, a short silence therefore excludes a peer.
-        """
-        now = clock.now()
-        is_primary_unreachable = service.group.leaderless_s() > PEER_SILENCE_S
-        return {
-            name: heard
-            for name, heard in self._gossip.live_peers().items()
-            if not heard.digest.stopping
-            and not (
-                is_primary_unreachable
-                and now - heard.received_at > PEER_SILENCE_S
-            )
-        }
-
     # Evaluation of the groups.
 
     def run(self) -> None:
@@ -209,7 +155,7 @@
         if not self._tokens.holds(name):
             self._changes.pop(name, None)
             self._taken_over.discard(name)
-            self._claim_token(service)
+            self._claims.claim(service)
             return
         self._take_over(service)
         change = self._changes.get(name)
@@ -486,10 +432,3 @@
                 return successor
             self._process.tasks.stop.wait(0.03)
         return successor
-
-
-def _preferred_proxy(service: str, names: set[str]) -> str:
-    return max(
-        names,
-        key=lambda n: xxhash.xxh3_64_intdigest(f"{service}\0{n}".encode()),
-    )
--- a/bronzehold/process/promotions_test.py
+++ b/bronzehold/process/promotions_test.py
@@ -6,6 +6,7 @@
 from bronzehold.core import ports
 from bronzehold.core import routes
 from bronzehold.core import statements
+from bronzehold.process import claims as claims_lib
 from bronzehold.process import gossip as gossip_lib
 from bronzehold.process import group_views
 from bronzehold.process import platform_service
@@ -213,7 +214,7 @@
     monkeypatch.setattr(
         harness.service.group, "leaderless_s", lambda: unreachable_s
     )
-    harness.promotions._claim_token(harness.service)
+    harness.promotions._claims.claim(harness.service)
     assert bool(harness.tokens.held()) == is_claimed
 
 
@@ -281,8 +282,8 @@
     """
     harness.lose_token_to_peer(2, holder=record_holder)
     _hear_peer(harness, incarnation=peer_incarnation)
-    _prefer(monkeypatch, "me")
-    harness.promotions._claim_token(harness.service)
+    _set_rank(monkeypatch, 0)
+    harness.promotions._claims.claim(harness.service)
     assert bool(harness.tokens.held()) == is_claimed
 
 
@@ -291,8 +292,8 @@
 ):
     _hear_peer(harness, incarnation="1")
     harness.lose_token_to_peer(2, holder="you/2")
-    _prefer(monkeypatch, "me")
-    harness.promotions._claim_token(harness.service)
+    _set_rank(monkeypatch, 0)
+    harness.promotions._claims.claim(harness.service)
     assert not harness.tokens.held()
 
 
@@ -414,7 +415,39 @@
     }
 
 
-def _prefer(monkeypatch, name):
-    monkeypatch.setattr(
-        promotions_lib, "_preferred_proxy", lambda _service, _names: name
-    )
+def _set_rank(monkeypatch, rank):
+    monkeypatch.setattr(claims_lib, "_claim_rank", lambda *_: rank)
+
+
+@pytest.mark.parametrize(
+    ("rank", "is_claimed"), [(0, True), (1, True), (2, True), (3, False)]
+)
+def test_token_that_the_first_proxy_does_not_claim_goes_to_the_next(
+    harness, monkeypatch, rank, is_claimed
+):
+    """Guards against RECOVER: the first was cut off from the store."""
+    now = 50.0
+    monkeypatch.setattr(claims_lib.clock, "now", lambda: now)
+    _set_rank(monkeypatch, rank)
+    harness.promotions._claims.claim(harness.service)
+    assert bool(harness.tokens.held()) == (rank == 0)
+    now += rank * claims_lib.CLAIM_RANK_DELAY_S + 0.1
+    harness.promotions._claims.claim(harness.service)
+    assert bool(harness.tokens.held()) == is_claimed
+
+
+def test_time_without_a_holder_counts_anew_after_one_was_heard(
+    harness, monkeypatch
+):
+    now = 50.0
+    monkeypatch.setattr(claims_lib.clock, "now", lambda: now)
+    _set_rank(monkeypatch, 1)
+    harness.promotions._claims.claim(harness.service)
+    harness.lose_token_to_peer(2, holder="you/1")
+    _hear_peer(harness, incarnation="1")
+    now += 1.0
+    harness.promotions._claims.claim(harness.service)
+    harness.gossip.heard = {}
+    now += 1.0
+    harness.promotions._claims.claim(harness.service)
+    assert not harness.tokens.held()
