Soak: odd entries in the store, and a route that is added at the end

After the faults a configuration with one more database has to be in force at each proxy within three seconds. The entries are those of tests/odd_entries_test.py, in one place.

--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -11,6 +11,7 @@
 import time
 
 from bench.soak import deployment as deployment_lib
+from bench.soak import odd_entries
 from bench.soak import relay as relay_lib
 
 # Limits of the duration of a fault.
@@ -19,6 +20,8 @@
 # Longest time between the starts of two faults. With this value, about half of
 # the faults overlap with another one.
 MAX_INTERVAL_S = 2.0
+# Share of the odd entries that stand in place of a working endpoint's.
+OVERWRITE_SHARE = 0.2
 # Time past its own limit that a stopping proxy gets before it is killed.
 STOP_MARGIN_S = 2.0
 
@@ -33,6 +36,8 @@
     def __init__(self, *, deployment: deployment_lib.Deployment, seed: int):
         self._deployment = deployment
         self._random = random.Random(seed)
+        # Odd entries come on their own, so that a seed keeps its faults.
+        self._odd_random = random.Random(f"{seed}/odd")
         self._threads: list[threading.Thread] = []
         self._proxy_locks = {
             p.name: threading.Lock() for p in deployment.processes
@@ -44,6 +49,11 @@
     def run(self, seconds: float) -> None:
         """Injects faults for a time, and returns when all are reverted."""
         end = time.monotonic() + seconds
+        odd = threading.Thread(
+            target=self._write_odd_entries, args=(end,), daemon=True
+        )
+        odd.start()
+        self._threads.append(odd)
         while time.monotonic() < end:
             inject = self._random.choice(self._fault_types())
             # Each fault gets its own generator, seeded here, so that the
@@ -202,6 +212,24 @@
         self._deployment.store.lose_promotion_answers = rng.randint(1, 2)
         self._record("answers to orders lost")
 
+    def _write_odd_entries(self, end: float) -> None:
+        """Writes an odd entry now and then; some overwrite a good one."""
+        rng = self._odd_random
+        store = self._deployment.store
+        entries = odd_entries.listings(store.value("servers/e1"))
+        entries |= odd_entries.registrations_and_records()
+        while time.monotonic() < end:
+            key, value = rng.choice(sorted(entries.items()))
+            if rng.random() < OVERWRITE_SHARE:
+                endpoint = self._random_endpoint(rng)
+                key = f"servers/{endpoint.name}"
+                value = odd_entries.NESTED
+            store.put(key, value)
+            self._record(f"odd entry {key!r}")
+            time.sleep(rng.uniform(MIN_FAULT_S, MAX_INTERVAL_S))
+            # An endpoint writes its own entry again with its heartbeat.
+            self._deployment.publish_listings()
+
     # Endpoints.
 
     def _random_endpoint(self, rng: random.Random):
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -22,6 +22,8 @@
 CALLER_COUNT = 8
 # Time within which all proxies must accept writes after the last fault.
 RECOVERY_TIMEOUT_S = 12.0
+# The time for a confirmed configuration to be in force, in seconds.
+CONFIG_APPLY_S = 3.0
 # Time without faults after the callers start.
 WARM_UP_S = 1.0
 POLL_INTERVAL_S = 0.05
@@ -66,6 +68,7 @@
         faults = faults_lib.FaultInjector(deployment=deployment, seed=seed)
         faults.run(seconds)
         violations = _find_unrecovered(deployment, records)
+        violations += _find_outdated(deployment)
         for caller in callers:
             caller.stop_event.set()
         for caller in callers:
@@ -102,6 +105,31 @@
     ]
 
 
+def _find_outdated(deployment: deployment_lib.Deployment) -> list[str]:
+    """Returns a violation for each proxy that misses a new configuration."""
+    marker = "marker"
+    deployment.configure(marker=marker)
+    deadline = time.monotonic() + CONFIG_APPLY_S
+    return [
+        f"{proxy.name} has no added route {CONFIG_APPLY_S} s after it"
+        for proxy in deployment.processes
+        if not _wait_until_routed(proxy, marker, deadline)
+    ]
+
+
+def _wait_until_routed(
+    proxy: deployment_lib.Proxy, database: str, deadline: float
+) -> bool:
+    while True:
+        try:
+            local.connect(proxy.caller_address, database).sock.close()
+            return True
+        except callers_lib.CONNECTION_ERRORS:
+            if time.monotonic() > deadline:
+                return False
+            time.sleep(POLL_INTERVAL_S)
+
+
 def _wait_until_serving(
     proxy: deployment_lib.Proxy, records: callers_lib.Records, deadline: float
 ) -> bool:
--- a/bronzehold/platform/local.py
+++ b/bronzehold/platform/local.py
@@ -200,14 +200,20 @@
         found = service.group.leader() if service else None
         return found.endpoint if found and found.term else None
 
-    def configure(self, *, max_connections: int = 16, **fields) -> None:
+    def configure(
+        self, *, max_connections: int = 16, marker: str = "", **fields
+    ) -> None:
         """Writes the next version of the configuration to the store.
 
         Args:
             max_connections: Limit on connections to each endpoint.
+            marker: Name of a database that only this version has, "" for none.
             **fields: Fields to set or replace in every route.
         """
         self.version += 1
+        databases = dict(DATABASES)
+        if marker:
+            databases[marker] = {"type": "primary"}
         routes = [
             {
                 "name": name,
@@ -219,7 +225,7 @@
                 **kind,
                 **fields,
             }
-            for name, kind in DATABASES.items()
+            for name, kind in databases.items()
         ]
         table = {
             "version": self.version,
--- a/tests/odd_entries_test.py
+++ b/tests/odd_entries_test.py
@@ -1,9 +1,8 @@
 """System tests of odd entries that other programs write into the store."""
 
-import json
-
 import pytest
 
+from bench.soak import odd_entries
 from bronzehold.core import events
 from bronzehold.platform import local as platform_local
 from tests import helpers
@@ -11,49 +10,6 @@
 # The time for a confirmed configuration to be in force, in seconds.
 CONFIG_APPLY_S = 3.0
 READS = 20
-NESTED = b"[" * 4000
-LARGE = 10**400
-MANY_DIGITS = "9" * 5000
-
-
-def _listing(deployment, **fields) -> bytes:
-    """Returns a listing like those of the endpoints, with other fields."""
-    value = json.loads(deployment.store.value("servers/e2"))
-    return json.dumps({**value, **fields}).encode()
-
-
-def _odd_listings(deployment) -> dict[str, bytes]:
-    return {
-        "nested": NESTED,
-        "nested fields": b'{"zone":' * 4000,
-        "deep value": _listing(deployment, zone=[[[[["z"]]]]]),
-        "digits": b"9" * 5000,
-        "port digits": _listing(deployment, address=f"h:{MANY_DIGITS}"),
-        "port": _listing(deployment, address="127.0.0.1:99999"),
-        "host": _listing(deployment, address="a..b:80"),
-        "null": _listing(deployment, address="a\0b:80"),
-        "capacity": _listing(deployment, capacity=LARGE),
-        "cold": _listing(deployment, cold_remaining_ms=LARGE),
-        "born": _listing(deployment, born=1 << 70),
-        "surrogate": _listing(deployment, version="\ud800"),
-        "odd\r\nQUERY": _listing(deployment),
-    }
-
-
-def _odd_entries(deployment) -> dict[str, bytes]:
-    """Returns entries under the keys that proxies write themselves."""
-    record = {"holder": "other/1", "token": LARGE}
-    return {
-        "bronzehold/proxies/nested": NESTED,
-        "bronzehold/proxies/port": json.dumps(
-            {"address": "127.0.0.1:99999", "zone": "z1"}
-        ).encode(),
-        "bronzehold/proxies/host": json.dumps(
-            {"address": "a..b:80", "zone": "\ud800"}
-        ).encode(),
-        "bronzehold/groups/nested": NESTED,
-        "bronzehold/groups/large": json.dumps(record).encode(),
-    }
 
 
 @pytest.fixture(name="deployment")
@@ -92,11 +48,8 @@
             ),
         )
     session = deployment.connect("bounded")
-    entries = {
-        f"servers/{name}": value
-        for name, value in _odd_listings(deployment).items()
-    }
-    entries |= _odd_entries(deployment)
+    entries = odd_entries.listings(deployment.store.value("servers/e2"))
+    entries |= odd_entries.registrations_and_records()
     for number, (key, value) in enumerate(entries.items()):
         deployment.store.put(key, value)
         deployment.configure(timeout_ms=700 + number)
