--- a/bronzehold/process/digest_exchange_test.py
+++ b/bronzehold/process/digest_exchange_test.py
@@ -12,6 +12,7 @@
 from bronzehold.process import timeline as timeline_lib
 from bronzehold.process import tokens as tokens_lib
 from bronzehold.proto import gossip_pb2 as pb
+from tests import helpers
 
 
 class FakeMirror:
@@ -240,16 +241,7 @@
             name="g", connections=4, synchronous=False
         )
         self._serves = serves
-        listing = routes.Listing(
-            id="e",
-            service="g",
-            host="h",
-            port=1,
-            zone="z",
-            slots=2,
-            leaving=False,
-            leads=True,
-        )
+        listing = helpers.listing("e", leads=True)
         self.group.set_listings({"e": listing})
 
     def serves(self):
--- a/bronzehold/process/platform_group_test.py
+++ b/bronzehold/process/platform_group_test.py
@@ -3,11 +3,11 @@
 import pytest
 
 from bronzehold.core import clock
-from bronzehold.core import routes
 from bronzehold.core import statements
 from bronzehold.process import platform_group
 from bronzehold.process import timeline as timeline_lib
 from bronzehold.version import succession
+from tests import helpers
 
 
 class FakeClock:
@@ -27,24 +27,11 @@
     return fake_clock
 
 
-def _listing(name, **fields):
-    defaults = {
-        "service": "g",
-        "host": "h",
-        "port": 1,
-        "zone": "z",
-        "slots": 2,
-        "leaving": False,
-        "leads": False,
-    }
-    return routes.Listing(id=name, **{**defaults, **fields})
-
-
 def _group():
     group = platform_group.PlatformGroup(
         name="g", timeline=timeline_lib.Timeline(proxy="p", zone="z")
     )
-    group.set_listings({n: _listing(n) for n in "abc"})
+    group.set_listings({n: helpers.listing(n) for n in "abc"})
     return group
 
 
@@ -125,8 +112,8 @@
     group = _group_with_primary(time)
     group.note_failing("b", refused=True)
     assert group.is_failing("b")
-    listings = {n: _listing(n) for n in "ac"}
-    group.set_listings({**listings, "b": _listing("b", started_ms=7)})
+    listings = {n: helpers.listing(n) for n in "ac"}
+    group.set_listings({**listings, "b": helpers.listing("b", started_ms=7)})
     assert not group.is_failing("b")
 
 
--- a/bronzehold/process/platform_service_test.py
+++ b/bronzehold/process/platform_service_test.py
@@ -5,6 +5,7 @@
 from bronzehold.process import platform_service
 from bronzehold.process import tasks as tasks_lib
 from bronzehold.process import timeline as timeline_lib
+from tests import helpers
 
 ENDPOINT = "e"
 
@@ -51,16 +52,8 @@
                 name="s", connections=46, synchronous=False
             ),
         )
-        listing = routes.Listing(
-            id=ENDPOINT,
-            service="s",
-            host="h",
-            port=1,
-            zone="z",
-            slots=4,
-            leaving=False,
-            leads=True,
-            started_ms=1,
+        listing = helpers.listing(
+            ENDPOINT, service="s", slots=4, leads=True, started_ms=1
         )
         self.service.apply(self.service.limits, {ENDPOINT: listing})
 
--- a/bronzehold/process/probes_test.py
+++ b/bronzehold/process/probes_test.py
@@ -1,10 +1,10 @@
 import pytest
 
-from bronzehold.core import routes
 from bronzehold.core import statements
 from bronzehold.process import platform_group
 from bronzehold.process import probes as probes_lib
 from bronzehold.process import timeline as timeline_lib
+from tests import helpers
 
 NAMES = ("e1", "e2", "e3")
 
@@ -34,14 +34,8 @@
         self.service.probed.append(self.name)
         if self.name in self.service.silent:
             raise probes_lib.ports.TransportError("silent")
-        return statements.Status(
-            leads=self.name == "e1",
-            term=1,
-            received=statements.LogPosition(term=1, number=0),
-            paused_term=1,
-            lag_s=0.0,
-            busy_slots=0,
-            connections=1,
+        return helpers.status(
+            statements.LogPosition(term=1, number=0), leads=self.name == "e1"
         )
 
 
@@ -52,7 +46,9 @@
         self.group = platform_group.PlatformGroup(
             name="g", timeline=timeline_lib.Timeline(proxy="me", zone="z")
         )
-        self.group.set_listings({name: _listing(name) for name in NAMES})
+        self.group.set_listings(
+            {name: helpers.listing(name, leads=name == "e1") for name in NAMES}
+        )
         self.is_serving = False
         self.probed = []
         self.silent = set()
@@ -79,19 +75,6 @@
             task()
 
 
-def _listing(name):
-    return routes.Listing(
-        id=name,
-        service="g",
-        host="h",
-        port=1,
-        zone="z",
-        slots=2,
-        leaving=False,
-        leads=name == "e1",
-    )
-
-
 @pytest.fixture(name="service")
 def _service(monkeypatch):
     service = FakeService()
--- a/bronzehold/process/promotions_test.py
+++ b/bronzehold/process/promotions_test.py
@@ -18,6 +18,7 @@
 from bronzehold.proto import gossip_pb2 as pb
 from bronzehold.version import members as members_lib
 from bronzehold.version import succession
+from tests import helpers
 
 
 class FakeProcess:
@@ -329,33 +330,13 @@
         name="g", connections=4, synchronous=True
     )
     harness.service.group.set_listings(
-        {
-            name: routes.Listing(
-                id=name,
-                service="g",
-                host="h",
-                port=1,
-                zone="z",
-                slots=1,
-                leaving=False,
-                leads=name == names[0],
-                started_ms=0,
-            )
-            for name in names
-        }
+        {name: helpers.listing(name, leads=name == names[0]) for name in names}
     )
 
 
 def _status(number, *, paused_term=0):
-    return statements.Status(
-        leads=False,
-        term=1,
-        received=statements.LogPosition(term=1, number=number),
-        paused_term=paused_term,
-        lag_s=0.0,
-        busy_slots=0,
-        connections=1,
-    )
+    received = statements.LogPosition(term=1, number=number)
+    return helpers.status(received, paused_term=paused_term)
 
 
 def test_synchronous_group_gets_no_primary_without_the_last_commits(
--- a/bronzehold/process/store_mirror_test.py
+++ b/bronzehold/process/store_mirror_test.py
@@ -4,12 +4,12 @@
 
 from bronzehold.core import clock
 from bronzehold.core import ports
-from bronzehold.core import routes
 from bronzehold.core import validation
 from bronzehold.process import store_mirror as mirror_lib
 from bronzehold.process import store_news as news_lib
 from bronzehold.process import tasks as tasks_lib
 from bronzehold.process import timeline as timeline_lib
+from tests import helpers
 
 SNAPSHOT = ports.Snapshot(items=(), revision=5)
 MEMBER = ports.Item(key="members/p1", value=b"h:1", revision=6)
@@ -235,17 +235,7 @@
 
     Its connections were closed and another endpoint was promoted.
     """
-    listing = routes.Listing(
-        id="e1",
-        service="g",
-        host="10.0.0.1",
-        port=80,
-        zone="z",
-        slots=1,
-        leaving=False,
-        leads=True,
-        started_ms=0,
-    )
+    listing = helpers.listing("e1", leads=True)
     monkeypatch.setitem(FakeDirectory.listings, b"good", listing)
     good = ports.Item(key="listings/e1", value=b"good", revision=6)
     odd = ports.Item(key="listings/e1", value=b"[[[", revision=7)
--- a/bronzehold/process/successors_test.py
+++ b/bronzehold/process/successors_test.py
@@ -7,6 +7,7 @@
 from bronzehold.core import statements
 from bronzehold.process import successors as successors_lib
 from bronzehold.process import timeline as timeline_lib
+from tests import helpers
 
 PAUSE = statements.PauseReplication
 RESUME = statements.ResumeReplication
@@ -33,14 +34,10 @@
                 self.paused_term = term
             case RESUME():
                 self.paused_term = 0
-        return statements.Status(
+        return helpers.status(
+            position(self.received),
             leads=self.leads,
-            term=3,
-            received=position(self.received),
             paused_term=self.paused_term,
-            lag_s=0.0,
-            busy_slots=0,
-            connections=1,
         )
 
 
@@ -49,20 +46,7 @@
         self._service = service
 
     def listings(self):
-        return {
-            name: routes.Listing(
-                id=name,
-                service="g",
-                host="h",
-                port=1,
-                zone="z",
-                slots=1,
-                leaving=False,
-                leads=False,
-                started_ms=0,
-            )
-            for name in self._service.replicas
-        }
+        return {name: helpers.listing(name) for name in self._service.replicas}
 
     def leader(self):
         return None
