Stand-in store: a watch waits after changes of other keys

Cause: the stand-in's watch compared its last event with the newest of all keys, so after a change of another key it never waited. This busy loop held the interpreter, which SQLite has to get back for each row.

Evidence: the time grew with the switch interval of the interpreter (68 s at 20 ms, 6 s at 0.5 ms); one thread used a core, in events_after.

Why this works: the watch's revision moves past events of other keys. The patch of events_after in config_test.py returns what the function returns now.

--- a/bronzehold/standin/etcd.py
+++ b/bronzehold/standin/etcd.py
@@ -295,7 +295,9 @@
             for lease in expired:
                 self.revoke(lease)
 
-    def events_after(self, revision: int, req) -> list[pb.Event]:
+    def events_after(
+        self, revision: int, req: pb.WatchCreateRequest
+    ) -> tuple[list[pb.Event], int]:
         """Returns the events of a watch after a revision.
 
         Args:
@@ -303,16 +305,20 @@
             req: The watch, with its key or range of keys.
 
         Returns:
-            The events; none if nothing happens within WATCH_WAIT_S.
+            The events, none if nothing happens within WATCH_WAIT_S, and the
+            revision that the watch has seen now. It counts events of other
+            keys too, so that the next call waits.
         """
         with self._lock:
             if not self._events or self._events[-1][0] <= revision:
                 self._lock.wait(WATCH_WAIT_S)
-            return [
+            seen = self._events[-1][0] if self._events else revision
+            events = [
                 event
                 for at, event in self._events
                 if at > revision and _is_watched(event.kv.key, req)
             ]
+            return events, max(seen, revision)
 
 
 def _is_watched(key: bytes, req: pb.WatchCreateRequest) -> bool:
@@ -396,9 +402,8 @@
         while context.is_active() and not store.closed.is_set():
             if store.conditions.absent:
                 context.abort(grpc.StatusCode.UNAVAILABLE, "absent")
-            events = store.events_after(at, req)
+            events, at = store.events_after(at, req)
             if events:
-                at = max(event.kv.mod_revision for event in events)
                 yield pb.WatchResponse(
                     header=store.header(), watch_id=1, events=events
                 )
--- a/tests/config_test.py
+++ b/tests/config_test.py
@@ -182,8 +182,8 @@
     timing = dataclasses.replace(SHAPE.timing, reread_s=1)
     shape = dataclasses.replace(SHAPE, timing=timing, proxies=1)
     with local.running(shape) as deployment:
-        deployment.platform.store.events_after = lambda *_args: (
-            time.sleep(0.1) or []
+        deployment.platform.store.events_after = lambda revision, _req: (
+            time.sleep(0.1) or ([], revision)
         )
         revision = deployment.configure(tuple(deployment.services))
         wait_for(in_force(deployment, revision))
