A failed accept no longer ends a listener

Cause: three accept loops returned on any OSError.

Evidence: the new test, with the errors of a lack of descriptors and of a caller that has gone; the old loops return on the first.

Why this works: one loop (connection/acceptor.py) tells a closed socket from an error that passes. Beside it, resume() returns at once where nothing is paused, since it is called at each tick.

--- /dev/null
+++ b/bronzehold/connection/acceptor.py
@@ -0,0 +1,32 @@
+"""Accepts connections on a listening socket until it is closed."""
+
+import collections.abc
+import errno
+import socket
+import time
+
+# Errors of a socket that was closed or shut down.
+_CLOSED_ERRORS = (errno.EBADF, errno.EINVAL)
+# Pause after any other error, such as a lack of descriptors, which passes.
+RETRY_DELAY_S = 0.05
+
+
+def accept_until_closed(
+    listener: socket.socket,
+    on_connection: collections.abc.Callable[[socket.socket], None],
+) -> None:
+    """Accepts connections; returns once the listening socket is closed.
+
+    Args:
+        listener: The listening socket.
+        on_connection: Called with each new connection.
+    """
+    while True:
+        try:
+            sock, _ = listener.accept()
+        except OSError as exc:
+            if exc.errno in _CLOSED_ERRORS:
+                return
+            time.sleep(RETRY_DELAY_S)
+            continue
+        on_connection(sock)
--- /dev/null
+++ b/bronzehold/connection/acceptor_test.py
@@ -0,0 +1,42 @@
+import errno
+import socket
+import threading
+
+import pytest
+
+from bronzehold.connection import acceptor
+
+
+class FakeListener:
+    def __init__(self, results):
+        self._results = list(results)
+
+    def accept(self):
+        result = self._results.pop(0)
+        if isinstance(result, int):
+            raise OSError(result, "failed")
+        return result, ("127.0.0.1", 1)
+
+
+@pytest.mark.parametrize(
+    "number",
+    [errno.EMFILE, errno.ENFILE, errno.ECONNABORTED, errno.ENOBUFS],
+)
+def test_connections_after_a_failed_accept_are_accepted(number):
+    """Guards against LOST: a proxy without a listener still was ready."""
+    accepted = []
+    listener = FakeListener(["a", number, "b", errno.EBADF])
+    acceptor.accept_until_closed(listener, accepted.append)
+    assert accepted == ["a", "b"]
+
+
+def test_closed_listener_ends_the_task():
+    listener = socket.create_server(("127.0.0.1", 0))
+    thread = threading.Thread(
+        target=acceptor.accept_until_closed, args=(listener, lambda _: None)
+    )
+    thread.start()
+    listener.shutdown(socket.SHUT_RDWR)
+    listener.close()
+    thread.join(2.0)
+    assert not thread.is_alive()
--- a/bronzehold/connection/forward_server.py
+++ b/bronzehold/connection/forward_server.py
@@ -10,6 +10,7 @@
 import socket
 import threading
 
+from bronzehold.connection import acceptor
 from bronzehold.connection import forward_codec as codec
 from bronzehold.connection import frames
 from bronzehold.connection import platform_blocks as blocks
@@ -193,15 +194,11 @@
 
     def run(self) -> None:
         """Accepts connections until close is called."""
-        while True:
-            try:
-                sock, _ = self._sock.accept()
-            except OSError:
-                return
-            key = f"forward {next(self._numbers)}"
-            self._process.tasks.spawn(
-                key, lambda sock=sock, key=key: self._serve(sock, key)
-            )
+        acceptor.accept_until_closed(self._sock, self._spawn)
+
+    def _spawn(self, sock: socket.socket) -> None:
+        key = f"forward {next(self._numbers)}"
+        self._process.tasks.spawn(key, lambda: self._serve(sock, key))
 
     def _serve(self, sock: socket.socket, key: str) -> None:
         with sock, contextlib.suppress(ports.TransportError, OSError):
--- a/bronzehold/platform/listener.py
+++ b/bronzehold/platform/listener.py
@@ -9,6 +9,7 @@
 import itertools
 import socket
 
+from bronzehold.connection import acceptor
 from bronzehold.connection import forward_client
 from bronzehold.connection import platform_caller
 from bronzehold.core import clock
@@ -116,18 +117,13 @@
 
     def run(self) -> None:
         """Accepts connections until close is called."""
-        while True:
-            try:
-                sock, _ = self._sock.accept()
-            except OSError:
-                return
-            number = next(self._connection_numbers)
-            self._process.tasks.spawn(
-                f"caller {number}",
-                lambda sock=sock, number=number: self._serve_connection(
-                    sock, number
-                ),
-            )
+        acceptor.accept_until_closed(self._sock, self._spawn)
+
+    def _spawn(self, sock: socket.socket) -> None:
+        number = next(self._connection_numbers)
+        self._process.tasks.spawn(
+            f"caller {number}", lambda: self._serve_connection(sock, number)
+        )
 
     def close(self) -> None:
         """Stops accepting connections; open ones continue."""
--- a/bronzehold/process/proxy.py
+++ b/bronzehold/process/proxy.py
@@ -12,6 +12,7 @@
 import threading
 import time
 
+from bronzehold.connection import acceptor
 from bronzehold.connection import authentication
 from bronzehold.connection import caller as caller_lib
 from bronzehold.connection import frames
@@ -132,13 +133,7 @@
     # Callers.
 
     def _accept(self) -> None:
-        listener = self._listener
-        while True:
-            try:
-                sock, _ = listener.accept()
-            except OSError:
-                return
-            self._spawn_caller(sock)
+        acceptor.accept_until_closed(self._listener, self._spawn_caller)
 
     def _spawn_caller(self, sock: socket.socket) -> None:
         pid = next(self._pids)
--- a/bronzehold/process/successors.py
+++ b/bronzehold/process/successors.py
@@ -151,11 +151,12 @@
         """
         name = service.limits.name
         self._awaited.pop(name, None)
+        if name not in self._paused:
+            return
         now = clock.now()
-        paused = self._paused.get(name, set())
-        paused &= _others(service, _leader_name(service))
+        paused = self._paused[name] & _others(service, _leader_name(service))
         if not paused:
-            self._paused.pop(name, None)
+            del self._paused[name]
             return
         if now - self._resumed_at.get(name, -RESUME_RETRY_S) < RESUME_RETRY_S:
             return
