Synchronous groups: paused replicas are looked for every five seconds

Replicas were looked for once, when the token was taken over, and an order for the primary was sent to fence older ones although the primary might not have answered yet.

They are now looked for every five seconds while a primary that this proxy reaches is kept; the order is fenced first, then they are resumed.

--- a/bronzehold/process/promotions.py
+++ b/bronzehold/process/promotions.py
@@ -41,7 +41,9 @@
 # second, and callers have deadlines of some seconds.
 MAX_WRITE_HOLD_S = 1.4
 FENCE_RETRY_S = 1.0
-TAKE_OVER_RETRY_S = 1.0
+# Interval at which the replicas of a synchronous group are asked whether one is
+# paused without a change in progress.
+PAUSE_CHECK_INTERVAL_S = 5.0
 # Writes go on for this long after a planned change that found no successor.
 HAND_OVER_RETRY_S = 2.0
 
@@ -103,10 +105,7 @@
         # its first evaluation waits.
         self._evaluate_from = clock.now() + EVIDENCE_RECOVERY_S
         self._successors = successors_lib.Successors(timeline=process.timeline)
-        # The synchronous groups in which this proxy has looked for replicas
-        # that an earlier holder of the token left paused.
-        self._taken_over: set[str] = set()
-        self._take_over_due_at: dict[str, float] = {}
+        self._pause_check_due_at: dict[str, float] = {}
         self._hand_over_due_at: dict[str, float] = {}
 
     # Evaluation of the groups.
@@ -154,10 +153,9 @@
             return
         if not self._tokens.holds(name):
             self._changes.pop(name, None)
-            self._taken_over.discard(name)
+            self._pause_check_due_at.pop(name, None)
             self._claims.claim(service)
             return
-        self._take_over(service)
         change = self._changes.get(name)
         if change is not None:
             self._continue_change(service, change)
@@ -173,29 +171,31 @@
                 # A proxy that is gone counts against a majority as long as its
                 # registration is known.
                 self._request_members()
-            case succession.Keep() if name not in self._fence_due_at:
-                self._successors.resume(service)
+            case succession.Keep() if service.limits.synchronous:
+                self._resume_replicas(service)
 
-    def _take_over(self, service: platform_service.PlatformService) -> None:
-        """Ends what the earlier holder of a synchronous group's token left.
+    def _resume_replicas(
+        self, service: platform_service.PlatformService
+    ) -> None:
+        """Lets the replicas of a synchronous group receive while it is kept.
 
-        If that proxy has paused replicas for a change, the platform may still
-        carry its last order out. An order of this proxy ends that, and then the
-        replicas may receive again.
+        One may be paused although this proxy resumed all: an earlier holder of
+        the token has ended, or a pause arrived late. The order that belongs to
+        the pause may still be carried out, so it is fenced first.
         """
         name = service.limits.name
         now = clock.now()
-        if not service.limits.synchronous or name in self._taken_over:
+        own = group_views.own_view(service)
+        if own.reach is not succession.Reach.REACHED:
             return
-        if now < self._take_over_due_at.get(name, 0.0):
+        if name in self._fence_due_at:
             return
-        self._take_over_due_at[name] = now + TAKE_OVER_RETRY_S
-        match self._successors.find_paused(service):
-            case True:
-                self._fence_due_at[name] = now
-                self._taken_over.add(name)
-            case False:
-                self._taken_over.add(name)
+        self._successors.resume(service)
+        if now < self._pause_check_due_at.get(name, 0.0):
+            return
+        self._pause_check_due_at[name] = now + PAUSE_CHECK_INTERVAL_S
+        if self._successors.find_paused(service):
+            self._fence_due_at[name] = now
 
     def _decide(
         self, service: platform_service.PlatformService
--- a/bronzehold/process/promotions_test.py
+++ b/bronzehold/process/promotions_test.py
@@ -375,8 +375,13 @@
     monkeypatch.setattr(
         harness.service.group, "primary_unreachable", lambda: False
     )
+    reached = succession.View(
+        leader="a", term=1, reach=succession.Reach.REACHED
+    )
+    monkeypatch.setattr(group_views, "own_view", lambda _: reached)
     harness.promoter.outcome = ports.Unanswered(reason="lost")
     harness.promotions._check_group(harness.service)
+    harness.promotions._check_group(harness.service)
     assert ("c", statements.ResumeReplication) not in sent
     monkeypatch.setattr(promotions_lib, "FENCE_RETRY_S", 0.0)
     harness.promotions._fence_due_at["g"] = 0.0
@@ -386,6 +391,19 @@
     assert ("c", statements.ResumeReplication) in sent
 
 
+def test_replicas_stay_paused_while_the_primary_is_not_reached(
+    harness, monkeypatch
+):
+    _list_endpoints(harness, "a", "b", "c")
+    harness.tokens.acquire("g")
+    sent = []
+    monkeypatch.setattr(
+        harness.service, "probe", lambda name, command: sent.append(command)
+    )
+    harness.promotions._resume_replicas(harness.service)
+    assert not sent
+
+
 def _hear_peer(harness, *, incarnation):
     harness.gossip.heard = {
         "you": gossip_lib.ReceivedDigest(
--- a/bronzehold/process/successors.py
+++ b/bronzehold/process/successors.py
@@ -122,18 +122,14 @@
 
     # Paused replicas.
 
-    def find_paused(
-        self, service: platform_service.PlatformService
-    ) -> bool | None:
-        """Finds the replicas that an earlier token holder has left paused.
+    def find_paused(self, service: platform_service.PlatformService) -> bool:
+        """Finds paused replicas, for resume(); returns whether any answered.
 
-        Returns:
-            Whether there are any; None while not all replicas have answered.
+        A pause that this proxy or an earlier token holder has sent may be in
+        force without its knowledge.
         """
         names = _others(service, _leader_name(service))
         found = self._ask(service, names)
-        if names - set(found):
-            return None
         paused = {name for name, status in found.items() if status.paused_term}
         if paused:
             self._paused.setdefault(service.limits.name, set()).update(paused)
