Paused replicas are resumed on an answer of the primary itself

The primary's term, which only its answers tell, is asked for now. A token holder that does not serve the group goes by its peers' views. Four cases of one test replace the one that failed; it asserted the same for one of them.

--- a/bronzehold/process/promotions.py
+++ b/bronzehold/process/promotions.py
@@ -185,8 +185,7 @@
         """
         name = service.limits.name
         now = clock.now()
-        own = group_views.own_view(service)
-        if own.reach is not succession.Reach.REACHED:
+        if not self._is_primary_reached(service):
             return
         if name in self._fence_due_at:
             return
@@ -197,17 +196,34 @@
         if self._successors.find_paused(service):
             self._fence_due_at[name] = now
 
+    def _peer_views(
+        self, service: platform_service.PlatformService
+    ) -> dict[str, succession.View]:
+        return {
+            name: view
+            for name, heard in self._gossip.live_peers().items()
+            for view in group_views.peer_views(heard, service.limits.name)
+        }
+
+    def _is_primary_reached(
+        self, service: platform_service.PlatformService
+    ) -> bool:
+        """Returns whether a proxy has an answer of the known primary."""
+        own = group_views.own_view(service)
+        # Without a term, the primary is known from its listing only.
+        return own.term > 0 and any(
+            (view.leader, view.term) == (own.leader, own.term)
+            and view.reach is succession.Reach.REACHED
+            for view in (own, *self._peer_views(service).values())
+        )
+
     def _decide(
         self, service: platform_service.PlatformService
     ) -> succession.Decision:
         group = service.group
         own = group_views.own_view(service)
         listing = group.listings().get(own.leader)
-        views = {
-            name: view
-            for name, heard in self._gossip.live_peers().items()
-            for view in group_views.peer_views(heard, service.limits.name)
-        }
+        views = self._peer_views(service)
         serving = service.env.serving.names(service.limits)
         return succession.decide(
             own,
--- a/bronzehold/process/promotions_test.py
+++ b/bronzehold/process/promotions_test.py
@@ -391,17 +391,32 @@
     assert ("c", statements.ResumeReplication) in sent
 
 
-def test_replicas_stay_paused_while_the_primary_is_not_reached(
-    harness, monkeypatch
+@pytest.mark.parametrize(
+    ("term", "reaches", "is_asked"),
+    [
+        (1, ("REACHED", "UNKNOWN"), True),
+        (1, ("UNKNOWN", "REACHED"), True),
+        (1, ("UNKNOWN", "UNREACHABLE"), False),
+        (0, ("REACHED", "UNKNOWN"), False),
+    ],
+)
+def test_replicas_are_asked_only_while_the_primary_is_reached(
+    harness, monkeypatch, term, reaches, is_asked
 ):
     _list_endpoints(harness, "a", "b", "c")
-    harness.tokens.acquire("g")
+    views = [
+        succession.View(leader="a", term=term, reach=succession.Reach[name])
+        for name in reaches
+    ]
+    monkeypatch.setattr(group_views, "own_view", lambda _: views[0])
+    monkeypatch.setattr(group_views, "peer_views", lambda *_: views[1:])
+    _hear_peer(harness, incarnation="1")
     sent = []
     monkeypatch.setattr(
-        harness.service, "probe", lambda name, command: sent.append(command)
+        harness.service, "probe", lambda _name, command: sent.append(command)
     )
     harness.promotions._resume_replicas(harness.service)
-    assert not sent
+    assert bool(sent) == is_asked
 
 
 def _hear_peer(harness, *, incarnation):
