PostgreSQL path: a status with a large number is an error, too

Callers would see: an endpoint's monitor that ends at each poll, so that the endpoint is not used and cannot become primary.

Cause: the new check turned the age into a float, which raises OverflowError for a large integer, and let numbers through that a heartbeat cannot carry.

Why this works: integers have at most 64 bits and the age is compared, not converted.

--- a/bronzehold/connection/control.py
+++ b/bronzehold/connection/control.py
@@ -5,10 +5,10 @@
 """
 
 import json
-import math
 
 from bronzehold.connection import client
 from bronzehold.core import data
+from bronzehold.core import integers
 from bronzehold.core import json_text
 
 MARK_PARAMETER = "bronzehold.mark"
@@ -16,6 +16,8 @@
 NOT_PRIMARY_MESSAGE = "this endpoint is not the primary"
 REFUSED_SQLSTATE = "55000"
 TOO_MANY_SQLSTATE = "53300"
+# Above any real age; excludes infinity.
+MAX_AGE_S = 1e12
 
 loads = json.loads
 
@@ -53,7 +55,9 @@
             "age": int(age) | float(age),
             "following": str(following),
             "history": [*history],
-        } if math.isfinite(float(age)):
+        } if abs(age) < MAX_AGE_S and all(
+            map(integers.is_valid, (term, log_term, received, applied))
+        ):
             return data.EndpointStatus(
                 role=data.Role(role),
                 term=term,
@@ -70,7 +74,9 @@
 
 def _term_start(fields: object) -> data.TermStart:
     match fields:
-        case [int(term), int(fork)]:
+        case [int(term), int(fork)] if integers.is_valid(
+            term
+        ) and integers.is_valid(fork):
             return data.TermStart(term=term, fork=fork)
         case _:
             raise ValueError("the start of a term is not a pair of numbers")
