Integers and addresses are checked in one place

The bound of 64 bits stood in four modules and the digits of a number in three; core/integers has both. instance.parse_address was what core/addresses does and is gone. Two comments, a docstring and a test's docstring say more plainly what they meant.

--- a/bronzehold/core/data.py
+++ b/bronzehold/core/data.py
@@ -8,10 +8,10 @@
 import dataclasses
 import enum
 
+from bronzehold.core import integers
+
 # One millisecond in seconds.
 MILLISECOND = 0.001
-# Numbers of up to 18 digits fit into 64 bits.
-MAX_DIGITS = 18
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -41,14 +41,15 @@
     Returns:
         The mark, or None if the text is not a valid mark.
     """
-    parts = text.rsplit(":", 2)
-    if len(parts) != 3 or not (_is_number(parts[1]) and _is_number(parts[2])):
+    try:
+        group, term, position = text.rsplit(":", 2)
+        return Mark(
+            group=group,
+            term=integers.parse(term),
+            position=integers.parse(position),
+        )
+    except ValueError:
         return None
-    return Mark(group=parts[0], term=int(parts[1]), position=int(parts[2]))
-
-
-def _is_number(text: str) -> bool:
-    return text.isascii() and text.isdigit() and len(text) <= MAX_DIGITS
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/bronzehold/platform/fields.py
+++ b/bronzehold/platform/fields.py
@@ -8,11 +8,10 @@
 import math
 
 from bronzehold.core import addresses
+from bronzehold.core import integers
 from bronzehold.core import json_text
 from bronzehold.core import validation
 
-# Digests carry integers as signed 64-bit numbers.
-MAX_INTEGER = (1 << 63) - 1
 # Part of a refused value that messages quote.
 MAX_QUOTED_CHARS = 60
 
@@ -122,7 +121,7 @@
         if default is not None and name not in self._value:
             return default
         value = self.typed(name, int)
-        if abs(value) > MAX_INTEGER:
+        if not integers.is_valid(value):
             raise self.problem(name, "is outside of 64 bits")
         return value
 
--- a/bronzehold/platform/instance.py
+++ b/bronzehold/platform/instance.py
@@ -8,6 +8,7 @@
 
 from bronzehold.connection import forward_client
 from bronzehold.connection import forward_server
+from bronzehold.core import addresses
 from bronzehold.core import events
 from bronzehold.core import settings
 from bronzehold.platform import directory
@@ -33,12 +34,6 @@
 INCARNATION_BYTES = 4
 
 
-def parse_address(text: str) -> tuple[str, int]:
-    """Splits host:port into the host and the port number."""
-    host, _, port = text.rpartition(":")
-    return host, int(port)
-
-
 class Instance:
     """One proxy: its components, their tasks and their lifecycle.
 
@@ -86,7 +81,9 @@
             name=cfg.name,
             incarnation=incarnation,
             address=(cfg.host, cfg.peer_port),
-            seeds=[f"{parse_address(s)[0]}:{cfg.peer_port}" for s in cfg.seeds],
+            seeds=[
+                f"{addresses.split(s)[0]}:{cfg.peer_port}" for s in cfg.seeds
+            ],
             zone=cfg.zone,
             timeline=self.timeline,
             tasks=tasks,
@@ -135,7 +132,7 @@
             news=self.news,
         )
         self._readiness_server = readiness.serve(
-            parse_address(cfg.readiness),
+            addresses.split(cfg.readiness),
             lambda: self.listening and self.process.ready(),
         )
         self._metrics_server = exposition.create_server(
@@ -184,7 +181,7 @@
         Callers are accepted once the configuration and the endpoint listings
         have been read from the store.
         """
-        host, port = parse_address(self.cfg.callers)
+        host, port = addresses.split(self.cfg.callers)
         self.timeline.add(events.ProxyStarted(port=port))
         tasks = self.process.tasks
         self.gossip.start()
--- a/bronzehold/platform/instance_test.py
+++ b/bronzehold/platform/instance_test.py
@@ -1,7 +1,7 @@
 import socket
 import time
 
-from bronzehold.platform import instance
+from bronzehold.core import addresses
 from bronzehold.platform import local
 
 
@@ -19,5 +19,5 @@
             time.sleep(0.5)
             assert not proxy.listening
         local.wait_until(lambda: proxy.listening)
-        host, port = instance.parse_address(proxy.cfg.callers)
+        host, port = addresses.split(proxy.cfg.callers)
         socket.create_connection((host, port), 1.0).close()
--- a/bronzehold/platform/local.py
+++ b/bronzehold/platform/local.py
@@ -11,6 +11,7 @@
 import socket
 import time
 
+from bronzehold.core import addresses
 from bronzehold.core import settings
 from bronzehold.platform import instance
 from bronzehold.platform import standin_group
@@ -262,7 +263,7 @@
 
     def connect(self, database: str, proxy: int = 0) -> Session:
         """Opens a caller's session at the proxy with the given index."""
-        address = instance.parse_address(self.proxies[proxy].cfg.callers)
+        address = addresses.split(self.proxies[proxy].cfg.callers)
         return connect(address, database)
 
     def close(self) -> None:
--- a/bronzehold/platform/wire.py
+++ b/bronzehold/platform/wire.py
@@ -12,6 +12,7 @@
 import socket
 
 from bronzehold.core import errors
+from bronzehold.core import integers
 from bronzehold.core import ports
 from bronzehold.core import statements
 
@@ -19,8 +20,6 @@
 LINE_END = b"\r\n"
 MAX_LINE_BYTES = 1 << 20
 RECEIVE_BUFFER_BYTES = 65536
-# The longest numbers that fit into 64 bits with any digits.
-MAX_DIGITS = 18
 # Request id of commands that the proxy itself sends; invalid for callers.
 NO_ID = "-"
 
@@ -374,22 +373,12 @@
     term, _, number = text.partition(".")
     try:
         return statements.LogPosition(
-            term=_parse_number(term), number=_parse_number(number)
+            term=integers.parse(term), number=integers.parse(number)
         )
     except ValueError:
         return None
 
 
-def _parse_number(text: str) -> int:
-    """Parses digits; raises ValueError for other text or a large number.
-
-    Proxies exchange terms and positions as signed 64-bit numbers.
-    """
-    if not (text.isascii() and text.isdigit() and len(text) <= MAX_DIGITS):
-        raise ValueError(f"{text[:MAX_DIGITS]!r} is not a number")
-    return int(text)
-
-
 def _parse_duration_ms(text: str) -> float:
     duration_ms = float(text)
     if not 0 <= duration_ms < math.inf:
@@ -411,13 +400,13 @@
             raise ValueError(role)
         return statements.Status(
             leads=role == "primary",
-            term=_parse_number(term),
+            term=integers.parse(term),
             received=position
-            or statements.LogPosition(term=_parse_number(term), number=0),
-            paused_term=_parse_number(held),
+            or statements.LogPosition(term=integers.parse(term), number=0),
+            paused_term=integers.parse(held),
             lag_s=_parse_duration_ms(lag_ms) / 1000,
-            busy_slots=_parse_number(busy),
-            connections=_parse_number(connections),
+            busy_slots=integers.parse(busy),
+            connections=integers.parse(connections),
         )
     except ValueError as exc:
         raise ProtocolError(f"status {row[:60]!r}") from exc
--- a/bronzehold/process/claims.py
+++ b/bronzehold/process/claims.py
@@ -45,9 +45,9 @@
         self._orphaned_since: dict[str, float] = {}
 
     def claim(self, service: platform_service.PlatformService) -> None:
-        """Acquires the token if its holder is gone and this proxy's turn is.
+        """Acquires the token if its holder is gone and it is this proxy's turn.
 
-        The proxies take turns in the order of a hash, until one has it.
+        The proxies take turns in the order of a hash until one has the token.
         """
         now = clock.now()
         name = service.limits.name
--- a/bronzehold/process/promotions.py
+++ b/bronzehold/process/promotions.py
@@ -340,8 +340,9 @@
             self._changes.pop(name, None)
             group.release_writes(self._attempt_id(name))
             if service.limits.synchronous:
-                # The order may still be carried out; until it is fenced, no
-                # replica may receive more than the chosen one.
+                # The order may still be carried out. The replicas stay paused
+                # until it is fenced: the chosen one has to hold all that is
+                # acknowledged.
                 self._fence_due_at[name] = now
             return
         if now - change.started_at < MAX_WRITE_HOLD_S:
@@ -409,6 +410,8 @@
             self._process.tasks.stop.wait(0.02)
         successor = self._wait_for_successor(service, leader.endpoint)
         if service.limits.synchronous:
+            # The logs have caught up as far as they would; now they are
+            # compared while nothing can be acknowledged.
             successor = self._successors.choose(service, leader.endpoint)
         if successor is None:
             group.release_writes(attempt)
--- a/bronzehold/process/store_mirror_test.py
+++ b/bronzehold/process/store_mirror_test.py
@@ -16,7 +16,7 @@
 
 
 class FakeDirectory:
-    """Decodes every configuration, and fails on listings as it is told."""
+    """Decodes all configurations, and the listings that a test adds."""
 
     config_key = "config"
     listings_prefix = "listings/"
--- a/bronzehold/process/tokens.py
+++ b/bronzehold/process/tokens.py
@@ -12,13 +12,12 @@
 
 from bronzehold.core import clock
 from bronzehold.core import events
+from bronzehold.core import integers
 from bronzehold.core import json_text
 from bronzehold.core import ports
 from bronzehold.process import timeline as timeline_lib
 
 RECORDS_PREFIX = "bronzehold/groups/"
-# Digests carry tokens as signed 64-bit numbers.
-MAX_NUMBER = (1 << 63) - 1
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -186,7 +185,7 @@
         return None
     match fields:
         case {"holder": str(holder), "token": int(number)} if (
-            0 < number <= MAX_NUMBER and holder.isprintable()
+            integers.is_valid(number) and number > 0 and holder.isprintable()
         ):
             return Token(holder=holder, number=number, revision=revision)
         case _:
--- a/bronzehold/version/sheet.py
+++ b/bronzehold/version/sheet.py
@@ -10,9 +10,9 @@
 import dataclasses
 import io
 import ipaddress
-import re
 
 from bronzehold.core import data
+from bronzehold.core import integers
 from bronzehold.core import validation
 
 REQUIRED = (
@@ -34,8 +34,6 @@
 )
 MAX_PORT = 65535
 MAX_NAME_CHARS = 63
-# Numbers of up to 18 digits fit into 64 bits.
-_INTEGER = re.compile(r"-?[0-9]{1,18}")
 _TRUE = ("yes", "true", "1")
 _FALSE = ("no", "false", "0", "")
 _SERVICE_FIELDS = (
@@ -107,12 +105,17 @@
         value = self.cells.get(column, "").strip()
         if not value and default is not None:
             return default
-        if not _INTEGER.fullmatch(value):
+        digits = value.removeprefix("-")
+        try:
+            number = integers.parse(digits)
+        except ValueError:
             self.add_problem(column, f"{value[:20]!r} is not a whole number")
             return minimum
-        if int(value) < minimum:
+        if digits != value:
+            number = -number
+        if number < minimum:
             self.add_problem(column, f"{value} is less than {minimum}")
-        return int(value)
+        return number
 
     def ip_address(self, column: str) -> str:
         value = self.name_cell(column)
--- a/tests/forwarding_test.py
+++ b/tests/forwarding_test.py
@@ -10,6 +10,7 @@
 import pytest
 
 from bronzehold.connection import forward_client
+from bronzehold.core import addresses
 from bronzehold.core import ports
 from bronzehold.platform import local as platform_local
 from tests import helpers
@@ -249,7 +250,7 @@
 def test_malformed_message_ends_only_its_connection(fleet, garbage):
     """Guards against one bad message that takes a process down."""
     address = fleet.deployment.proxies[fleet.server].serving._own.address
-    host, port = platform_local.instance.parse_address(address)
+    host, port = addresses.split(address)
     with platform_local.socket.create_connection((host, port), 2.0) as sock:
         sock.sendall(garbage)
         sock.shutdown(platform_local.socket.SHUT_WR)
