--- a/bench/soak/deployment.py
+++ b/bench/soak/deployment.py
@@ -39,6 +39,7 @@
         folder: pathlib.Path,
         peer_port: int,
         store: relay_lib.Relay,
+        stop_s: float,
     ):
         host = f"127.0.0.{number + 1}"
         self.name = f"p{number}"
@@ -61,7 +62,7 @@
                     "store": store.address,
                     "promoter": store.address,
                     "seeds": ["127.0.0.1:1", "127.0.0.2:1", "127.0.0.3:1"],
-                    "stop_s": STOP_TIMEOUT_S,
+                    "stop_s": stop_s,
                 }
             )
         )
@@ -116,7 +117,13 @@
     """
 
     def __init__(
-        self, *, folder: pathlib.Path, proxies: int, seed: int, **fields
+        self,
+        *,
+        folder: pathlib.Path,
+        proxies: int,
+        seed: int,
+        stop_s: float = STOP_TIMEOUT_S,
+        **fields,
     ):
         self._seed = seed
         self.relays: dict[str, relay_lib.Relay] = {}
@@ -127,6 +134,7 @@
                 folder=folder,
                 peer_port=self.peer_port,
                 store=self._relay(lambda: self.store.address),
+                stop_s=stop_s,
             )
             for number in range(proxies)
         ]
