Log each request that ends without a whole answer

What callers saw: a closed connection around a planned stop, and nothing in the log that names the request; ProxyStopped had only a number. Change: RequestCut names the request, its session, endpoint, age, whether it was part of a transaction, and the error or the exit that ended it. Callers' and other proxies' connections log it, also when an error ends them, which the listener suppresses. CallersPortClosed marks the moment of a stop from which idle callers are closed.

--- a/bronzehold/connection/forward_server.py
+++ b/bronzehold/connection/forward_server.py
@@ -51,6 +51,8 @@
         self._runner = platform_runner.Runner(session=self._session)
         self._lock = threading.Lock()
         self._waiting = True
+        # The call that has been read and not been answered yet.
+        self._unanswered: codec.Call | None = None
 
     def serve(self) -> None:
         """Serves statements until the other proxy disconnects."""
@@ -61,9 +63,34 @@
             return
         except codec.CodecError as exc:
             self._process.timeline.count(f"forwarded message: {exc}")
+        except Exception as exc:
+            self.report_cut(f"{type(exc).__name__}: {exc}")
+            raise
         finally:
             self._runner.end_block(blocks.Idle())
 
+    def report_cut(self, cause: str) -> None:
+        """Logs the call that ends without a reply, if there is one.
+
+        Args:
+            cause: The error that ends it, or that the process exits.
+        """
+        call = self._unanswered
+        if call is None:
+            return
+        self._process.timeline.add(
+            events.RequestCut(
+                request=call.request.id,
+                session=self._session.name,
+                group=call.route.service,
+                work=type(call.request.statement).__name__,
+                endpoint=self._runner.exchange.endpoint,
+                in_transaction=call.block == pb.NEXT,
+                took_ms=int((clock.now() - call.request.arrived) * 1000),
+                cause=cause,
+            )
+        )
+
     def _receive(self) -> pb.Request:
         with self._lock:
             self._waiting = isinstance(self._runner.block, blocks.Idle)
@@ -93,8 +120,10 @@
             case _:
                 arrived = clock.now()
                 call = codec.decode_call(request, arrived)
+                self._unanswered = call
                 reply = self._run(request, call)
                 self._send(codec.frame(codec.encode_reply(reply)))
+                self._unanswered = None
                 self._clear_block()
 
     def _clear_block(self) -> None:
--- a/bronzehold/connection/platform_caller.py
+++ b/bronzehold/connection/platform_caller.py
@@ -74,6 +74,9 @@
         self._lock = threading.Lock()
         self._waiting = False
         self._stopping = False
+        # The request that has been read and not been answered yet.
+        self._unanswered: statements.Request | None = None
+        self._in_transaction = False
         self._served_count = 0
 
     # Connection lifecycle.
@@ -85,13 +88,22 @@
                 req = self._receive()
                 if req is None:
                     return
+                self._unanswered = req
+                self._in_transaction = not self._is_outside_block()
                 self._answer(req)
+                self._unanswered = None
+        except Exception as exc:
+            self.report_cut(f"{type(exc).__name__}: {exc}")
+            raise
         finally:
             self._runner.end_block(blocks.Idle())
 
+    def _is_outside_block(self) -> bool:
+        return isinstance(self._runner.block, blocks.Idle)
+
     def _receive(self) -> statements.Request | None:
         while True:
-            outside_block = isinstance(self._runner.block, blocks.Idle)
+            outside_block = self._is_outside_block()
             with self._lock:
                 if self._stopping and outside_block:
                     return None
@@ -132,6 +144,28 @@
         with self._lock:
             return not self._waiting
 
+    def report_cut(self, cause: str) -> None:
+        """Logs the request that ends without a whole answer, if there is one.
+
+        Args:
+            cause: The error that ends it, or that the process exits.
+        """
+        req = self._unanswered
+        if req is None:
+            return
+        self._process.timeline.add(
+            events.RequestCut(
+                request=req.id,
+                session=self._session.name,
+                group=self._route.service if self._route else "",
+                work=type(req.statement).__name__,
+                endpoint=self._runner.exchange.endpoint,
+                in_transaction=self._in_transaction,
+                took_ms=int((clock.now() - req.arrived) * 1000),
+                cause=cause,
+            )
+        )
+
     # Answering.
 
     def _answer(self, req: statements.Request) -> None:
@@ -212,8 +246,7 @@
         return route
 
     def _context(self, req: statements.Request) -> blocks.StatementContext:
-        outside_block = isinstance(self._runner.block, blocks.Idle)
-        if outside_block or self._route is None:
+        if self._is_outside_block() or self._route is None:
             self._route = self._find_route()
         route = self._route
         service = self._process.service(route.service)
--- a/bronzehold/core/events.py
+++ b/bronzehold/core/events.py
@@ -29,6 +29,19 @@
     callers: int
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class CallersPortClosed:
+    """A planned stop has closed the port for callers.
+
+    Attributes:
+        callers: Number of connected callers.
+        busy: Number of them with a request or a transaction in progress.
+    """
+
+    callers: int
+    busy: int
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class ProxyStopped:
     """A planned stop has ended.
@@ -40,6 +53,32 @@
     cut: int
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class RequestCut:
+    """A request that was read ends without a whole answer to its sender.
+
+    Attributes:
+        request: Request id.
+        session: Name of the session, "" for a request of another proxy.
+        group: Name of the group.
+        work: Kind of statement.
+        endpoint: Name of the endpoint that was tried last, "" if there was
+            none.
+        in_transaction: Whether a transaction was open before the request.
+        took_ms: Time since the request was read, in ms.
+        cause: The error that ended it, or that the process exits.
+    """
+
+    request: str
+    session: str
+    group: str
+    work: str
+    endpoint: str
+    in_transaction: bool
+    took_ms: int
+    cause: str
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class ConfigAdopted:
     """This proxy has applied a configuration.
@@ -546,7 +585,9 @@
 Event = (
     ProxyStarted
     | ProxyStopping
+    | CallersPortClosed
     | ProxyStopped
+    | RequestCut
     | ConfigAdopted
     | ConfigRefused
     | GrantGained
--- a/bronzehold/process/platform_process.py
+++ b/bronzehold/process/platform_process.py
@@ -47,6 +47,9 @@
     def busy(self) -> bool:
         """Returns whether a request or a transaction is in progress."""
 
+    def report_cut(self, cause: str) -> None:
+        """Logs the request that ends without an answer, if there is one."""
+
 
 class ForwardedWork(typing.Protocol):
     """The connection of a proxy that forwards statements to this one."""
@@ -60,6 +63,9 @@
     def busy(self) -> bool:
         """Returns whether a request or a transaction is in progress."""
 
+    def report_cut(self, cause: str) -> None:
+        """Logs the request that ends without an answer, if there is one."""
+
 
 class PlatformProcess:
     """The configuration, services and callers of one process.
@@ -295,6 +301,12 @@
         self.timeline.add(events.ProxyStopping(callers=len(callers)))
         time.sleep(min(READINESS_NOTICE_S, self.cfg.stop_s / 2))
         self.stop_listening()
+        callers = self._list_callers()
+        self.timeline.add(
+            events.CallersPortClosed(
+                callers=len(callers), busy=sum(c.busy() for c in callers)
+            )
+        )
         deadline = started_at + self.cfg.stop_s - EXIT_RESERVE_S
         while time.monotonic() < deadline:
             callers = self._list_callers()
@@ -304,10 +316,10 @@
             if not (callers or forwarded_busy):
                 break
             time.sleep(STOP_POLL_S)
-        cut_count = sum(
-            work.busy()
-            for work in (*self._list_callers(), *self._list_forwarded())
-        )
+        remaining = (*self._list_callers(), *self._list_forwarded())
+        for work in remaining:
+            work.report_cut("the process exits")
+        cut_count = sum(work.busy() for work in remaining)
         self.timeline.add(events.ProxyStopped(cut=cut_count))
         self.tasks.close()
 
--- a/bronzehold/process/timeline.py
+++ b/bronzehold/process/timeline.py
@@ -144,6 +144,7 @@
             | events.EntriesDiscarded()
             | events.PlatformAway()
             | events.PeerSilent()
+            | events.RequestCut()
         ):
             return logging.WARNING
         case _:
