A planned stop answers every request that it accepts

Cause: a stop went on sending statements of open transactions to endpoints until the moment of its exit, which waits for none of them. A connection also was in no list between accept and the answer to STARTUP, and the process exits once its list is empty. Class: work that is accepted although the exit does not wait for it. Change: process/shutdown.py decides what is accepted, process/drain.py brings the work to an end. A statement is accepted in the second half of the stop time only if its timeout ends before the exit; otherwise it is refused as not run and its transaction rolled back. Deadlines end with the stop, also of waits under way: endpoints, primaries, replies of other proxies. Connections are counted from accept on, the backlog is served, a late STARTUP or BEGIN is refused. The same for forwarded statements.

--- a/bronzehold/connection/acceptor.py
+++ b/bronzehold/connection/acceptor.py
@@ -24,9 +24,34 @@
     while True:
         try:
             sock, _ = listener.accept()
+        except BlockingIOError:
+            # accept_pending has taken the last connections.
+            return
         except OSError as exc:
             if exc.errno in _CLOSED_ERRORS:
                 return
             time.sleep(RETRY_DELAY_S)
             continue
         on_connection(sock)
+
+
+def accept_pending(
+    listener: socket.socket,
+    on_connection: collections.abc.Callable[[socket.socket], None],
+) -> None:
+    """Accepts the connections that are complete and not accepted yet.
+
+    Closing the listening socket would reset them.
+
+    Args:
+        listener: The listening socket. It does not block any more afterwards.
+        on_connection: Called with each new connection.
+    """
+    listener.setblocking(False)
+    while True:
+        try:
+            sock, _ = listener.accept()
+        except OSError:
+            return
+        sock.setblocking(True)
+        on_connection(sock)
--- a/bronzehold/connection/acceptor_test.py
+++ b/bronzehold/connection/acceptor_test.py
@@ -40,3 +40,15 @@
     listener.close()
     thread.join(2.0)
     assert not thread.is_alive()
+
+
+def test_connections_in_the_backlog_are_accepted_before_the_port_closes():
+    """Guards against resets of callers that connect just before a stop."""
+    listener = socket.create_server(("127.0.0.1", 0))
+    callers = [socket.create_connection(listener.getsockname()) for _ in "ab"]
+    accepted = []
+    acceptor.accept_pending(listener, accepted.append)
+    listener.close()
+    assert len(accepted) == len(callers)
+    callers[0].sendall(b"hello")
+    assert accepted[0].recv(5) == b"hello"
--- a/bronzehold/connection/forward_client.py
+++ b/bronzehold/connection/forward_client.py
@@ -7,6 +7,7 @@
 """
 
 import collections
+import collections.abc
 import contextlib
 import select
 import socket
@@ -32,6 +33,8 @@
 # The other proxy answers by the deadline of the statement; its answer may
 # arrive this much later.
 REPLY_GRACE_S = 0.2
+# Interval at which a wait for a reply looks for an earlier deadline.
+DEADLINE_CHECK_S = 0.1
 # Idle connections are closed after this time.
 IDLE_TIMEOUT_S = 20.0
 _PING = codec.frame(pb.Request(kind=pb.PING))
@@ -103,19 +106,29 @@
         except OSError as exc:
             raise NotTakenError(f"not sent: {exc}") from exc
 
-    def receive(self, deadline: float) -> codec.Reply:
+    def receive(
+        self, deadline: collections.abc.Callable[[], float]
+    ) -> codec.Reply:
         """Waits for the reply to the statement sent last.
 
         Args:
-            deadline: The deadline of the statement, in seconds of clock.now().
+            deadline: Returns the deadline of the statement, in seconds of
+                clock.now(). It may become earlier during the wait.
 
         Raises:
             ports.TransportError: There was no valid reply.
         """
+        latest_start = clock.now()
         try:
-            remaining_s = deadline + REPLY_GRACE_S - clock.now()
-            self._sock.settimeout(max(remaining_s, REPLY_GRACE_S))
-            reply = codec.decode_reply(self._reader.read())
+            while True:
+                last = max(deadline(), latest_start) + REPLY_GRACE_S
+                remaining_s = last - clock.now()
+                if remaining_s <= 0:
+                    raise ports.TransportError("no reply in time")
+                self._sock.settimeout(min(remaining_s, DEADLINE_CHECK_S))
+                with contextlib.suppress(TimeoutError):
+                    reply = codec.decode_reply(self._reader.read())
+                    break
         except (OSError, codec.CodecError) as exc:
             raise ports.TransportError(str(exc)) from exc
         self.idle_since = time.monotonic()
--- a/bronzehold/connection/forward_codec.py
+++ b/bronzehold/connection/forward_codec.py
@@ -116,21 +116,24 @@
         """Returns the body of the next message.
 
         Raises:
-            TimeoutError: The socket's timeout expired.
+            TimeoutError: The socket's timeout expired; what has arrived stays
+                in the buffer for the next call.
             ports.TransportError: The connection was lost or closed.
             CodecError: The message is too long.
         """
-        (length,) = LENGTH.unpack(self._read_exactly(LENGTH.size))
+        self._fill_to(LENGTH.size)
+        (length,) = LENGTH.unpack_from(self._buf)
         if length > MAX_MESSAGE_BYTES:
             raise CodecError(f"a message of {length} bytes")
-        return self._read_exactly(length)
+        end = LENGTH.size + length
+        self._fill_to(end)
+        body = bytes(self._buf[LENGTH.size : end])
+        del self._buf[:end]
+        return body
 
-    def _read_exactly(self, count: int) -> bytes:
+    def _fill_to(self, count: int) -> None:
         while len(self._buf) < count:
             self._fill()
-        taken = bytes(self._buf[:count])
-        del self._buf[:count]
-        return taken
 
     def _fill(self) -> None:
         try:
--- a/bronzehold/connection/forward_server.py
+++ b/bronzehold/connection/forward_server.py
@@ -57,6 +57,7 @@
     def serve(self) -> None:
         """Serves statements until the other proxy disconnects."""
         try:
+            frames.set_socket_options(self._sock)
             while True:
                 self._handle(self._receive())
         except TimeoutError:
@@ -156,14 +157,19 @@
 
     def _run_statement(self, call: codec.Call) -> statements.Completed:
         service = self._process.service(call.route.service)
-        if call.block != pb.NEXT and (
-            service is None or self._process.stopping
-        ):
-            # Without the service, the sender knows a newer configuration.
+        # Without the service, the sender knows a newer configuration.
+        if service is None or not self._accepts(call):
+            if call.block == pb.NEXT:
+                self._runner.end_block(
+                    blocks.Idle() if call.commits else blocks.Failed()
+                )
             raise errors.FailureError(errors.Stopping(proxy=self._process.name))
         service.note_forwarded()
         context = blocks.StatementContext(
-            route=call.route, service=service, deadline=call.deadline
+            route=call.route,
+            service=service,
+            timeout_at=call.deadline,
+            shutdown=self._process.shutdown,
         )
         req = call.request
         match call.block:
@@ -179,6 +185,13 @@
             req, context, call.prepared_name, writes=call.writes
         )
 
+    def _accepts(self, call: codec.Call) -> bool:
+        """Returns whether a stop, if one has begun, leaves time for a call."""
+        shutdown = self._process.shutdown
+        if call.block == pb.NEXT:
+            return shutdown.accepts(call.deadline - clock.now())
+        return not shutdown.begun.is_set()
+
     def _send(self, data: bytes) -> None:
         self._sock.settimeout(SEND_TIMEOUT_S)
         try:
@@ -201,9 +214,9 @@
         )
 
     def end(self) -> None:
-        """Closes the connection at once, also during a request."""
+        """Closes the connection once the request in progress is answered."""
         with contextlib.suppress(OSError):
-            self._sock.shutdown(socket.SHUT_RDWR)
+            self._sock.shutdown(socket.SHUT_RD)
 
     def busy(self) -> bool:
         """Returns whether a request or a transaction is in progress."""
@@ -227,13 +240,13 @@
 
     def _spawn(self, sock: socket.socket) -> None:
         key = f"forward {next(self._numbers)}"
+        session = ForwardSession(sock=sock, process=self._process)
+        self._process.forwarded.add(key, session)
         self._process.tasks.spawn(key, lambda: self._serve(sock, key))
 
     def _serve(self, sock: socket.socket, key: str) -> None:
         with sock, contextlib.suppress(ports.TransportError, OSError):
-            frames.set_socket_options(sock)
-            session = ForwardSession(sock=sock, process=self._process)
-            self._process.serve_forwarded(key, session)
+            self._process.forwarded.serve(key)
 
     def close(self) -> None:
         """Stops accepting connections; open ones continue."""
--- a/bronzehold/connection/forwarding_runner.py
+++ b/bronzehold/connection/forwarding_runner.py
@@ -135,7 +135,7 @@
         call = _make_call(req, context, prepared, writes=writes)
         if self._forwarded is not None:
             call = dataclasses.replace(call, block=pb.NEXT)
-            return self._run_next(self._forwarded, call)
+            return self._run_next(self._forwarded, call, context)
 
         def run_here() -> statements.Completed:
             return self._local.run_in_block(
@@ -201,7 +201,7 @@
                 is_starting=isinstance(exc, forward_client.RefusedError),
             ) from exc
         try:
-            reply = link.receive(_reply_deadline(call))
+            reply = link.receive(_reply_deadline(call, context))
         except ports.TransportError as exc:
             link.close()
             self._links.close_idle_to(target)
@@ -235,8 +235,7 @@
             )
         failure = errors.AnswerCut(endpoint=target.name, reason=str(exc))
         may_repeat = (
-            clock.now() < call.deadline
-            and context.service.budget.try_withdraw()
+            not context.has_expired() and context.service.budget.try_withdraw()
         )
         if may_repeat:
             return _TryElsewhereError(failure)
@@ -245,7 +244,10 @@
         return errors.FailureError(failure)
 
     def _run_next(
-        self, forwarded: blocks.Forwarded, call: codec.Call
+        self,
+        forwarded: blocks.Forwarded,
+        call: codec.Call,
+        context: blocks.StatementContext,
     ) -> statements.Completed:
         """Runs a further statement of a transaction on its proxy."""
         self.via = forwarded.link.target.name
@@ -262,7 +264,7 @@
                 errors.TransactionLost(endpoint=forwarded.endpoint)
             ) from exc
         try:
-            reply = link.receive(call.deadline)
+            reply = link.receive(lambda: context.deadline)
         except ports.TransportError as exc:
             self._drop(forwarded, call)
             failure: errors.Failure
@@ -370,9 +372,15 @@
     )
 
 
-def _reply_deadline(call: codec.Call) -> float:
-    """Returns when to stop waiting for a reply, in seconds of clock.now()."""
+def _reply_deadline(
+    call: codec.Call, context: blocks.StatementContext
+) -> collections.abc.Callable[[], float]:
+    """Returns a function that returns when to stop waiting for a reply.
+
+    Its result is in seconds of clock.now().
+    """
     if call.writes or call.commits:
-        return call.deadline
+        return lambda: context.deadline
     now = clock.now()
-    return now + (call.deadline - now) * READ_WAIT_SHARE
+    latest = now + (call.deadline - now) * READ_WAIT_SHARE
+    return lambda: context.shutdown.limit(latest)
--- a/bronzehold/connection/forwarding_runner_test.py
+++ b/bronzehold/connection/forwarding_runner_test.py
@@ -10,6 +10,7 @@
 from bronzehold.core import clock
 from bronzehold.core import routes
 from bronzehold.core import statements
+from bronzehold.process import shutdown as shutdown_lib
 from bronzehold.version import members as members_lib
 
 TARGET = members_lib.Member(name="p1", zone="z", address="h:1")
@@ -94,7 +95,8 @@
         service=types.SimpleNamespace(
             limits=None, budget=types.SimpleNamespace(deposit=lambda: None)
         ),
-        deadline=now + 0.1,
+        timeout_at=now + 0.1,
+        shutdown=shutdown_lib.Shutdown(),
     )
     request = statements.Request(
         id="1", text="READ a", statement=statements.Read(), arrived=now
--- a/bronzehold/connection/platform_blocks.py
+++ b/bronzehold/connection/platform_blocks.py
@@ -8,12 +8,14 @@
 import dataclasses
 
 from bronzehold.connection import forward_client
+from bronzehold.core import clock
 from bronzehold.core import errors
 from bronzehold.core import ports
 from bronzehold.core import routes
 from bronzehold.core import statements
 from bronzehold.process import platform_service
 from bronzehold.process import pool as pool_lib
+from bronzehold.process import shutdown as shutdown_lib
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -23,13 +25,31 @@
     Attributes:
         route: The route of the statement's database.
         service: The route's service.
-        deadline: The time by which it must be answered, in seconds of
+        timeout_at: The end of the statement's own timeout, in seconds of
             clock.now().
+        shutdown: The planned stop of this proxy.
     """
 
     route: routes.Route
     service: platform_service.PlatformService
-    deadline: float
+    timeout_at: float
+    shutdown: shutdown_lib.Shutdown
+
+    @property
+    def deadline(self) -> float:
+        """The time by which it must be answered, in seconds of clock.now().
+
+        It becomes earlier when a stop begins that ends before the timeout.
+        """
+        return self.shutdown.limit(self.timeout_at)
+
+    def has_expired(self) -> bool:
+        """Returns whether the deadline has passed."""
+        return clock.now() >= self.deadline
+
+    def ended_by_stop(self) -> bool:
+        """Returns whether the stop ended it, before its own timeout."""
+        return self.has_expired() and clock.now() < self.timeout_at
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/bronzehold/connection/platform_caller.py
+++ b/bronzehold/connection/platform_caller.py
@@ -19,6 +19,7 @@
 from bronzehold.core import statements
 from bronzehold.process import metrics
 from bronzehold.process import platform_service
+from bronzehold.process import shutdown as shutdown_lib
 from bronzehold.process import timeline as timeline_lib
 
 # One in this many successful statements of a session is logged; slow and failed
@@ -30,12 +31,16 @@
     """The part of the process that a caller uses.
 
     Attributes:
-        line: The log of events.
-        measures: The metrics.
+        name: The name of the proxy.
+        timeline: The log of events.
+        metrics: The metrics.
+        shutdown: The planned stop of the proxy.
     """
 
+    name: str
     timeline: timeline_lib.Timeline
     metrics: metrics.Metrics
+    shutdown: shutdown_lib.Shutdown
 
     def table(self) -> routes.Table:
         """Returns the current routing table."""
@@ -127,14 +132,17 @@
                 return None
 
     def stop(self) -> None:
-        """Closes the connection as soon as no transaction is open."""
+        """Closes the connection as soon as no transaction is open.
+
+        From now on, a transaction that begins is refused.
+        """
         with self._lock:
             self._stopping = True
             if self._waiting:
                 self._link.stop_receiving()
 
     def end(self) -> None:
-        """Closes the connection at once, also during a request."""
+        """Closes the connection once the request in progress is answered."""
         with self._lock:
             self._stopping = True
             self._link.stop_receiving()
@@ -232,11 +240,14 @@
                 raise _failure_error(errors.InFailedTransaction())
 
     def _begin(self, *, read_only: bool) -> None:
-        if not isinstance(self._runner.block, blocks.Idle):
+        if not self._is_outside_block():
             raise _failure_error(
                 errors.Malformed(problem="a transaction is open")
             )
         self._route = self._find_route()
+        shutdown = self._process.shutdown
+        if self._stopping or not shutdown.accepts(self._route.timeout_s):
+            raise _failure_error(errors.Stopping(proxy=self._process.name))
         self._runner.begin(read_only=read_only)
 
     def _find_route(self) -> routes.Route:
@@ -255,21 +266,39 @@
         return blocks.StatementContext(
             route=route,
             service=service,
-            deadline=req.arrived + route.timeout_s,
+            timeout_at=req.arrived + route.timeout_s,
+            shutdown=self._process.shutdown,
         )
 
+    def _refuse_if_stopping(self, context: blocks.StatementContext) -> None:
+        """Refuses a statement that a stop leaves no time for.
+
+        The open transaction is rolled back, so the caller may repeat all of
+        it.
+        """
+        if self._process.shutdown.accepts(context.route.timeout_s):
+            return
+        commits = isinstance(self._unanswered.statement, statements.Commit)
+        if not self._is_outside_block():
+            self._runner.end_block(
+                blocks.Idle() if commits else blocks.Failed()
+            )
+        raise _failure_error(errors.Stopping(proxy=self._process.name))
+
     def _commit(self, req: statements.Request) -> statements.Completed:
-        if isinstance(self._runner.block, blocks.Idle):
+        if self._is_outside_block():
             raise _failure_error(
                 errors.Malformed(problem="no transaction is open")
             )
         context = self._context(req)
+        self._refuse_if_stopping(context)
         return self._runner.run_in_block(req, context, "", writes=False)
 
     def _run_on_endpoint(
         self, req: statements.Request, *, writes: bool, prepared: str
     ) -> statements.Completed:
         context = self._context(req)
+        self._refuse_if_stopping(context)
         match self._runner.block:
             case blocks.Idle() if writes:
                 return self._runner.write(req, context, prepared)
--- a/bronzehold/connection/platform_exchange.py
+++ b/bronzehold/connection/platform_exchange.py
@@ -173,12 +173,13 @@
         lease.pool.end_statement(None)
         lease.pool.release(lease.conn, reusable=False)
         contact = context.service.group.contact(target)
-        if (
+        is_silent = (
             contact is None
             or clock.now() - contact.answered_at > PROBE_AFTER_SILENCE_S
-        ):
+        )
+        if is_silent and not context.ended_by_stop():
             context.service.note_connection_lost(target)
-        if clock.now() >= context.deadline:
+        if clock.now() >= context.timeout_at:
             return blocks.TryOtherEndpointError(
                 errors.TimedOut(
                     endpoint=target,
@@ -213,6 +214,8 @@
             if contact is None:
                 return True
             now = clock.now()
+            if context.has_expired():
+                return True
             if now - sent_at > lost_after_s:
                 # The endpoint answers other statements, so this answer is
                 # lost.
@@ -230,17 +233,18 @@
     def make_probe_check(
         self, context: blocks.StatementContext, target: str
     ) -> collections.abc.Callable[[], bool]:
-        """Returns a function that probes a silent endpoint, never aborting.
+        """Returns a function that aborts at the deadline only.
 
-        It is for statements that must not be repeated.
+        It is for statements that must not be repeated. It starts a probe of a
+        silent endpoint, too.
         """
         should_abort = self.make_abort_check(context, target)
 
-        def never_abort() -> bool:
+        def has_expired() -> bool:
             should_abort()
-            return False
+            return context.has_expired()
 
-        return never_abort
+        return has_expired
 
     def apply_session(
         self,
--- a/bronzehold/connection/platform_runner.py
+++ b/bronzehold/connection/platform_runner.py
@@ -617,7 +617,8 @@
                 )
             elapsed_s = clock.now() - sent_at
         except ports.TransportError as exc:
-            pinned.service.note_connection_lost(pinned.endpoint)
+            if not context.ended_by_stop():
+                pinned.service.note_connection_lost(pinned.endpoint)
             self._drop_block(blocks.Idle() if commits else blocks.Failed())
             if commits and pinned.has_written:
                 failure = errors.OutcomeUnknown(
--- a/bronzehold/core/events.py
+++ b/bronzehold/core/events.py
@@ -34,7 +34,7 @@
     """A planned stop has closed the port for callers.
 
     Attributes:
-        callers: Number of connected callers.
+        callers: Number of connections of callers.
         busy: Number of them with a request or a transaction in progress.
     """
 
@@ -47,10 +47,13 @@
     """A planned stop has ended.
 
     Attributes:
-        cut: Number of callers whose request or transaction was aborted.
+        cut: Number of connections whose request got no whole answer.
+        ended: Number of connections with a request or a transaction that the
+            stop ended.
     """
 
     cut: int
+    ended: int
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/bronzehold/platform/instance.py
+++ b/bronzehold/platform/instance.py
@@ -213,10 +213,14 @@
 
     def _listen(self, host: str, port: int) -> None:
         self._wait_for_routes()
+        if self.process.shutdown.begun.is_set():
+            return
         self._listener = listener.Listener(
             host=host, port=port, process=self.process, links=self.links
         )
         self.process.stop_listening = self._listener.close
+        if self.process.port_closed:
+            self._listener.close()
         self._listener.run()
 
     def drain(self) -> None:
--- a/bronzehold/platform/listener.py
+++ b/bronzehold/platform/listener.py
@@ -23,6 +23,8 @@
 # Callers give up on the answer to STARTUP after 2 s, so their STARTUP message
 # arrives well within this timeout.
 STARTUP_TIMEOUT_S = 5.0
+# A planned stop leaves a new connection open for its first statement this long.
+FIRST_STATEMENT_S = 0.3
 # A caller that accepts no data for this long is treated as disconnected.
 SEND_TIMEOUT_S = 10.0
 
@@ -99,6 +101,102 @@
             self._sock.shutdown(socket.SHUT_RD)
 
 
+class CallerConnection:
+    """A caller's connection from its acceptance on.
+
+    stop, end, busy and report_cut may be called from any task; serve runs in
+    the connection's own task.
+    """
+
+    def __init__(
+        self,
+        *,
+        sock: socket.socket,
+        number: int,
+        process: platform_process.PlatformProcess,
+        links: forward_client.Links,
+    ):
+        self._sock = sock
+        self._number = number
+        self._process = process
+        self._links = links
+        self._accepted_at = clock.now()
+        # None until the start-up is complete.
+        self._caller: platform_caller.Caller | None = None
+
+    def serve(self) -> None:
+        """Answers the caller until it disconnects."""
+        with (
+            self._sock,
+            contextlib.suppress(ports.TransportError, TimeoutError, OSError),
+        ):
+            wire.set_socket_options(self._sock)
+            self._sock.settimeout(STARTUP_TIMEOUT_S)
+            reader = wire.LineReader(sock=self._sock)
+            database = self._read_startup(reader)
+            if database is None:
+                return
+            self._caller = platform_caller.Caller(
+                link=Conn(sock=self._sock, reader=reader),
+                database=database,
+                process=self._process,
+                name=f"{self._process.name}/{self._number}",
+                links=self._links,
+            )
+            self._sock.sendall(
+                wire.encode_ready(statements.TransactionState.IDLE)
+            )
+            self._caller.serve()
+
+    def _read_startup(self, reader: wire.LineReader) -> str | None:
+        """Returns the database of a valid STARTUP, None after an error."""
+        try:
+            line = reader.read_line().decode(wire.ENCODING)
+        except wire.ProtocolError as exc:
+            return self._reject(errors.Malformed(problem=str(exc)))
+        keyword, _, rest = line.partition(" ")
+        database = rest.partition(" ")[0]
+        if keyword != "STARTUP" or not database:
+            return self._reject(errors.Malformed(problem="first message"))
+        if self._process.port_closed:
+            return self._reject(errors.Stopping(proxy=self._process.name))
+        if self._process.find_route(database) is None:
+            return self._reject(errors.ServiceUnknown(service=database))
+        return database
+
+    def _reject(self, failure: errors.Failure) -> None:
+        self._sock.sendall(wire.encode_error(failure))
+
+    def stop(self) -> None:
+        """Closes the connection as soon as no transaction is open.
+
+        A new connection gets the time for its first statement.
+        """
+        if clock.now() - self._accepted_at < FIRST_STATEMENT_S:
+            return
+        if self._caller is None:
+            self.end()
+        else:
+            self._caller.stop()
+
+    def end(self) -> None:
+        """Closes the connection once the request in progress is answered."""
+        if self._caller is None:
+            with contextlib.suppress(OSError):
+                self._sock.shutdown(socket.SHUT_RD)
+        else:
+            self._caller.end()
+
+    def busy(self) -> bool:
+        """Returns whether a request or a transaction is in progress."""
+        return self._caller is not None and self._caller.busy()
+
+    def report_cut(self, cause: str) -> None:
+        """Logs the request that ends without an answer, if there is one."""
+        if self._caller is not None:
+            self._caller.report_cut(cause)
+
+
 class Listener:
     """Accepts connections and serves each in a task of its own."""
 
@@ -121,56 +219,21 @@
 
     def _spawn(self, sock: socket.socket) -> None:
         number = next(self._connection_numbers)
-        self._process.tasks.spawn(
-            f"caller {number}", lambda: self._serve_connection(sock, number)
+        key = f"caller {number}"
+        connection = CallerConnection(
+            sock=sock, number=number, process=self._process, links=self._links
         )
+        self._process.callers.add(key, connection)
+        self._process.tasks.spawn(key, lambda: self._process.callers.serve(key))
 
     def close(self) -> None:
-        """Stops accepting connections; open ones continue."""
+        """Stops accepting connections; open ones continue.
+
+        Connections that are complete already are still accepted.
+        """
+        if self._sock.fileno() < 0:
+            return
+        acceptor.accept_pending(self._sock, self._spawn)
         with contextlib.suppress(OSError):
             self._sock.shutdown(socket.SHUT_RDWR)
         self._sock.close()
-
-    def _serve_connection(self, sock: socket.socket, number: int) -> None:
-        with (
-            sock,
-            contextlib.suppress(ports.TransportError, TimeoutError, OSError),
-        ):
-            wire.set_socket_options(sock)
-            sock.settimeout(STARTUP_TIMEOUT_S)
-            reader = wire.LineReader(sock=sock)
-            database = self._read_startup(sock, reader)
-            if database is None:
-                return
-            conn = Conn(sock=sock, reader=reader)
-            caller = platform_caller.Caller(
-                link=conn,
-                database=database,
-                process=self._process,
-                name=f"{self._process.name}/{number}",
-                links=self._links,
-            )
-            self._process.serve(number, caller)
-
-    def _read_startup(
-        self, sock: socket.socket, reader: wire.LineReader
-    ) -> str | None:
-        try:
-            keyword, _, rest = (
-                reader.read_line().decode(wire.ENCODING).partition(" ")
-            )
-        except wire.ProtocolError as exc:
-            sock.sendall(wire.encode_error(errors.Malformed(problem=str(exc))))
-            return None
-        database = rest.partition(" ")[0]
-        if keyword != "STARTUP" or not database:
-            sock.sendall(
-                wire.encode_error(errors.Malformed(problem="first message"))
-            )
-            return None
-        if self._process.find_route(database) is None:
-            failure = errors.ServiceUnknown(service=database)
-            sock.sendall(wire.encode_error(failure))
-            return None
-        sock.sendall(wire.encode_ready(statements.TransactionState.IDLE))
-        return database
--- a/bronzehold/platform/listener_test.py
+++ b/bronzehold/platform/listener_test.py
@@ -31,3 +31,50 @@
     conn, _ = _pair()
     conn.stop_receiving()
     assert conn.receive(1.0) is None
+
+
+class FakeProcess:
+    """The process as a new connection sees it."""
+
+    def __init__(self, *, port_closed=False):
+        self.name = "p"
+        self.port_closed = port_closed
+
+    def find_route(self, database):
+        del database
+
+
+def _connection(process):
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        remote_sock = socket.create_connection(server.getsockname(), 2.0)
+        local_sock, _ = server.accept()
+    connection = listener.CallerConnection(
+        sock=local_sock, number=1, process=process, links=None
+    )
+    return connection, remote_sock
+
+
+def test_startup_after_the_port_has_closed_is_refused():
+    """Guards against a session that ends with its first statement unread."""
+    connection, caller = _connection(FakeProcess(port_closed=True))
+    caller.sendall(b"STARTUP d test\r\n")
+    connection.serve()
+    assert caller.recv(100) == b"ERROR BUSY not run: proxy p is stopping\r\n"
+    assert caller.recv(100) == b""
+
+
+def test_new_connection_gets_time_for_its_startup():
+    """Guards against resets of callers that connect just before a stop."""
+    connection, caller = _connection(FakeProcess())
+    connection.stop()
+    caller.sendall(b"STARTUP d test\r\n")
+    connection.serve()
+    assert caller.recv(100).startswith(b"ERROR NODATABASE")
+
+
+def test_connection_without_a_startup_does_not_hold_up_a_stop(monkeypatch):
+    connection, caller = _connection(FakeProcess())
+    monkeypatch.setattr(listener, "FIRST_STATEMENT_S", 0.0)
+    connection.stop()
+    connection.serve()
+    assert caller.recv(100) == b""
--- a/bronzehold/process/platform_group.py
+++ b/bronzehold/process/platform_group.py
@@ -7,6 +7,7 @@
 here for a primary.
 """
 
+import collections.abc
 import dataclasses
 import threading
 
@@ -79,8 +80,18 @@
             request may wait for.
     """
 
-    def __init__(self, *, name: str, timeline: timeline_lib.Timeline):
+    def __init__(
+        self,
+        *,
+        name: str,
+        timeline: timeline_lib.Timeline,
+        limit_deadline: collections.abc.Callable[
+            [float], float
+        ] = lambda deadline: deadline,
+    ):
         self.name = name
+        # A planned stop makes deadlines earlier, also during a wait.
+        self._limit_deadline = limit_deadline
         self.proofs = freshness.Proofs()
         self.cond = threading.Condition()
         self._timeline = timeline
@@ -349,7 +360,7 @@
         """
         with self.cond:
             while not self._accepts_connections() or self._is_write_held():
-                left = deadline - clock.now()
+                left = self._limit_deadline(deadline) - clock.now()
                 if left <= 0:
                     return None
                 self.cond.wait(min(left, RECHECK_S))
@@ -389,7 +400,7 @@
         """
         with self.cond:
             while not self._accepts_connections():
-                left = deadline - clock.now()
+                left = self._limit_deadline(deadline) - clock.now()
                 if left <= 0:
                     return None
                 self.cond.wait(min(left, RECHECK_S))
--- a/bronzehold/process/platform_group_test.py
+++ b/bronzehold/process/platform_group_test.py
@@ -152,3 +152,19 @@
     assert group.wait_leader(time.at) is None
     group.note_answered("a")
     assert group.start_write(time.at) is not None
+
+
+def test_wait_for_a_primary_ends_with_a_stop():
+    """Guards against LOST: a statement that waits longer than the stop."""
+    limit = [float("inf")]
+    group = platform_group.PlatformGroup(
+        name="g",
+        timeline=timeline_lib.Timeline(proxy="p", zone="z"),
+        limit_deadline=lambda deadline: min(deadline, limit[0]),
+    )
+    timer = threading.Timer(0.1, lambda: limit.__setitem__(0, clock.now()))
+    timer.start()
+    started = clock.now()
+    assert group.wait_leader(started + 60.0) is None
+    assert group.start_write(started + 60.0) is None
+    assert clock.now() - started < 2.0
--- a/bronzehold/process/platform_process.py
+++ b/bronzehold/process/platform_process.py
@@ -8,63 +8,24 @@
 
 import collections.abc
 import threading
-import time
-import typing
 
+from bronzehold.core import clock
 from bronzehold.core import events
 from bronzehold.core import ports
 from bronzehold.core import routes
 from bronzehold.core import settings
+from bronzehold.process import drain as drain_lib
 from bronzehold.process import metrics
+from bronzehold.process import open_connections
 from bronzehold.process import platform_service
 from bronzehold.process import serving as serving_lib
+from bronzehold.process import shutdown as shutdown_lib
 from bronzehold.process import tasks
 from bronzehold.process import timeline as timeline_lib
 
-STOP_POLL_S = 0.02
 # The interval between sweeps that close idle connections. Peers share the
 # endpoint's connection limit and may need the connections that are idle here.
 SWEEP_INTERVAL_S = 0.5
-# The time for the load balancer to stop sending connections. It checks
-# readiness once a second and removes an instance after two failed checks.
-READINESS_NOTICE_S = 2.2
-# The part of the stop time that is reserved for the process to exit.
-EXIT_RESERVE_S = 0.5
-
-
-class Caller(typing.Protocol):
-    """The connection of a caller that the process serves."""
-
-    def serve(self) -> None:
-        """Answers statements until the caller disconnects."""
-
-    def stop(self) -> None:
-        """Closes the connection as soon as no transaction is open."""
-
-    def end(self) -> None:
-        """Closes the connection immediately, even during a request."""
-
-    def busy(self) -> bool:
-        """Returns whether a request or a transaction is in progress."""
-
-    def report_cut(self, cause: str) -> None:
-        """Logs the request that ends without an answer, if there is one."""
-
-
-class ForwardedWork(typing.Protocol):
-    """The connection of a proxy that forwards statements to this one."""
-
-    def serve(self) -> None:
-        """Serves statements until the other proxy disconnects."""
-
-    def end(self) -> None:
-        """Closes the connection immediately, even during a request."""
-
-    def busy(self) -> bool:
-        """Returns whether a request or a transaction is in progress."""
-
-    def report_cut(self, cause: str) -> None:
-        """Logs the request that ends without an answer, if there is one."""
 
 
 class PlatformProcess:
@@ -81,6 +42,10 @@
         metrics: The request latencies and counts.
         config_received: An event that is set once a configuration is in force.
         listings_received: An event that is set once the endpoints are listed.
+        shutdown: The planned stop of the process.
+        callers: The connections of callers.
+        forwarded: The connections of proxies that forward statements here.
+        port_closed: Whether a stop has closed the callers' port.
         stop_listening: A function that closes the port. The listener sets it.
     """
 
@@ -94,6 +59,7 @@
         cut_off: collections.abc.Callable[[], bool],
         fleet_restarted: collections.abc.Callable[[], bool],
     ):
+        shutdown = shutdown_lib.Shutdown()
         self.cfg = cfg
         self.name = cfg.name
         self.timeline = timeline
@@ -110,14 +76,18 @@
             serving=serving,
             cut_off=cut_off,
             fleet_restarted=fleet_restarted,
+            shutdown=shutdown,
         )
         self._lock = threading.Lock()
         self._table = routes.EMPTY_TABLE
         self._listings: dict[str, routes.Listing] = {}
         self._services: dict[str, platform_service.PlatformService] = {}
-        self._callers: dict[int, Caller] = {}
-        self._forwarded: dict[str, ForwardedWork] = {}
-        self._stopping = False
+        self.shutdown = shutdown
+        self.callers = open_connections.OpenConnections[
+            open_connections.CallerConnection
+        ]()
+        self.forwarded = open_connections.OpenConnections()
+        self.port_closed = False
         self.stop_listening: collections.abc.Callable[[], None] = lambda: None
 
     # Configuration, services and endpoints.
@@ -227,7 +197,7 @@
         return (
             self.config_received.is_set()
             and self.listings_received.is_set()
-            and not self._stopping
+            and not self.shutdown.begun.is_set()
             and not self._is_isolated_from_primary()
         )
 
@@ -241,94 +211,30 @@
             service.group.primary_unreachable() for service in self.services()
         )
 
-    def serve(self, number: int, caller: Caller) -> None:
-        """Serves a caller until it disconnects.
-
-        Args:
-            number: The number of the caller's connection.
-            caller: The connection.
-        """
-        with self._lock:
-            self._callers[number] = caller
-        try:
-            caller.serve()
-        finally:
-            with self._lock:
-                self._callers.pop(number, None)
-
-    @property
-    def stopping(self) -> bool:
-        """Whether a planned stop has begun."""
-        return self._stopping
-
-    def serve_forwarded(self, key: str, work: ForwardedWork) -> None:
-        """Serves a connection of another proxy until it disconnects.
-
-        Args:
-            key: A name of the connection, unique in the process.
-            work: The connection.
-        """
-        with self._lock:
-            self._forwarded[key] = work
-        try:
-            work.serve()
-        finally:
-            with self._lock:
-                self._forwarded.pop(key, None)
-
-    def _list_forwarded(self) -> list[ForwardedWork]:
-        with self._lock:
-            return list(self._forwarded.values())
-
-    def _list_callers(self) -> list[Caller]:
-        with self._lock:
-            return list(self._callers.values())
-
     # Stopping.
 
     def drain(self) -> None:
-        """Stops the process after open transactions; returns when done.
+        """Stops the process as planned; returns when it may exit."""
+        schedule = drain_lib.make_schedule(clock.now(), self.cfg.stop_s)
+        if not self.shutdown.begin(schedule):
+            return
+        drain_lib.Drain(
+            schedule=schedule,
+            callers=self.callers,
+            forwarded=self.forwarded,
+            timeline=self.timeline,
+            close_port=self._close_port,
+        ).run(min(drain_lib.READINESS_NOTICE_S, self.cfg.stop_s / 2))
+        self.tasks.close()
 
-        First the readiness check fails, and connections are still accepted
-        until the load balancer has noticed; this takes at most half of the
-        stop time. Then the port closes, and each caller's connection closes
-        once no transaction is open. Transactions that are still open at the
-        end of the stop time are cut.
-        """
-        started_at = time.monotonic()
-        self._stopping = True
-        callers = self._list_callers()
-        self.timeline.add(events.ProxyStopping(callers=len(callers)))
-        time.sleep(min(READINESS_NOTICE_S, self.cfg.stop_s / 2))
+    def _close_port(self) -> None:
+        self.port_closed = True
         self.stop_listening()
-        callers = self._list_callers()
-        self.timeline.add(
-            events.CallersPortClosed(
-                callers=len(callers), busy=sum(c.busy() for c in callers)
-            )
-        )
-        deadline = started_at + self.cfg.stop_s - EXIT_RESERVE_S
-        while time.monotonic() < deadline:
-            callers = self._list_callers()
-            for caller in callers:
-                caller.stop()
-            forwarded_busy = any(w.busy() for w in self._list_forwarded())
-            if not (callers or forwarded_busy):
-                break
-            time.sleep(STOP_POLL_S)
-        remaining = (*self._list_callers(), *self._list_forwarded())
-        for work in remaining:
-            work.report_cut("the process exits")
-        cut_count = sum(work.busy() for work in remaining)
-        self.timeline.add(events.ProxyStopped(cut=cut_count))
-        self.tasks.close()
 
     def close(self) -> None:
-        """Stops immediately and cuts the requests in progress."""
+        """Stops immediately, without a notice to callers."""
         self.tasks.close()
-        for caller in self._list_callers():
-            caller.end()
-        for work in self._list_forwarded():
-            work.end()
+        for connection in (*self.callers.list(), *self.forwarded.list()):
+            connection.end()
         for service in self.services():
             service.close()
--- a/bronzehold/process/platform_service.py
+++ b/bronzehold/process/platform_service.py
@@ -17,6 +17,7 @@
 from bronzehold.process import pool as pool_lib
 from bronzehold.process import probes as probes_lib
 from bronzehold.process import serving as serving_lib
+from bronzehold.process import shutdown as shutdown_lib
 from bronzehold.process import timeline as timeline_lib
 from bronzehold.process import window as window_lib
 from bronzehold.request import placement
@@ -56,6 +57,7 @@
         fleet_restarted: A function that returns whether most proxies have just
             started, so that the endpoints may still count connections of the
             processes before.
+        shutdown: The planned stop of the process.
     """
 
     zone: str
@@ -66,6 +68,7 @@
     serving: serving_lib.Serving
     cut_off: collections.abc.Callable[[], bool]
     fleet_restarted: collections.abc.Callable[[], bool]
+    shutdown: shutdown_lib.Shutdown
 
 
 class PlatformService:
@@ -75,7 +78,9 @@
         self.env = env
         self.limits = limits
         self.group = platform_group.PlatformGroup(
-            name=limits.name, timeline=env.timeline
+            name=limits.name,
+            timeline=env.timeline,
+            limit_deadline=env.shutdown.limit,
         )
         self.budget = budget.RetryBudget()
         self._pools: dict[str, pool_lib.Pool] = {}
--- a/bronzehold/process/platform_service_test.py
+++ b/bronzehold/process/platform_service_test.py
@@ -3,6 +3,7 @@
 from bronzehold.core import clock
 from bronzehold.core import routes
 from bronzehold.process import platform_service
+from bronzehold.process import shutdown as shutdown_lib
 from bronzehold.process import tasks as tasks_lib
 from bronzehold.process import timeline as timeline_lib
 from tests import helpers
@@ -47,6 +48,7 @@
                 serving=self.serving,
                 cut_off=lambda: False,
                 fleet_restarted=lambda: self.has_fleet_restarted,
+                shutdown=shutdown_lib.Shutdown(),
             ),
             limits=routes.ServiceLimits(
                 name="s", connections=46, synchronous=False
--- a/bronzehold/process/promotions_test.py
+++ b/bronzehold/process/promotions_test.py
@@ -12,6 +12,7 @@
 from bronzehold.process import platform_service
 from bronzehold.process import promotions as promotions_lib
 from bronzehold.process import serving as serving_lib
+from bronzehold.process import shutdown as shutdown_lib
 from bronzehold.process import tasks as tasks_lib
 from bronzehold.process import timeline as timeline_lib
 from bronzehold.process import tokens as tokens_lib
@@ -114,6 +115,7 @@
             ),
             cut_off=lambda: False,
             fleet_restarted=lambda: False,
+            shutdown=shutdown_lib.Shutdown(),
         )
         limits = routes.ServiceLimits(
             name="g", connections=4, synchronous=False
--- a/tests/forwarding_test.py
+++ b/tests/forwarding_test.py
@@ -138,10 +138,8 @@
     session.rows("BEGIN")
     session.rows("WRITE f5 1")
     server = own_fleet.deployment.proxies[own_fleet.server].process
-    assert any(work.busy() for work in server._list_forwarded())
-    helpers.wait_for(
-        lambda: not any(work.busy() for work in server._list_forwarded()), 6.0
-    )
+    assert server.forwarded.count_busy()
+    helpers.wait_for(lambda: not server.forwarded.count_busy(), 6.0)
     assert session.execute("COMMIT")[-2].startswith("ERROR ABORTED")
 
 
--- a/tests/platform_stop_test.py
+++ b/tests/platform_stop_test.py
@@ -6,15 +6,15 @@
 
 import contextlib
 import signal
+import socket
 import time
 
+import pytest
+
 from bench.soak import deployment as deployment_lib
 from bronzehold.platform import local
-from bronzehold.process import platform_process
 
 STOP_S = 3.0
-# The time from SIGTERM to the exit of a proxy that has callers until then.
-EXIT_S = STOP_S - platform_process.EXIT_RESERVE_S
 # Endpoints need this long for a statement, half of its timeout.
 WORK_S = 0.4
 
@@ -32,7 +32,11 @@
         deployment.close()
 
 
-def test_statement_of_a_transaction_is_answered_just_before_the_exit(tmp_path):
+# A caller's READ is sent this long before the end of the stop time.
+@pytest.mark.parametrize("before_end_s", [1.5, 1.0, 0.8, 0.7, 0.65])
+def test_statement_of_a_transaction_is_answered_just_before_the_exit(
+    tmp_path, before_end_s
+):
     """Guards against LOST: a stop that cuts a statement it has sent on.
 
     Issue 28: transactions were still open when the process was to exit, and
@@ -43,6 +47,70 @@
         session.rows("BEGIN")
         session.rows("READ k")
         proxy.signal(signal.SIGTERM)
-        time.sleep(EXIT_S - WORK_S / 2)
+        time.sleep(STOP_S - before_end_s)
         answer = session.execute("READ k")
         assert answer[-1].startswith("READY")
+
+
+def test_late_statement_is_refused_and_its_transaction_rolled_back(tmp_path):
+    """Guards against LOST: statements accepted without time for an answer.
+
+    Their timeout of 0.8 s ends after the last answers are due.
+    """
+    with stopping_proxy(tmp_path, work_s=0.0) as (deployment, proxy):
+        sessions = [local.connect(proxy.caller_address, "own") for _ in "ab"]
+        for session in sessions:
+            session.rows("BEGIN")
+            session.rows("WRITE k 1")
+        proxy.signal(signal.SIGTERM)
+        time.sleep(STOP_S - 0.9)
+        refusal, ready = sessions[0].execute("WRITE k 2")
+        assert refusal.startswith("ERROR BUSY not run")
+        assert ready.startswith("READY E")
+        assert sessions[0].execute("ROLLBACK")[-1].startswith("READY I")
+        refusal, ready = sessions[1].execute("COMMIT")
+        assert refusal.startswith("ERROR BUSY not run")
+        assert ready.startswith("READY I")
+        assert proxy.wait_for_exit(STOP_S)
+        assert deployment.group.primary().log == []
+
+
+@pytest.mark.parametrize(
+    ("begin", "statement", "codes"),
+    [
+        (None, "WRITE k 1", {"INDOUBT"}),
+        (None, "READ k", {"FAILED"}),
+        ("BEGIN", "WRITE k 1", {"ABORTED"}),
+    ],
+)
+def test_statement_that_outlasts_the_stop_gets_a_true_answer(
+    tmp_path, begin, statement, codes
+):
+    """Guards against LOST: the exit cut statements with a long timeout."""
+    with stopping_proxy(tmp_path, work_s=60.0) as (deployment, proxy):
+        deployment.configure(timeout_ms=60_000, target_latency_ms=60_000)
+        time.sleep(0.5)
+        session = local.connect(proxy.caller_address, "latest")
+        if begin:
+            session.rows(begin)
+        session.send(statement)
+        time.sleep(0.2)
+        proxy.signal(signal.SIGTERM)
+        error = session.read_answer()[-2].split(" ")
+        assert error[0] == "ERROR" and error[1] in codes
+
+
+def test_connection_of_the_last_moment_is_served_or_refused(tmp_path):
+    """Guards against LOST: a stop that does not know of new connections.
+
+    Issue 28: the process may exit as soon as it knows of no connection.
+    """
+    with stopping_proxy(tmp_path, work_s=0.0) as (_, proxy):
+        proxy.signal(signal.SIGTERM)
+        time.sleep(STOP_S / 2 - 0.15)
+        early = local.connect(proxy.caller_address, "latest")
+        late = socket.create_connection(proxy.caller_address)
+        time.sleep(0.2)
+        late.sendall(b"STARTUP latest test\r\n")
+        assert late.recv(1000).startswith(b"ERROR BUSY not run")
+        assert early.rows("WRITE k 1") == []
