ProxyStopped: the PostgreSQL path counts no ended transactions

Cause: the new field of the event has no value there, so the end of a stop of that path failed with a TypeError and its process stayed. Change: the field is 0 unless it is given. Result: leaving_test.py, processes_test.py and platform_load_test.py pass (19).

--- a/bronzehold/core/events.py
+++ b/bronzehold/core/events.py
@@ -53,7 +53,7 @@
     """
 
     cut: int
-    ended: int
+    ended: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
