Session of a stand-in endpoint: one module for each job

Hard to read: standin/session.py had 764 lines: start-up, sending, SQL texts, prepared statements, transactions, control calls and message codecs in one class, so that a reader had to know all of it to change any. Change: session.py keeps the start-up and the dispatch of messages. Moved out: output (sending and its faults), sql_text (questions about a statement's text), statement_errors, results (codecs of rows), session_state, transaction, statement_runner, columns (Describe), extended_query and control_calls. Long functions are cut. LostAnswerError is now in output; server.py is adapted. Behaviour: unchanged.

--- a/bronzehold/standin/server.py
+++ b/bronzehold/standin/server.py
@@ -14,6 +14,7 @@
 from bronzehold.connection import handshake
 from bronzehold.connection import messages
 from bronzehold.standin import endpoint as endpoint_lib
+from bronzehold.standin import output
 from bronzehold.standin import session as session_lib
 
 LISTEN_BACKLOG = 256
@@ -125,7 +126,7 @@
         except (
             frames.ClosedError,
             frames.FramingError,
-            session_lib.LostAnswerError,
+            output.LostAnswerError,
             OSError,
         ):
             pass
--- a/bronzehold/standin/values.py
+++ b/bronzehold/standin/values.py
@@ -33,6 +33,19 @@
 Value = int | float | str | bytes | None
 
 
+def format_code(formats: tuple[int, ...], i: int) -> int:
+    """Returns the format code of column or parameter i.
+
+    Args:
+        formats: The codes of a message; without any the format is text, and
+            the first stands in for those that are missing.
+        i: Index of the column or parameter, from 0.
+    """
+    if not formats:
+        return TEXT_FORMAT
+    return formats[i] if i < len(formats) else formats[0]
+
+
 def decode(raw: bytes | None, oid: int, format_code: int) -> Value:
     """Returns the value of a bound parameter.
 
