Peers: one module for each job

Hard to read: process/peers.py had 579 lines; one class with one lock held the channels, the server, who is alive, the content of heartbeats, votes about groups and the lanes. Change: peers.py keeps the exchange: start and stop, the task of each peer, and what is done with a heartbeat. Moved out: peer_channels, peer_server, peer_table (who is registered and alive), heartbeats (their content), peer_views (what the live peers tell of a group; failover.py calls it), peer_lanes, and core/rendezvous. proxy.py needs no change. What a caller uses of the peers keeps its name, except that Member is now in peer_table (store_sync.py is adapted) and the three questions about groups are in peer_views. Behaviour: unchanged. The one lock becomes one for each part; no state of two parts was read or changed under it together.

--- a/bronzehold/process/failover.py
+++ b/bronzehold/process/failover.py
@@ -6,6 +6,7 @@
 win a term. `version.change` carries the change out.
 """
 
+import collections.abc
 import threading
 import time
 
@@ -17,10 +18,12 @@
 from bronzehold.process import catalog as catalog_lib
 from bronzehold.process import etcd_store
 from bronzehold.process import group as group_lib
+from bronzehold.process import peer_views
 from bronzehold.process import peers as peers_lib
 from bronzehold.process import service as service_lib
 from bronzehold.process import tasks as tasks_lib
 from bronzehold.process import timeline as timeline_lib
+from bronzehold.proto import peer_pb2 as pb
 from bronzehold.version import change as change_lib
 from bronzehold.version import grant as grant_lib
 
@@ -97,6 +100,9 @@
             f"change {name}", lambda: self._run_change(served, reason)
         )
 
+    def _heartbeats(self) -> collections.abc.Collection[pb.Heartbeat]:
+        return self._peers.live_peers().values()
+
     def _change_reason(self, served: service_lib.ServiceRuntime) -> str:
         group = served.group
         if group.hold_attempt():
@@ -105,7 +111,9 @@
         grant = group.last_grant()
         primary = grant.primary if grant else ""
         if failure:
-            votes = 1 + self._peers.primary_lost_votes(group.name, primary)
+            votes = 1 + peer_views.primary_lost_votes(
+                self._heartbeats(), group.name, primary
+            )
             agreed = votes * 2 > self._peers.voter_count()
             return failure if agreed else ""
         ep = group.endpoint(primary)
@@ -311,7 +319,9 @@
             if group.hold_attempt() != attempt:
                 return False
             drained = group.drained()
-            if drained and self._peers.all_drained(group.name, attempt):
+            if drained and peer_views.all_drained(
+                self._heartbeats(), group.name, attempt
+            ):
                 return True
             if self._tasks.stop.wait(CHECK_S):
                 return False
@@ -327,7 +337,9 @@
         deadline = time.monotonic() + TERM_SPREAD_TIMEOUT_S
         group.wait_grant(result.primary, result.term, deadline)
         while time.monotonic() < deadline:
-            if self._peers.all_reached_term(group.name, result.term):
+            if peer_views.all_reached_term(
+                self._heartbeats(), group.name, result.term
+            ):
                 return
             self._tasks.stop.wait(CHECK_S)
 
--- a/bronzehold/process/lanes.py
+++ b/bronzehold/process/lanes.py
@@ -2,8 +2,8 @@
 
 A lane is the right to run one long statement on an endpoint. For each group,
 one proxy grants the lanes: the live proxy that rendezvous hashing ranks first
-(see peers.py). An endpoint with more than one slot keeps at least one slot free
-of long statements. Long statements are concentrated on the endpoints that
+(see peer_lanes.py). An endpoint with more than one slot keeps at least one slot
+free of long statements. Long statements are concentrated on the endpoints that
 already run some. A lane that is not released expires with its lease. When
 another proxy takes over, it starts with all lanes free.
 """
--- /dev/null
+++ b/bronzehold/process/peer_lanes.py
@@ -0,0 +1,88 @@
+"""Leases lanes from the proxy that grants those of a group.
+
+For each group, the live proxy that rendezvous hashing ranks first grants the
+lanes.
+"""
+
+import collections.abc
+import contextlib
+
+from bronzehold.core import data
+from bronzehold.core import rendezvous
+from bronzehold.process import lanes as lanes_lib
+from bronzehold.process import peer_channels
+from bronzehold.proto import peer_pb2 as pb
+
+
+class PeerLanes:
+    """Leases lanes here or from a peer.
+
+    Args:
+        own_name: The name of this proxy.
+        granted: The lanes that this proxy grants.
+        live_peers: Returns the last heartbeat of every live peer by its name.
+        channels: The channels to the peers.
+    """
+
+    def __init__(
+        self,
+        *,
+        own_name: str,
+        granted: lanes_lib.Lanes,
+        live_peers: collections.abc.Callable[[], dict[str, pb.Heartbeat]],
+        channels: peer_channels.Channels,
+    ):
+        self._own_name = own_name
+        self._granted = granted
+        self._live_peers = live_peers
+        self._channels = channels
+
+    def acquire(self, group: str, lane_request: lanes_lib.LaneRequest) -> str:
+        """Leases a free lane for a long statement.
+
+        If the proxy that grants the group's lanes does not respond, this proxy
+        grants the lane itself, counting only the lanes that it granted.
+
+        Args:
+            group: Name of the group.
+            lane_request: The request.
+
+        Returns:
+            The name of the lane's endpoint, or "" if no lane is free.
+        """
+        address = self._owner_address(group)
+        if not address:
+            return self._granted.acquire(group, lane_request)
+        req = pb.LaneRequest(
+            proxy=self._own_name,
+            group=group,
+            request=lane_request.request_id,
+            hold_ms=int(lane_request.hold_s / data.MILLISECOND),
+            endpoints=[name for name, _ in lane_request.endpoints],
+            lanes=[max_lanes for _, max_lanes in lane_request.endpoints],
+        )
+        try:
+            answer = self._channels.stub(address).TakeLane(
+                req, timeout=peer_channels.CALL_TIMEOUT_S
+            )
+        except peer_channels.CALL_ERRORS:
+            return self._granted.acquire(group, lane_request)
+        return answer.endpoint
+
+    def release(self, group: str, request_id: str) -> None:
+        """Releases the lane of a request."""
+        self._granted.release(group, request_id)
+        address = self._owner_address(group)
+        if not address:
+            return
+        req = pb.LaneRelease(request=request_id, group=group)
+        with contextlib.suppress(*peer_channels.CALL_ERRORS):
+            self._channels.stub(address).GiveLane(
+                req, timeout=peer_channels.CALL_TIMEOUT_S
+            )
+
+    def _owner_address(self, group: str) -> str:
+        live_peers = self._live_peers()
+        names = [self._own_name, *live_peers]
+        owner = rendezvous.order(f"lanes {group}", names)[0]
+        return "" if owner == self._own_name else live_peers[owner].address
--- a/bronzehold/process/store_sync.py
+++ b/bronzehold/process/store_sync.py
@@ -17,6 +17,7 @@
 from bronzehold.core import settings
 from bronzehold.process import catalog as catalog_lib
 from bronzehold.process import etcd_store
+from bronzehold.process import peer_table
 from bronzehold.process import peers as peers_lib
 from bronzehold.process import tasks as tasks_lib
 from bronzehold.process import timeline as timeline_lib
@@ -173,7 +174,7 @@
                 self._call_store(self._read_instances)
 
 
-def read_members(store: etcd_store.EtcdStore) -> dict[str, peers_lib.Member]:
+def read_members(store: etcd_store.EtcdStore) -> dict[str, peer_table.Member]:
     """Returns the proxies that are registered in the store, by name.
 
     A registration that cannot be read names no proxy.
@@ -186,7 +187,7 @@
         name = found.key.removeprefix(etcd_store.PROXIES_PREFIX)
         address = _member_address(found.value)
         if address is not None:
-            members[name] = peers_lib.Member(name=name, address=address)
+            members[name] = peer_table.Member(name=name, address=address)
     return members
 
 
