One place for rendezvous hashing, and for two pieces of the system tests

Hard to read: three modules hashed a key and a name in the same way, and had to stay equal for proxies to agree. Two tests opened a raw connection and two ran promotions that stop at a step, each with the same lines. Change: claims.py and version/members.py use core/rendezvous. drivers_test.py has _raw_connection and primary_test.py has _run_promotions; the tests check what they checked before, with the same waits and limits. Left: the other exact pairs are data classes, constructors, signatures, log entries of a test, or lie in files that others work on. Behaviour: unchanged, the hashed text is the same.

--- a/bronzehold/process/claims.py
+++ b/bronzehold/process/claims.py
@@ -6,9 +6,8 @@
 
 import collections.abc
 
-import xxhash
-
 from bronzehold.core import clock
+from bronzehold.core import rendezvous
 from bronzehold.process import gossip as gossip_lib
 from bronzehold.process import platform_service
 from bronzehold.process import tokens as tokens_lib
@@ -103,8 +102,5 @@
     service: str, own: str, peers: collections.abc.Iterable[str]
 ) -> int:
     """Returns how many peers may claim a group's token before this proxy."""
-
-    def weight(name: str) -> int:
-        return xxhash.xxh3_64_intdigest(f"{service}\0{name}".encode())
-
-    return sum(weight(peer) > weight(own) for peer in peers)
+    own_weight = rendezvous.weight(service, own)
+    return sum(rendezvous.weight(service, peer) > own_weight for peer in peers)
--- a/bronzehold/version/members.py
+++ b/bronzehold/version/members.py
@@ -7,7 +7,7 @@
 import collections.abc
 import dataclasses
 
-import xxhash
+from bronzehold.core import rendezvous
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -51,5 +51,4 @@
 
 
 def _weight(key: str, member: Member) -> tuple[int, str]:
-    text = f"{key}\0{member.name}"
-    return xxhash.xxh3_64_intdigest(text.encode()), member.name
+    return rendezvous.weight(key, member.name), member.name
--- a/tests/drivers_test.py
+++ b/tests/drivers_test.py
@@ -1,5 +1,6 @@
 """System tests of unmodified PostgreSQL drivers through the proxy."""
 
+import contextlib
 import socket
 import threading
 import time
@@ -37,6 +38,19 @@
     )
 
 
+@contextlib.contextmanager
+def _raw_connection(deployment):
+    """Opens a connection without a driver, ready for its first query."""
+    with socket.create_connection(
+        ("127.0.0.1", deployment.proxies[0].port), 5
+    ) as sock:
+        sock.sendall(messages.startup({"user": "a", "database": "mail"}))
+        reader = frames.Reader(sock=sock)
+        while reader.read_frame().kind != b"Z":
+            continue
+        yield sock, reader
+
+
 @pytest.mark.usefixtures("table")
 class TestAnswers:
     """Drivers get the answers that a PostgreSQL server would give."""
@@ -255,13 +269,7 @@
             "WITH RECURSIVE n(i) AS (SELECT 1 UNION ALL SELECT i + 1 "
             "FROM n WHERE i < 60000) SELECT i, 'xxxxxxxxxxxxxxxxxxxx' FROM n"
         )
-        with socket.create_connection(
-            ("127.0.0.1", deployment.proxies[0].port), 5
-        ) as sock:
-            sock.sendall(messages.startup({"user": "a", "database": "mail"}))
-            reader = frames.Reader(sock=sock)
-            while reader.read_frame().kind != b"Z":
-                continue
+        with _raw_connection(deployment) as (sock, reader):
             sock.sendall(messages.query(sql))
             reader.read_frame()
         with psycopg.connect(deployment.url(0), autocommit=True) as conn:
@@ -341,13 +349,7 @@
 
         A Bind of a name that other drivers use must fail with SQLSTATE 26000.
         """
-        with socket.create_connection(
-            ("127.0.0.1", deployment.proxies[0].port), 5
-        ) as sock:
-            sock.sendall(messages.startup({"user": "a", "database": "mail"}))
-            reader = frames.Reader(sock=sock)
-            while reader.read_frame().kind != b"Z":
-                continue
+        with _raw_connection(deployment) as (sock, reader):
             bind = frames.make(b"B", b"\0_pg3_0\0\0\0\0\0\0\0")
             sock.sendall(bind + frames.make(b"S"))
             frame = reader.read_frame()
--- a/tests/primary_test.py
+++ b/tests/primary_test.py
@@ -216,6 +216,30 @@
     """The proxy that runs the promotion crashes at this step."""
 
 
+def _run_promotions(deployment, prepare, stopped, finish):
+    """Kills the primary under load and returns the violations of the history.
+
+    Args:
+        deployment: The deployment.
+        prepare: Changes each promotion before it runs.
+        stopped: The event that a promotion has stopped at the chosen step.
+        finish: Is called under load once another promotion has replaced the
+            primary.
+    """
+    for proxy in deployment.proxies:
+        proxy.failover.prepare = prepare
+
+    def during(_work):
+        time.sleep(0.5)
+        deployment.servers["mail-0"].kill()
+        helpers.wait_for(stopped.is_set)
+        helpers.wait_for(primary_replaced(deployment, "mail-0"), 15)
+        finish()
+
+    _, violations = workload.run(workload.Plan(urls=deployment.urls()), during)
+    return violations
+
+
 PROMOTION_STEPS = ("fence", "wait_for_old_grants", "choose_primary", "promote")
 
 
@@ -240,20 +264,10 @@
             setattr(change, step, crash)
             return change
 
-        for proxy in deployment.proxies:
-            proxy.failover.prepare = prepare
-
-        def during(_work):
-            time.sleep(0.5)
-            deployment.servers["mail-0"].kill()
-            helpers.wait_for(crashed.is_set)
-            helpers.wait_for(primary_replaced(deployment, "mail-0"), 15)
+        def finish():
             time.sleep(1.0)
 
-        _, violations = workload.run(
-            workload.Plan(urls=deployment.urls()), during
-        )
-        assert violations == []
+        assert _run_promotions(deployment, prepare, crashed, finish) == []
 
 
 @pytest.mark.parametrize(
@@ -281,22 +295,12 @@
             setattr(change, step, pause)
             return change
 
-        for proxy in deployment.proxies:
-            proxy.failover.prepare = prepare
-
-        def during(_work):
-            time.sleep(0.5)
-            deployment.servers["mail-0"].kill()
-            helpers.wait_for(frozen.is_set)
-            helpers.wait_for(primary_replaced(deployment, "mail-0"), 15)
+        def finish():
             time.sleep(0.5)
             thaw.set()
             time.sleep(2.0)
 
-        _, violations = workload.run(
-            workload.Plan(urls=deployment.urls()), during
-        )
-        assert violations == []
+        assert _run_promotions(deployment, prepare, frozen, finish) == []
 
 
 def _make_change(deployment, proxy, target: str = "") -> change_lib.Change:
