--- a/bronzehold/connection/forward_server.py
+++ b/bronzehold/connection/forward_server.py
@@ -51,19 +51,47 @@
         self._runner = platform_runner.Runner(session=self._session)
         self._lock = threading.Lock()
         self._waiting = True
+        # The call that has been read and not been answered yet.
+        self._unanswered: codec.Call | None = None
 
     def serve(self) -> None:
         """Serves statements until the other proxy disconnects."""
         try:
+            frames.set_socket_options(self._sock)
             while True:
                 self._handle(self._receive())
         except TimeoutError:
             return
         except codec.CodecError as exc:
             self._process.timeline.count(f"forwarded message: {exc}")
+        except Exception as exc:
+            self.report_cut(f"{type(exc).__name__}: {exc}")
+            raise
         finally:
             self._runner.end_block(blocks.Idle())
 
+    def report_cut(self, cause: str) -> None:
+        """Logs the call that ends without a reply, if there is one.
+
+        Args:
+            cause: The error that ends it, or that the process exits.
+        """
+        call = self._unanswered
+        if call is None:
+            return
+        self._process.timeline.add(
+            events.RequestCut(
+                request=call.request.id,
+                session=self._session.name,
+                group=call.route.service,
+                work=type(call.request.statement).__name__,
+                endpoint=self._runner.exchange.endpoint,
+                in_transaction=call.block == pb.NEXT,
+                took_ms=int((clock.now() - call.request.arrived) * 1000),
+                cause=cause,
+            )
+        )
+
     def _receive(self) -> pb.Request:
         with self._lock:
             self._waiting = isinstance(self._runner.block, blocks.Idle)
@@ -93,8 +121,10 @@
             case _:
                 arrived = clock.now()
                 call = codec.decode_call(request, arrived)
+                self._unanswered = call
                 reply = self._run(request, call)
                 self._send(codec.frame(codec.encode_reply(reply)))
+                self._unanswered = None
                 self._clear_block()
 
     def _clear_block(self) -> None:
@@ -127,14 +157,19 @@
 
     def _run_statement(self, call: codec.Call) -> statements.Completed:
         service = self._process.service(call.route.service)
-        if call.block != pb.NEXT and (
-            service is None or self._process.stopping
-        ):
-            # Without the service, the sender knows a newer configuration.
+        # Without the service, the sender knows a newer configuration.
+        if service is None or not self._accepts(call):
+            if call.block == pb.NEXT:
+                self._runner.end_block(
+                    blocks.Idle() if call.commits else blocks.Failed()
+                )
             raise errors.FailureError(errors.Stopping(proxy=self._process.name))
         service.note_forwarded()
         context = blocks.StatementContext(
-            route=call.route, service=service, deadline=call.deadline
+            route=call.route,
+            service=service,
+            timeout_at=call.deadline,
+            shutdown=self._process.shutdown,
         )
         req = call.request
         match call.block:
@@ -150,6 +185,13 @@
             req, context, call.prepared_name, writes=call.writes
         )
 
+    def _accepts(self, call: codec.Call) -> bool:
+        """Returns whether a stop, if one has begun, leaves time for a call."""
+        shutdown = self._process.shutdown
+        if call.block == pb.NEXT:
+            return shutdown.accepts(call.deadline - clock.now())
+        return not shutdown.begun.is_set()
+
     def _send(self, data: bytes) -> None:
         self._sock.settimeout(SEND_TIMEOUT_S)
         try:
@@ -172,9 +214,9 @@
         )
 
     def end(self) -> None:
-        """Closes the connection at once, also during a request."""
+        """Closes the connection once the request in progress is answered."""
         with contextlib.suppress(OSError):
-            self._sock.shutdown(socket.SHUT_RDWR)
+            self._sock.shutdown(socket.SHUT_RD)
 
     def busy(self) -> bool:
         """Returns whether a request or a transaction is in progress."""
@@ -198,13 +240,13 @@
 
     def _spawn(self, sock: socket.socket) -> None:
         key = f"forward {next(self._numbers)}"
+        session = ForwardSession(sock=sock, process=self._process)
+        self._process.forwarded.add(key, session)
         self._process.tasks.spawn(key, lambda: self._serve(sock, key))
 
     def _serve(self, sock: socket.socket, key: str) -> None:
         with sock, contextlib.suppress(ports.TransportError, OSError):
-            frames.set_socket_options(sock)
-            session = ForwardSession(sock=sock, process=self._process)
-            self._process.serve_forwarded(key, session)
+            self._process.forwarded.serve(key)
 
     def close(self) -> None:
         """Stops accepting connections; open ones continue."""
--- a/bronzehold/core/events.py
+++ b/bronzehold/core/events.py
@@ -29,15 +29,57 @@
     callers: int
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class CallersPortClosed:
+    """A planned stop has closed the port for callers.
+
+    Attributes:
+        callers: Number of connections of callers.
+        busy: Number of them with a request or a transaction in progress.
+    """
+
+    callers: int
+    busy: int
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class ProxyStopped:
     """A planned stop has ended.
 
     Attributes:
-        cut: Number of callers whose request or transaction was aborted.
+        cut: Number of connections whose request got no whole answer.
+        ended: Number of connections with a request or a transaction that the
+            stop ended.
     """
 
     cut: int
+    ended: int = 0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class RequestCut:
+    """A request that was read ends without a whole answer to its sender.
+
+    Attributes:
+        request: Request id.
+        session: Name of the session, "" for a request of another proxy.
+        group: Name of the group.
+        work: Kind of statement.
+        endpoint: Name of the endpoint that was tried last, "" if there was
+            none.
+        in_transaction: Whether a transaction was open before the request.
+        took_ms: Time since the request was read, in ms.
+        cause: The error that ended it, or that the process exits.
+    """
+
+    request: str
+    session: str
+    group: str
+    work: str
+    endpoint: str
+    in_transaction: bool
+    took_ms: int
+    cause: str
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -546,7 +588,9 @@
 Event = (
     ProxyStarted
     | ProxyStopping
+    | CallersPortClosed
     | ProxyStopped
+    | RequestCut
     | ConfigAdopted
     | ConfigRefused
     | GrantGained
