Signals wake the main thread by a pipe, not by a lock

What callers saw: with several SIGTERMs, a stop that never begins, so that SIGKILL cuts their requests; with a SIGHUP just before, a stop that begins up to a second late. Cause: the handler set an event. A second signal interrupts it and waits for the lock that it holds. A signal that another thread receives does not end the main thread's wait for an event. Change: process/signals.py, a self-pipe, for the proxies of both paths and for the stand-ins.

--- a/bronzehold/platform/__main__.py
+++ b/bronzehold/platform/__main__.py
@@ -9,7 +9,6 @@
 import os
 import signal
 import sys
-import threading
 
 from bronzehold.core import events
 from bronzehold.core import settings
@@ -17,11 +16,11 @@
 from bronzehold.platform import instance
 from bronzehold.platform import settings_file
 from bronzehold.process import logwriter
+from bronzehold.process import signals
 from bronzehold.process import timeline as timeline_lib
 
 SETTINGS_VARIABLE = "BRONZEHOLD_NODE_FILE"
 EXIT_INVALID_SETTINGS = 2
-SIGNAL_CHECK_S = 1.0
 # Maximum wait at exit until the last log lines are written.
 LOG_DRAIN_TIMEOUT_S = 0.3
 
@@ -41,17 +40,13 @@
         for problem in exc.problems:
             print(problem, file=sys.stderr)  # noqa: T201
         return EXIT_INVALID_SETTINGS
-    stop = threading.Event()
-    signal.signal(signal.SIGTERM, lambda _number, _frame: stop.set())
-    reload = threading.Event()
-    signal.signal(signal.SIGHUP, lambda _number, _frame: reload.set())
+    pipe = signals.SignalPipe(signal.SIGTERM, signal.SIGHUP)
     writer = logwriter.Handler(stream=sys.stdout)
     timeline_lib.set_up_logging(cfg.log_level, writer)
     proxy = instance.Instance(cfg=cfg)
     proxy.start()
-    while not stop.wait(SIGNAL_CHECK_S):
-        if reload.is_set():
-            reload.clear()
+    while signal.SIGTERM not in (received := pipe.wait()):
+        if signal.SIGHUP in received:
             proxy.timeline.add(_compare_settings(path, cfg))
     proxy.drain()
     writer.drain(LOG_DRAIN_TIMEOUT_S)
--- a/bronzehold/standin/launch.py
+++ b/bronzehold/standin/launch.py
@@ -1,8 +1,8 @@
 """Creates and runs stand-ins from their settings."""
 
 import dataclasses
-import threading
 
+from bronzehold.process import signals
 from bronzehold.standin import endpoint as endpoint_lib
 from bronzehold.standin import etcd as etcd_lib
 from bronzehold.standin import server as server_lib
@@ -78,14 +78,14 @@
 
 
 def run_group(
-    cfg: GroupSettings, only_endpoint: str, stop: threading.Event
+    cfg: GroupSettings, only_endpoint: str, stop: signals.SignalPipe
 ) -> None:
-    """Serves the endpoints of a group until an event is set.
+    """Serves the endpoints of a group until a signal arrives.
 
     Args:
         cfg: Settings of the group.
         only_endpoint: Name of the one endpoint to serve, "" for all.
-        stop: The event that ends the servers.
+        stop: Receives the signals that end the servers.
     """
     running = make_servers(cfg, only_endpoint)
     for server in running.values():
@@ -95,8 +95,8 @@
         server.close()
 
 
-def run_platform(cfg: PlatformSettings, stop: threading.Event) -> None:
-    """Serves the platform's key-value service until an event is set."""
+def run_platform(cfg: PlatformSettings, stop: signals.SignalPipe) -> None:
+    """Serves the platform's key-value service until a signal arrives."""
     platform = etcd_lib.EtcdServer(host=cfg.host, port=cfg.port)
     platform.start()
     stop.wait()
--- a/bronzehold/tools/main.py
+++ b/bronzehold/tools/main.py
@@ -20,6 +20,7 @@
 from bronzehold.platform import settings_file as platform_settings
 from bronzehold.process import etcd_store
 from bronzehold.process import proxy as proxy_lib
+from bronzehold.process import signals
 from bronzehold.process import timeline as timeline_lib
 from bronzehold.standin import launch
 from bronzehold.tools import demo as demo_lib
@@ -61,11 +62,8 @@
         raise _ExitError(BAD_INPUT) from exc
 
 
-def _stop_on_signal() -> threading.Event:
-    stop = threading.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda _number, _frame: stop.set())
-    return stop
+def _stop_on_signal() -> signals.SignalPipe:
+    return signals.SignalPipe(signal.SIGTERM, signal.SIGINT)
 
 
 def proxy(*, config: str) -> int:
