Connections are checked for input without the limit of select()

What callers saw: connections closed without an answer at a proxy with over a thousand open files, on the hop to another proxy. On the way to an endpoint each pooled connection counted as unusable there and was opened anew. Cause: select() takes descriptors below 1024 and raises ValueError above. Change: core/sockets.has_input() asks poll(), for the hop and both paths.

--- a/bronzehold/connection/backend.py
+++ b/bronzehold/connection/backend.py
@@ -5,7 +5,6 @@
 that the executor sets up only what is missing.
 """
 
-import select
 import socket
 import threading
 import time
@@ -14,6 +13,7 @@
 from bronzehold.connection import frames
 from bronzehold.connection import messages
 from bronzehold.core import data
+from bronzehold.core import sockets
 
 # The interval at which a wait for an answer checks whether to give up.
 RECEIVE_TIMEOUT_S = 0.1
@@ -56,10 +56,9 @@
         ):
             return False
         try:
-            readable, _, _ = select.select([self.conn.sock], [], [], 0)
+            return not sockets.has_input(self.conn.sock)
         except (OSError, ValueError):
             return False
-        return not readable
 
     def send(self, out: bytes) -> None:
         """Sends a request.
--- a/bronzehold/connection/forward_client.py
+++ b/bronzehold/connection/forward_client.py
@@ -9,7 +9,6 @@
 import collections
 import collections.abc
 import contextlib
-import select
 import socket
 import threading
 import time
@@ -21,6 +20,7 @@
 from bronzehold.core import clock
 from bronzehold.core import ports
 from bronzehold.core import routes
+from bronzehold.core import sockets
 from bronzehold.process import serving as serving_lib
 from bronzehold.proto import forward_pb2 as pb
 from bronzehold.version import members as members_lib
@@ -88,8 +88,7 @@
     def _is_closed(self) -> bool:
         # The other proxy sends nothing unasked, so only its end of the
         # connection makes it readable.
-        readable, _, _ = select.select([self._sock], [], [], 0)
-        return bool(readable) or self._reader.has_buffered_data()
+        return self._reader.has_buffered_data() or sockets.has_input(self._sock)
 
     def send(
         self, call: codec.Call, session: platform_session.PlatformSession
--- a/bronzehold/platform/endpoint.py
+++ b/bronzehold/platform/endpoint.py
@@ -5,13 +5,13 @@
 """
 
 import collections.abc
-import select
 import socket
 import time
 
 from bronzehold.core import clock
 from bronzehold.core import ports
 from bronzehold.core import routes
+from bronzehold.core import sockets
 from bronzehold.core import statements
 from bronzehold.platform import wire
 
@@ -149,10 +149,7 @@
         self._answers_to_discard -= 1
 
     def _has_input(self) -> bool:
-        if self._reader.has_buffered_data():
-            return True
-        readable, _, _ = select.select([self._sock], [], [], 0)
-        return bool(readable)
+        return self._reader.has_buffered_data() or sockets.has_input(self._sock)
 
     def detach(self) -> None:
         """Does nothing; the connection keeps no reference to its caller."""
@@ -168,7 +165,12 @@
     Raises:
         ports.DialError: The connection failed or the endpoint rejected it.
     """
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    except OSError as exc:
+        raise ports.DialError(
+            str(exc), ports.DialFailure.NO_DESCRIPTOR
+        ) from exc
     try:
         return _open_session(sock, listing)
     except ports.DialError:
