A lack of descriptors or threads ends no caller and no listener

What callers saw: connections closed without an answer or a log line when the process has no free descriptor; a port that accepts nobody, beside a readiness check that passes, when no thread can be started (by reading). Cause: an error of socket() escaped dial() as one of the caller's connection. A RuntimeError of the new connection's task ended the loop that accepts. Change: dial() reports NO_DESCRIPTOR, which says nothing about the endpoint and is counted; the accept loop closes the connection that cannot be served and goes on.

--- a/bronzehold/connection/acceptor.py
+++ b/bronzehold/connection/acceptor.py
@@ -19,7 +19,8 @@
 
     Args:
         listener: The listening socket.
-        on_connection: Called with each new connection.
+        on_connection: Called with each new connection. The connection is
+            closed if that raises RuntimeError, as without a new thread.
     """
     while True:
         try:
@@ -32,7 +33,11 @@
                 return
             time.sleep(RETRY_DELAY_S)
             continue
-        on_connection(sock)
+        try:
+            on_connection(sock)
+        except RuntimeError:
+            sock.close()
+            time.sleep(RETRY_DELAY_S)
 
 
 def accept_pending(
--- a/bronzehold/connection/acceptor_test.py
+++ b/bronzehold/connection/acceptor_test.py
@@ -52,3 +52,19 @@
     assert len(accepted) == len(callers)
     callers[0].sendall(b"hello")
     assert accepted[0].recv(5) == b"hello"
+
+
+def test_connection_that_cannot_be_served_does_not_end_the_task():
+    """Guards against LOST: no listener after a lack of threads."""
+    near, far = socket.socketpair()
+    accepted = []
+
+    def serve(sock):
+        if sock is near:
+            raise RuntimeError("can't start new thread")
+        accepted.append(sock)
+
+    listener = FakeListener([near, "b", errno.EBADF])
+    acceptor.accept_until_closed(listener, serve)
+    assert accepted == ["b"]
+    assert far.recv(1) == b""
--- a/bronzehold/core/ports.py
+++ b/bronzehold/core/ports.py
@@ -27,6 +27,7 @@
     NO_ANSWER = "no answer"
     TOO_MANY_CONNECTIONS = "the endpoint has too many connections"
     WRONG_ENDPOINT = "another endpoint listens there"
+    NO_DESCRIPTOR = "this process cannot open another socket"
 
 
 class DialError(TransportError):
--- a/bronzehold/process/platform_service.py
+++ b/bronzehold/process/platform_service.py
@@ -259,6 +259,8 @@
                 self.group.note_answered(name)
             case ports.DialFailure.NO_ANSWER:
                 self.group.note_failing(name, refused=False)
+            case ports.DialFailure.NO_DESCRIPTOR:
+                self.env.timeline.count("no descriptor for a connection")
             case _:
                 self.group.note_failing(name, refused=True)
 
