The soak holds transactions open, stops several proxies and checks LOST

Cause: its callers did short transactions without pauses, its stops came one at a time, and a cut statement was told as unknown and never judged. Change: one Caller class with kinds of operations, also for bench.soak.stops: transactions of up to 12 statements with pauses, callers that use a connection until it ends, and callers that connect for each statement and send it with STARTUP. Stops of two or all but one proxy within a second, restarts in turn, SIGHUP between and a kill beside; the time for a stop and the work of the endpoints are drawn for each run. Two checks: an executed statement without an answer is LOST unless its proxy was killed meanwhile, and nothing is kept of what a promise refused. A stop that takes too long is a violation, too.

--- a/Makefile
+++ b/Makefile
@@ -32,7 +32,8 @@
 
 soak-hosted: $(READY)
 	$(BIN)/python -m bench.soak.run --seed $(or $(SEED),1) \
-	  --seconds $(or $(SECONDS),30) --seeds $(or $(SEEDS),1)
+	  --seconds $(or $(SECONDS),30) --seeds $(or $(SEEDS),1) \
+	  --scenario $(or $(SCENARIO),all)
 
 slopes: $(READY)
 	$(BIN)/python -m bench.slopes
--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -1,270 +1,209 @@
-"""Callers that send random statements and record each answer.
+"""Callers that send statements to proxies and record each answer.
 
-The `run` module starts the callers. After a run, the `checks` module compares
-their records with the statements that the endpoints executed.
+What a caller sends is decided by its kind of operations, see `operations`.
 """
 
+import collections.abc
 import dataclasses
-import enum
 import random
+import socket
 import threading
 import time
 
 from bench.soak import deployment as deployment_lib
+from bench.soak import records as records_lib
 from bronzehold.core import ports
 from bronzehold.platform import local
+from bronzehold.platform import wire
 
-OPERATION_INTERVAL_S = 0.01
-MAX_STATEMENTS = 3
-# Share of the transactions that commit; the others roll back.
-COMMIT_SHARE = 0.7
+RECONNECT_DELAY_S = 0.01
 # The exceptions that report a lost connection.
 CONNECTION_ERRORS = (OSError, ports.TransportError, local.UnexpectedAnswerError)
 # Error codes of statements that may have been executed.
 UNKNOWN_OUTCOME_CODES = ("INDOUBT", "TIMEOUT", "FAILED")
 
 
-class Outcome(enum.Enum):
-    """The result of a statement, as far as its caller knows.
-
-    Attributes:
-        DONE: The statement succeeded.
-        NOT_RUN: The answer guarantees that the statement was not executed.
-        UNKNOWN: The statement may have been executed.
-        CONNECTION_LOST: The connection was lost before an answer arrived.
-    """
-
-    DONE = "done"
-    NOT_RUN = "not run"
-    UNKNOWN = "unknown"
-    CONNECTION_LOST = "cut"
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Statement:
-    """One statement and its answer.
-
-    Attributes:
-        id: The request id that the caller chose.
-        text: The statement text.
-        database: The database name, which selects the route.
-        session: The name of the caller's session.
-        proxy: The name of the proxy that received the statement.
-        sent: The time of sending in seconds of time.monotonic(); within a
-            transaction, the time at which the transaction began.
-        ended: The time at which the answer arrived or the connection was
-            lost, in seconds of time.monotonic().
-        outcome: The result that the answer reports.
-        rows: The rows of the answer.
-        mac: The authentication code of the answer.
-        code: The error code of the answer, "" if it has none.
-    """
-
-    id: str
-    text: str
-    database: str
-    session: str
-    proxy: str
-    sent: float
-    ended: float
-    outcome: Outcome
-    rows: tuple[str, ...] = ()
-    mac: str = ""
-    code: str = ""
-
-
 @dataclasses.dataclass(frozen=True, kw_only=True)
-class Write:
-    """A write of a key. Each key is written at most once.
+class Kind:
+    """A kind of callers.
 
     Attributes:
-        key: The key.
-        session: The name of the session that sent the write.
-        ended: The time at which the outcome became known, in seconds of
-            time.monotonic().
-        outcome: The outcome of the write, or of the commit of its
-            transaction.
+        name: The name of the kind, unique in a run.
+        operate: Sends the statements of one operation.
+        shortest_pause_s: Shortest pause before an operation, in seconds.
+        longest_pause_s: Longest pause before an operation, in seconds.
+        connects_each_time: Whether each operation has a connection of its own,
+            on which the first statement does not wait for the answer to
+            STARTUP.
     """
 
-    key: str
-    session: str
-    ended: float
-    outcome: Outcome
+    name: str
+    operate: collections.abc.Callable[["Caller", local.Session], None]
+    shortest_pause_s: float
+    longest_pause_s: float
+    connects_each_time: bool = False
 
 
-class Records:
-    """The statements and writes of all callers; thread-safe."""
+class _HastySession(local.Session):
+    """A session whose first statement follows STARTUP at once."""
 
-    def __init__(self):
-        self._lock = threading.Lock()
-        self.statements: list[Statement] = []
-        self.writes: list[Write] = []
+    def read_answer(self) -> list[str]:
+        """Returns the lines of the next answer, up to its READY line."""
+        if self.sent_count == 1:
+            welcome = self.lines.read_line().decode()
+            if welcome != "READY I -":
+                raise local.UnexpectedAnswerError(welcome)
+        return super().read_answer()
 
-    def record(self, statement: Statement) -> None:
-        """Adds a statement."""
-        with self._lock:
-            self.statements.append(statement)
 
-    def record_write(self, write: Write) -> None:
-        """Adds a write and its outcome."""
-        with self._lock:
-            self.writes.append(write)
+def _connect_hastily(
+    address: tuple[str, int], database: str, name: str
+) -> local.Session:
+    sock = socket.create_connection(address, local.ANSWER_TIMEOUT_S)
+    sock.sendall(f"STARTUP {database} test\r\n".encode())
+    return _HastySession(sock=sock, lines=wire.LineReader(sock=sock), name=name)
 
 
 class Caller:
-    """A thread that sends random statements to randomly chosen proxies.
+    """A thread that runs operations at proxies, until it is told to finish.
 
     A caller connects to a ready proxy, as a load balancer would choose it, and
-    reconnects when the connection is lost.
+    uses its connection until that ends.
+
+    Attributes:
+        random: The source of the caller's decisions.
+        thread: The thread.
     """
 
     def __init__(
         self,
         *,
-        deployment: deployment_lib.Deployment,
-        records: Records,
-        number: int,
+        proxies: collections.abc.Sequence[deployment_lib.Proxy],
+        records: records_lib.Records,
+        kind: Kind,
+        name: str,
         seed: int,
     ):
-        self._deployment = deployment
+        self._proxies = proxies
         self._records = records
-        self._random = random.Random(f"{seed}/{number}")
-        self._number = number
+        self._kind = kind
+        self._name = name
         self._session_count = 0
         self._key_count = 0
         self._database = ""
         self._proxy = ""
-        self._transaction_start: float | None = None
-        self.stop_event = threading.Event()
+        self._finishing = threading.Event()
+        self.random = random.Random(f"{seed}/{name}")
         self.thread = threading.Thread(target=self._run, daemon=True)
 
+    def finish(self) -> None:
+        """Ends the thread after its present operation."""
+        self._finishing.set()
+
+    @property
+    def finishing(self) -> bool:
+        """Whether operations are to end early."""
+        return self._finishing.is_set()
+
     def _run(self) -> None:
-        while not self.stop_event.is_set():
+        while not self.finishing:
             try:
                 session = self._connect()
             except CONNECTION_ERRORS:
-                time.sleep(OPERATION_INTERVAL_S)
+                time.sleep(RECONNECT_DELAY_S)
                 continue
+            with session.sock:
+                self._use(session)
+
+    def _use(self, session: local.Session) -> None:
+        """Runs operations until the connection ends."""
+        shortest, longest = (
+            self._kind.shortest_pause_s,
+            self._kind.longest_pause_s,
+        )
+        while not self.finishing:
+            self.pause(longest, shortest)
             try:
-                while not self.stop_event.wait(OPERATION_INTERVAL_S):
-                    self._run_operation(session)
+                self._kind.operate(self, session)
             except CONNECTION_ERRORS:
                 # The statement in progress is already recorded.
-                continue
-            finally:
-                session.sock.close()
+                return
+            if self._kind.connects_each_time:
+                return
 
     def _connect(self) -> local.Session:
-        proxies = self._deployment.processes
-        ready = [p for p in proxies if p.is_ready()] or proxies
-        proxy = self._random.choice(ready)
-        self._database = self._random.choice(list(local.DATABASES))
+        proxy = self._choose_proxy()
+        self._database = self.random.choice(list(local.DATABASES))
         self._session_count += 1
         self._proxy = proxy.name
-        name = f"c{self._number}.{self._session_count}"
-        return local.connect(proxy.caller_address, self._database, name)
-
-    def _run_operation(self, session: local.Session) -> None:
-        choice = self._random.random()
-        if choice < 0.4:
-            key = self._new_key()
-            statement = self._execute(session, f"WRITE {key} v{key}")
-            self._record_write(key, session, statement)
-        elif choice < 0.8:
-            self._execute(session, f"READ {self._random_key()}")
+        hastily = self._kind.connects_each_time
+        connect = _connect_hastily if hastily else local.connect
+        name = f"c{self._name}.{self._session_count}"
+        return connect(proxy.caller_address, self._database, name)
+
+    def _choose_proxy(self) -> deployment_lib.Proxy:
+        if len(self._proxies) == 1:
+            return self._proxies[0]
+        ready = [p for p in self._proxies if p.is_ready()] or self._proxies
+        return self.random.choice(ready)
+
+    def pause(self, longest_s: float, shortest_s: float = 0.0) -> None:
+        """Pauses for a random time between the given limits, in seconds."""
+        if longest_s > shortest_s:
+            time.sleep(self.random.uniform(shortest_s, longest_s))
         else:
-            self._run_transaction(session)
-
-    def _run_transaction(self, session: local.Session) -> None:
-        written = []
-        committing = False
-        self._transaction_start = time.monotonic()
-        last_statement = self._execute(session, "BEGIN")
-        try:
-            for _ in range(self._random.randint(1, MAX_STATEMENTS)):
-                key = self._new_key()
-                written.append(key)
-                last_statement = self._execute(session, f"WRITE {key} v{key}")
-                if last_statement.outcome is not Outcome.DONE:
-                    break
-            succeeded = last_statement.outcome is Outcome.DONE
-            committing = succeeded and self._random.random() < COMMIT_SHARE
-            last_statement = self._execute(
-                session, "COMMIT" if committing else "ROLLBACK"
-            )
-        finally:
-            self._transaction_start = None
-            outcome = Outcome.NOT_RUN
-            if committing:
-                # Without an answer to COMMIT, the outcome is unknown.
-                answered = last_statement.text == "COMMIT"
-                outcome = (
-                    last_statement.outcome if answered else Outcome.UNKNOWN
-                )
-            for key in written:
-                self._record_write(
-                    key,
-                    session,
-                    dataclasses.replace(last_statement, outcome=outcome),
-                )
-
-    def _new_key(self) -> str:
+            time.sleep(shortest_s)
+
+    def new_key(self) -> str:
+        """Returns a key that was not written before."""
         self._key_count += 1
-        return f"k{self._number}.{self._key_count}"
+        return f"k{self._name}.{self._key_count}"
 
-    def _random_key(self) -> str:
-        return f"k{self._number}.{self._random.randint(1, self._key_count + 1)}"
+    def used_key(self) -> str:
+        """Returns a key that this caller may have written."""
+        number = self.random.randint(1, self._key_count + 1)
+        return f"k{self._name}.{number}"
 
-    def _record_write(
-        self, key: str, session: local.Session, last_statement: Statement
+    def record_write(
+        self,
+        key: str,
+        session: local.Session,
+        outcome: records_lib.Outcome,
+        ended: float,
     ) -> None:
-        outcome = (
-            Outcome.UNKNOWN
-            if last_statement.outcome is Outcome.CONNECTION_LOST
-            else last_statement.outcome
-        )
+        """Records the outcome of a write."""
         self._records.record_write(
-            Write(
-                key=key,
-                session=session.name,
-                ended=last_statement.ended,
-                outcome=outcome,
+            records_lib.Write(
+                key=key, session=session.name, ended=ended, outcome=outcome
             )
         )
 
-    def _execute(self, session: local.Session, text: str) -> Statement:
-        try:
-            return execute(
-                session,
-                text,
-                records=self._records,
-                proxy=self._proxy,
-                database=self._database,
-                transaction_start=self._transaction_start,
-            )
-        except CONNECTION_ERRORS:
-            if text.startswith("WRITE") and self._transaction_start is None:
-                key = text.split(" ")[1]
-                self._records.record_write(
-                    Write(
-                        key=key,
-                        session=session.name,
-                        ended=time.monotonic(),
-                        outcome=Outcome.UNKNOWN,
-                    )
-                )
-            raise
+    def execute(
+        self,
+        session: local.Session,
+        text: str,
+        transaction_began: float | None = None,
+    ) -> records_lib.Statement:
+        """Sends a statement and records it, see the function execute."""
+        return execute(
+            session,
+            text,
+            records=self._records,
+            proxy=self._proxy,
+            database=self._database,
+            transaction_began=transaction_began,
+        )
 
 
 def execute(
     session: local.Session,
     text: str,
     *,
-    records: Records,
+    records: records_lib.Records,
     proxy: str,
     database: str,
-    transaction_start: float | None = None,
-) -> Statement:
+    transaction_began: float | None = None,
+) -> records_lib.Statement:
     """Sends a statement and records it with its answer.
 
     Args:
@@ -273,7 +212,7 @@
         records: The records to which the statement is added.
         proxy: The name of the proxy to which the session is connected.
         database: The database name, which selects the route.
-        transaction_start: The time at which the transaction began, in seconds
+        transaction_began: The time at which the transaction began, in seconds
             of time.monotonic(); None outside a transaction.
 
     Raises:
@@ -281,7 +220,6 @@
         ports.TransportError: The connection was lost. The statement is
             recorded.
     """
-    sent = time.monotonic()
     # The fields are prepared before sending, because the endpoint may execute
     # the statement even if the connection is lost at once.
     fields = {
@@ -290,33 +228,40 @@
         "database": database,
         "session": session.name,
         "proxy": proxy,
-        "sent": transaction_start or sent,
+        "sent": time.monotonic(),
+        "transaction_began": transaction_began,
     }
     try:
         answer = session.execute(text)
     except CONNECTION_ERRORS:
         records.record(
-            Statement(
+            records_lib.Statement(
                 **fields,
                 ended=time.monotonic(),
-                outcome=Outcome.CONNECTION_LOST,
+                outcome=records_lib.Outcome.CONNECTION_LOST,
             )
         )
         raise
-    statement = Statement(
-        **fields, ended=time.monotonic(), **_parse_answer(answer)
+    statement = records_lib.Statement(
+        **fields, ended=time.monotonic(), **parse_answer(answer)
     )
     records.record(statement)
     return statement
 
 
-def _parse_answer(answer: list[str]) -> dict:
+def parse_answer(answer: list[str]) -> dict:
+    """Returns the fields of a statement that its answer determines."""
     rows = tuple(line[4:] for line in answer if line.startswith("ROW "))
     word, _, rest = answer[-2].partition(" ")
     if word == "COMPLETE":
-        return {"outcome": Outcome.DONE, "rows": rows, "mac": rest}
+        return {
+            "outcome": records_lib.Outcome.DONE,
+            "rows": rows,
+            "mac": rest,
+        }
     code = rest.partition(" ")[0]
+    unknown = code in UNKNOWN_OUTCOME_CODES
     outcome = (
-        Outcome.UNKNOWN if code in UNKNOWN_OUTCOME_CODES else Outcome.NOT_RUN
+        records_lib.Outcome.UNKNOWN if unknown else records_lib.Outcome.NOT_RUN
     )
     return {"outcome": outcome, "code": code}
--- a/bench/soak/checks_test.py
+++ b/bench/soak/checks_test.py
@@ -1,9 +1,11 @@
-from bench.soak import callers
+import pytest
+
 from bench.soak import checks
+from bench.soak import records as records_lib
 from bronzehold.core import statements
 from bronzehold.platform import standin_group
 
-OUTCOME = callers.Outcome
+OUTCOME = records_lib.Outcome
 
 
 def _position(number, term=1):
@@ -17,7 +19,9 @@
 
 
 def _write(key, outcome=OUTCOME.DONE, ended=1.0, session="s"):
-    return callers.Write(key=key, session=session, ended=ended, outcome=outcome)
+    return records_lib.Write(
+        key=key, session=session, ended=ended, outcome=outcome
+    )
 
 
 def _statement(**fields):
@@ -33,7 +37,7 @@
         "rows": ("vk",),
         "mac": "mac.e1.s.1",
     }
-    return callers.Statement(**{**plain, **fields})
+    return records_lib.Statement(**{**plain, **fields})
 
 
 def _run(number, **fields):
@@ -50,12 +54,21 @@
 
 
 def _check(
-    log=(), executions=(), writes=(), requested=(), *, orders=(), promoted=False
+    log=(),
+    executions=(),
+    writes=(),
+    requested=(),
+    *,
+    orders=(),
+    exits=(),
+    promoted=False,
 ):
-    records = callers.Records()
+    records = records_lib.Records()
     records.writes.extend(writes)
     records.statements.extend(requested)
-    return checks.check_run(log, executions, records, orders, promoted=promoted)
+    return checks.check_run(
+        log, executions, records, orders, exits, promoted=promoted
+    )
 
 
 def test_run_without_faults_has_no_violations():
@@ -119,3 +132,109 @@
 
 def test_token_with_two_holders_is_reported():
     assert _check(orders=[("g", "e", "p0", 1), ("g", "e", "p1", 1)])
+
+
+def _cut(**fields):
+    plain = {"outcome": OUTCOME.CONNECTION_LOST, "rows": (), "mac": ""}
+    return _statement(**{**plain, **fields})
+
+
+def _exit(kind, began, ended, proxy="p0"):
+    return records_lib.ProxyExit(
+        proxy=proxy, kind=kind, began=began, ended=ended
+    )
+
+
+STOP = _exit(records_lib.Exit.STOP, 4.0, 10.1)
+
+
+def _lost(cut, *exits, executions=None):
+    if executions is None:
+        executions = [_run(0)]
+    return [
+        violation
+        for violation in _check(
+            executions=executions, requested=[cut], exits=exits
+        )
+        if violation.startswith("LOST")
+    ]
+
+
+def test_cut_of_an_executed_statement_at_a_stop_is_reported():
+    [violation] = _lost(_cut(), STOP)
+    assert "sent 6.000 s and cut 6.100 s after SIGTERM, ran on e1" in violation
+
+
+def test_cut_of_an_executed_statement_without_a_stop_is_reported():
+    assert _lost(_cut())
+
+
+def test_cut_of_a_statement_that_never_ran_is_no_violation():
+    assert not _lost(_cut(), STOP, executions=[])
+
+
+def test_answered_statement_is_not_lost():
+    assert not _lost(_statement(), STOP)
+    refused = _statement(outcome=OUTCOME.UNKNOWN, code="INDOUBT", rows=())
+    assert not _lost(refused, STOP)
+
+
+@pytest.mark.parametrize(
+    ("began", "ended", "proxy", "excused"),
+    [
+        (10.05, 10.07, "p0", True),
+        (9.9, 10.01, "p0", True),
+        (10.05, 10.07, "p1", False),
+        (9.8, 9.99, "p0", False),
+        (10.11, 10.2, "p0", False),
+    ],
+    ids=["during", "as sent", "another proxy", "before", "after"],
+)
+def test_only_a_kill_of_the_proxy_meanwhile_excuses(
+    began, ended, proxy, excused
+):
+    kill = _exit(records_lib.Exit.KILL, began, ended, proxy)
+    assert bool(_lost(_cut(), STOP, kill)) is not excused
+
+
+def test_stop_that_takes_too_long_is_reported_and_excuses_nothing():
+    late = _exit(records_lib.Exit.STOP, 4.0, 12.1)
+    assert checks.check_exits([late], 8.0)
+    assert not checks.check_exits([STOP], 8.0)
+    assert _lost(_cut(ended=12.1), late)
+
+
+def _refused(code, **fields):
+    plain = {"outcome": OUTCOME.NOT_RUN, "code": code, "rows": (), "mac": ""}
+    return _statement(**{"text": "WRITE k vk", **plain, **fields})
+
+
+def _broken_promises(*requested):
+    log = [_entry(1, "k")]
+    return [v for v in _check(log=log, requested=requested) if "answered" in v]
+
+
+@pytest.mark.parametrize("code", checks.PROMISE_CODES)
+def test_applied_write_answered_with_a_promise_is_reported(code):
+    assert _broken_promises(_refused(code))
+    assert not _broken_promises(_refused(code, text="WRITE l vl"))
+
+
+@pytest.mark.parametrize("code", ["INDOUBT", "TIMEOUT", "FAILED"])
+def test_applied_write_without_a_promise_is_no_violation(code):
+    assert not _broken_promises(_refused(code, outcome=OUTCOME.UNKNOWN))
+
+
+def test_applied_transaction_answered_with_a_promise_is_reported():
+    write = _statement(id="s.1", text="WRITE k vk", transaction_began=9.0)
+
+    def promises(text, code, began=9.0):
+        refused = _refused(code, id="s.2", text=text, transaction_began=began)
+        return _broken_promises(write, refused)
+
+    assert promises("COMMIT", "ABORTED")
+    assert promises("COMMIT", "READONLY")
+    assert promises("READ l", "ABORTED")
+    # Only the statement itself is refused, or another transaction.
+    assert not promises("READ l", "BUSY")
+    assert not promises("COMMIT", "ABORTED", began=9.5)
--- a/bench/soak/deployment.py
+++ b/bench/soak/deployment.py
@@ -30,6 +30,7 @@
         name: The name of the proxy.
         store: The relay through which the proxy reaches the store.
         caller_address: The host and port for callers.
+        stop_s: The time for a planned stop, in seconds.
     """
 
     def __init__(
@@ -44,6 +45,7 @@
         host = f"127.0.0.{number + 1}"
         self.name = f"p{number}"
         self.store = store
+        self.stop_s = stop_s
         self.caller_address = (host, tools_local.free_port())
         self._readiness_address = f"{host}:{tools_local.free_port()}"
         self._settings = folder / f"{self.name}.json"
@@ -83,7 +85,7 @@
 
     def signal(self, number: signal.Signals) -> None:
         """Sends a signal to the process if it is running."""
-        if self._process is not None and self._process.poll() is None:
+        if self.is_running():
             self._process.send_signal(number)
 
     def wait_for_exit(self, seconds: float) -> bool:
@@ -94,6 +96,10 @@
             return False
         return True
 
+    def is_running(self) -> bool:
+        """Returns whether the process was started and has not exited."""
+        return self._process is not None and self._process.poll() is None
+
     def kill(self) -> None:
         """Kills the process and waits for its exit."""
         self.signal(signal.SIGKILL)
@@ -143,6 +149,19 @@
         self._seed += 1
         return relay_lib.Relay(target=target, seed=self._seed)
 
+    def configure(self, *, max_connections: int = 0, **fields) -> None:
+        """Writes the next configuration, see local.Deployment.configure.
+
+        Args:
+            max_connections: Limit on connections to each endpoint, 0 for the
+                limit that the endpoints have.
+            **fields: Further arguments of local.Deployment.configure.
+        """
+        super().configure(
+            max_connections=max_connections or self.group.settings.connections,
+            **fields,
+        )
+
     def address(self, name: str) -> str:
         """Returns the address of the relay in front of an endpoint."""
         endpoint = self.group.endpoints[name]
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -6,45 +6,40 @@
 
 import collections.abc
 import random
-import signal
 import threading
 import time
 
 from bench.soak import deployment as deployment_lib
+from bench.soak import fault_journal
 from bench.soak import odd_entries
+from bench.soak import process_faults
 from bench.soak import relay as relay_lib
 
-# Limits of the duration of a fault.
-MIN_FAULT_S = 0.2
-MAX_FAULT_S = 3.0
 # Longest time between the starts of two faults. With this value, about half of
 # the faults overlap with another one.
 MAX_INTERVAL_S = 2.0
 # Share of the odd entries that stand in place of a working endpoint's.
 OVERWRITE_SHARE = 0.2
-# Time past its own limit that a stopping proxy gets before it is killed.
-STOP_MARGIN_S = 2.0
 
 
 class FaultInjector:
-    """Injects faults into one deployment.
+    """Injects faults into one deployment."""
 
-    Attributes:
-        injected: The descriptions of all faults so far, with their times.
-    """
-
-    def __init__(self, *, deployment: deployment_lib.Deployment, seed: int):
+    def __init__(
+        self,
+        *,
+        deployment: deployment_lib.Deployment,
+        processes: process_faults.ProcessFaults,
+        journal: fault_journal.FaultJournal,
+        seed: int,
+    ):
         self._deployment = deployment
+        self._processes = processes
+        self._journal = journal
         self._random = random.Random(seed)
         # Odd entries come on their own, so that a seed keeps its faults.
         self._odd_random = random.Random(f"{seed}/odd")
         self._threads: list[threading.Thread] = []
-        self._proxy_locks = {
-            p.name: threading.Lock() for p in deployment.processes
-        }
-        self._started_at = time.monotonic()
-        self._lock = threading.Lock()
-        self.injected: list[str] = []
 
     def run(self, seconds: float) -> None:
         """Injects faults for a time, and returns when all are reverted."""
@@ -62,17 +57,19 @@
             thread = threading.Thread(target=inject, args=(rng,), daemon=True)
             thread.start()
             self._threads.append(thread)
-            time.sleep(self._random.uniform(MIN_FAULT_S, MAX_INTERVAL_S))
+            time.sleep(
+                self._random.uniform(fault_journal.MIN_FAULT_S, MAX_INTERVAL_S)
+            )
         for thread in self._threads:
             thread.join()
 
     def _fault_types(self) -> tuple[collections.abc.Callable, ...]:
         return (
-            self._pause_proxy,
-            self._kill_proxy,
-            self._stop_proxy,
-            self._kill_all_proxies,
-            self._send_sighup,
+            self._processes.pause,
+            self._processes.kill,
+            self._processes.stop,
+            self._processes.kill_all,
+            self._processes.send_sighup,
             self._delay_traffic,
             self._stall,
             self._reset_connections,
@@ -89,71 +86,6 @@
             self._drain_endpoint,
         )
 
-    def _record(self, description: str) -> None:
-        with self._lock:
-            at = time.monotonic() - self._started_at
-            self.injected.append(f"{at:.1f} s {description}")
-
-    def _record_and_sleep(self, rng: random.Random, description: str) -> None:
-        seconds = rng.uniform(MIN_FAULT_S, MAX_FAULT_S)
-        self._record(f"{description} for {seconds:.1f} s")
-        time.sleep(seconds)
-
-    # Proxies.
-
-    def _with_proxy(
-        self,
-        rng: random.Random,
-        inject: collections.abc.Callable[[deployment_lib.Proxy], None],
-    ) -> None:
-        proxy = rng.choice(self._deployment.processes)
-        with self._proxy_locks[proxy.name]:
-            inject(proxy)
-
-    def _pause_proxy(self, rng: random.Random) -> None:
-        def inject(proxy: deployment_lib.Proxy) -> None:
-            proxy.signal(signal.SIGSTOP)
-            self._record_and_sleep(rng, f"pause {proxy.name}")
-            proxy.signal(signal.SIGCONT)
-
-        self._with_proxy(rng, inject)
-
-    def _kill_proxy(self, rng: random.Random) -> None:
-        def inject(proxy: deployment_lib.Proxy) -> None:
-            proxy.kill()
-            self._record_and_sleep(rng, f"kill {proxy.name}")
-            proxy.start()
-
-        self._with_proxy(rng, inject)
-
-    def _stop_proxy(self, rng: random.Random) -> None:
-        def inject(proxy: deployment_lib.Proxy) -> None:
-            proxy.signal(signal.SIGTERM)
-            self._record(f"stop {proxy.name}")
-            if not proxy.wait_for_exit(
-                deployment_lib.STOP_TIMEOUT_S + STOP_MARGIN_S
-            ):
-                proxy.kill()
-            proxy.start()
-
-        self._with_proxy(rng, inject)
-
-    def _kill_all_proxies(self, rng: random.Random) -> None:
-        for lock in self._proxy_locks.values():
-            lock.acquire()
-        for proxy in self._deployment.processes:
-            proxy.kill()
-        self._record_and_sleep(rng, "kill all proxies")
-        for proxy in self._deployment.processes:
-            proxy.start()
-        for lock in self._proxy_locks.values():
-            lock.release()
-
-    def _send_sighup(self, rng: random.Random) -> None:
-        proxy = rng.choice(self._deployment.processes)
-        proxy.signal(signal.SIGHUP)
-        self._record(f"SIGHUP to {proxy.name}")
-
     # Network connections.
 
     def _random_relay(self, rng: random.Random) -> relay_lib.Relay:
@@ -166,7 +98,7 @@
         relay = self._random_relay(rng)
         share = rng.choice((0.3, 0.6, 1.0))
         relay.conditions = relay_lib.LinkConditions(share=share, **fields)
-        self._record_and_sleep(
+        self._journal.record_and_sleep(
             rng, f"{description} of {relay.address}, share {share}"
         )
         relay.conditions = relay_lib.HEALTHY
@@ -184,33 +116,33 @@
     def _reset_connections(self, rng: random.Random) -> None:
         relay = self._random_relay(rng)
         share = rng.choice((0.3, 0.6, 1.0))
-        self._record(f"reset of {relay.address}, share {share}")
+        self._journal.record(f"reset of {relay.address}, share {share}")
         relay.reset(share)
 
     # The store.
 
     def _make_store_unavailable(self, rng: random.Random) -> None:
         self._deployment.store.unresponsive = True
-        self._record_and_sleep(rng, "no answer of the store")
+        self._journal.record_and_sleep(rng, "no answer of the store")
         self._deployment.store.unresponsive = False
 
     def _reject_store_requests(self, rng: random.Random) -> None:
         self._deployment.store.error_status = rng.choice((429, 503))
-        self._record_and_sleep(rng, "refusals of the store")
+        self._journal.record_and_sleep(rng, "refusals of the store")
         self._deployment.store.error_status = 0
 
     def _compact_store(self, rng: random.Random) -> None:
         del rng
-        self._record("the store forgets its history")
+        self._journal.record("the store forgets its history")
         self._deployment.store.compact()
 
     def _lose_store_answers(self, rng: random.Random) -> None:
         self._deployment.store.lose_answers = rng.randint(1, 3)
-        self._record("answers of the store lost")
+        self._journal.record("answers of the store lost")
 
     def _lose_promotion_answers(self, rng: random.Random) -> None:
         self._deployment.store.lose_promotion_answers = rng.randint(1, 2)
-        self._record("answers to orders lost")
+        self._journal.record("answers to orders lost")
 
     def _write_odd_entries(self, end: float) -> None:
         """Writes an odd entry now and then; some overwrite a good one."""
@@ -225,8 +157,8 @@
                 key = f"servers/{endpoint.name}"
                 value = odd_entries.NESTED
             store.put(key, value)
-            self._record(f"odd entry {key!r}")
-            time.sleep(rng.uniform(MIN_FAULT_S, MAX_INTERVAL_S))
+            self._journal.record(f"odd entry {key!r}")
+            time.sleep(rng.uniform(fault_journal.MIN_FAULT_S, MAX_INTERVAL_S))
             # An endpoint writes its own entry again with its heartbeat.
             self._deployment.publish_listings()
 
@@ -239,36 +171,36 @@
     def _kill_endpoint(self, rng: random.Random) -> None:
         endpoint = self._random_endpoint(rng)
         endpoint.kill()
-        self._record_and_sleep(rng, f"kill {endpoint.name}")
+        self._journal.record_and_sleep(rng, f"kill {endpoint.name}")
         if not endpoint.running:
             endpoint.listen()
 
     def _freeze_endpoint(self, rng: random.Random) -> None:
         endpoint = self._random_endpoint(rng)
         endpoint.faults.change(frozen=True)
-        self._record_and_sleep(rng, f"freeze {endpoint.name}")
+        self._journal.record_and_sleep(rng, f"freeze {endpoint.name}")
         endpoint.faults.change(frozen=False)
 
     def _delay_replication(self, rng: random.Random) -> None:
         endpoint = self._random_endpoint(rng)
         endpoint.faults.change(lag_s=rng.uniform(0.3, 5.0))
-        self._record_and_sleep(rng, f"lag of {endpoint.name}")
+        self._journal.record_and_sleep(rng, f"lag of {endpoint.name}")
         endpoint.faults.change(lag_s=0.0)
 
     def _lose_answers(self, rng: random.Random) -> None:
         endpoint = self._random_endpoint(rng)
         endpoint.faults.change(lose_answers=rng.randint(1, 3))
         endpoint.answers_to_drop += rng.randint(0, 1)
-        self._record(f"answers of {endpoint.name} lost")
+        self._journal.record(f"answers of {endpoint.name} lost")
 
     # Operators.
 
     def _change_configuration(self, rng: random.Random) -> None:
-        self._record("a configuration")
+        self._journal.record("a configuration")
         self._deployment.configure(timeout_ms=rng.choice((600, 800, 1000)))
 
     def _drain_endpoint(self, rng: random.Random) -> None:
         endpoint = self._random_endpoint(rng)
         self._deployment.publish_listings(draining=frozenset({endpoint.name}))
-        self._record_and_sleep(rng, f"{endpoint.name} leaves")
+        self._journal.record_and_sleep(rng, f"{endpoint.name} leaves")
         self._deployment.publish_listings()
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -9,6 +9,7 @@
 import pathlib
 import sys
 import tempfile
+import threading
 import time
 
 import defopt
@@ -16,17 +17,17 @@
 from bench.soak import callers as callers_lib
 from bench.soak import checks
 from bench.soak import deployment as deployment_lib
+from bench.soak import fault_journal
 from bench.soak import faults as faults_lib
+from bench.soak import process_faults
+from bench.soak import records as records_lib
+from bench.soak import recovery
+from bench.soak import scenarios
+from bench.soak import stop_series
 from bronzehold.platform import local
 
-CALLER_COUNT = 8
-# Time within which all proxies must accept writes after the last fault.
-RECOVERY_TIMEOUT_S = 12.0
-# The time for a confirmed configuration to be in force, in seconds.
-CONFIG_APPLY_S = 3.0
 # Time without faults after the callers start.
 WARM_UP_S = 1.0
-POLL_INTERVAL_S = 0.05
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -37,127 +38,131 @@
         seed: The seed of the faults and of the callers.
         faults: The descriptions of the injected faults, in order.
         served: The number of statements that succeeded.
+        unanswered: The descriptions of the statements that no endpoint executed
+            and whose connections ended; they violate nothing.
         violations: The descriptions of all violated guarantees.
     """
 
     seed: int
     faults: tuple[str, ...]
     served: int
+    unanswered: tuple[str, ...]
     violations: tuple[str, ...]
 
 
 def run_seed(
-    seed: int, seconds: float, proxies: int, folder: pathlib.Path
+    seed: int,
+    seconds: float,
+    proxies: int,
+    folder: pathlib.Path,
+    scenario: scenarios.Scenario = scenarios.FAULTS,
 ) -> Report:
     """Runs callers while faults from one seed occur, and checks the result."""
     deployment = deployment_lib.Deployment(
-        folder=folder, proxies=proxies, seed=seed
+        folder=folder,
+        proxies=proxies,
+        seed=seed,
+        **scenarios.deployment_fields(scenario, seed),
     )
     try:
+        deployment.configure()
         deployment.start()
-        records = callers_lib.Records()
-        callers = [
-            callers_lib.Caller(
-                deployment=deployment, records=records, number=n, seed=seed
-            )
-            for n in range(CALLER_COUNT)
-        ]
+        records = records_lib.Records()
+        callers = scenarios.create_callers(scenario, deployment, records, seed)
         for caller in callers:
             caller.thread.start()
         time.sleep(WARM_UP_S)
-        faults = faults_lib.FaultInjector(deployment=deployment, seed=seed)
-        faults.run(seconds)
-        violations = _find_unrecovered(deployment, records)
-        violations += _find_outdated(deployment)
-        for caller in callers:
-            caller.stop_event.set()
-        for caller in callers:
-            caller.thread.join(2 * local.ANSWER_TIMEOUT_S)
-        group = deployment.group
-        with group.lock:
-            violations += checks.check_run(
-                list(group.primary().log),
-                list(group.executed),
-                records,
-                list(deployment.store.promotion_orders),
-                promoted=group.term > 1,
-            )
+        journal = fault_journal.FaultJournal()
+        _inject_faults(scenario, deployment, journal, seed, seconds)
+        violations = recovery.find_unrecovered(deployment, records)
+        violations += recovery.find_outdated(deployment)
+        _finish(callers)
+        violations += _check(deployment, records, journal)
     finally:
         deployment.close()
-    done = callers_lib.Outcome.DONE
+    done = records_lib.Outcome.DONE
     return Report(
         seed=seed,
-        faults=tuple(faults.injected),
+        faults=tuple(journal.injected),
         served=sum(s.outcome is done for s in records.statements),
+        unanswered=_find_unanswered(deployment, records, journal),
         violations=tuple(violations),
     )
 
 
-def _find_unrecovered(
-    deployment: deployment_lib.Deployment, records: callers_lib.Records
+def _inject_faults(
+    scenario: scenarios.Scenario,
+    deployment: deployment_lib.Deployment,
+    journal: fault_journal.FaultJournal,
+    seed: int,
+    seconds: float,
+) -> None:
+    processes = process_faults.ProcessFaults(
+        deployment=deployment, journal=journal
+    )
+    faults = faults_lib.FaultInjector(
+        deployment=deployment, processes=processes, journal=journal, seed=seed
+    )
+    stops = threading.Thread(
+        target=stop_series.run, args=(processes, seed, seconds), daemon=True
+    )
+    if scenario.stops:
+        stops.start()
+    if scenario.faults:
+        faults.run(seconds)
+    if scenario.stops:
+        stops.join()
+
+
+def _finish(callers: list[callers_lib.Caller]) -> None:
+    for caller in callers:
+        caller.finish()
+    for caller in callers:
+        caller.thread.join(2 * local.ANSWER_TIMEOUT_S)
+
+
+def _check(
+    deployment: deployment_lib.Deployment,
+    records: records_lib.Records,
+    journal: fault_journal.FaultJournal,
 ) -> list[str]:
-    """Returns a violation for each proxy that does not recover in time."""
-    deadline = time.monotonic() + RECOVERY_TIMEOUT_S
-    return [
-        f"{proxy.name} does not serve again after {RECOVERY_TIMEOUT_S} s"
-        for proxy in deployment.processes
-        if not _wait_until_serving(proxy, records, deadline)
-    ]
-
-
-def _find_outdated(deployment: deployment_lib.Deployment) -> list[str]:
-    """Returns a violation for each proxy that misses a new configuration."""
-    marker = "marker"
-    deployment.configure(marker=marker)
-    deadline = time.monotonic() + CONFIG_APPLY_S
-    return [
-        f"{proxy.name} has no added route {CONFIG_APPLY_S} s after it"
-        for proxy in deployment.processes
-        if not _wait_until_routed(proxy, marker, deadline)
-    ]
-
-
-def _wait_until_routed(
-    proxy: deployment_lib.Proxy, database: str, deadline: float
-) -> bool:
-    while True:
-        try:
-            local.connect(proxy.caller_address, database).sock.close()
-            return True
-        except callers_lib.CONNECTION_ERRORS:
-            if time.monotonic() > deadline:
-                return False
-            time.sleep(POLL_INTERVAL_S)
-
-
-def _wait_until_serving(
-    proxy: deployment_lib.Proxy, records: callers_lib.Records, deadline: float
-) -> bool:
-    attempts = 0
-    while time.monotonic() < deadline:
-        attempts += 1
-        name = f"recovery.{proxy.name}.{attempts}"
-        try:
-            session = local.connect(proxy.caller_address, "own", name)
-            with session.sock:
-                statement = callers_lib.execute(
-                    session,
-                    "WRITE recovery 1",
-                    records=records,
-                    proxy=proxy.name,
-                    database="own",
-                )
-        except callers_lib.CONNECTION_ERRORS:
-            time.sleep(POLL_INTERVAL_S)
-            continue
-        if statement.outcome is callers_lib.Outcome.DONE:
-            return True
-        time.sleep(POLL_INTERVAL_S)
-    return False
+    group = deployment.group
+    limit_s = deployment.processes[0].stop_s + process_faults.STOP_MARGIN_S
+    with group.lock:
+        return [
+            *checks.check_run(
+                list(group.primary().log),
+                list(group.executed),
+                records,
+                list(deployment.store.promotion_orders),
+                journal.exits,
+                promoted=group.term > 1,
+            ),
+            *checks.check_exits(journal.exits, limit_s),
+        ]
+
+
+def _find_unanswered(
+    deployment: deployment_lib.Deployment,
+    records: records_lib.Records,
+    journal: fault_journal.FaultJournal,
+) -> tuple[str, ...]:
+    executed = {e.request_id for e in deployment.group.executed}
+    return tuple(
+        checks.describe_cut(cut, journal.exits)
+        for cut in checks.find_cuts(records.statements, journal.exits)
+        if cut.id not in executed
+    )
 
 
 def main(
-    *, seed: int = 1, seconds: float = 30.0, proxies: int = 3, seeds: int = 1
+    *,
+    seed: int = 1,
+    seconds: float = 30.0,
+    proxies: int = 3,
+    seeds: int = 1,
+    scenario: str = "all",
+    verbose: bool = False,
 ) -> int:
     """Runs the soak and prints its results.
 
@@ -166,16 +171,24 @@
         seconds: Duration of the faults in each run.
         proxies: Number of proxy processes.
         seeds: Number of consecutive seeds, one run each.
+        scenario: The kind of the runs: "faults" for random faults, "stops" for
+            planned stops of several proxies, "all" for both.
+        verbose: Whether to print the unanswered statements that did not run.
     """
     failed = 0
     for current_seed in range(seed, seed + seeds):
         folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{current_seed}-"))
-        report = run_seed(current_seed, seconds, proxies, folder)
-        print(
-            f"seed {current_seed}: {report.served} served,",
-            len(report.faults),
-            "faults",
-        )  # noqa: T201
+        chosen = scenarios.BY_NAME[scenario]
+        report = run_seed(current_seed, seconds, proxies, folder, chosen)
+        print(  # noqa: T201
+            f"seed {current_seed}: {report.served} served,"
+            f" {len(report.faults)} faults,"
+            f" {len(report.unanswered)} not run and not answered,"
+            f" {len(report.violations)} violations"
+        )
+        if verbose:
+            for cut in report.unanswered:
+                print(f"  {cut}")  # noqa: T201
         if report.violations:
             failed += 1
             print(*report.faults, *report.violations, folder, sep="\n  ")  # noqa: T201
