The soak writes a key of its own for each trial of a proxy's recovery

Cause: a fault of the soak. All trials wrote the same key, so the write of one proxy was held against the refusal of another. Change: each trial has its own key and value, and a cut belongs to the stop that ended nearest to it.

--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -290,9 +290,9 @@
     cut: records_lib.Statement,
     exits: collections.abc.Iterable[records_lib.ProxyExit],
 ) -> str:
-    """Describes a cut statement relative to the last stop of its proxy."""
+    """Describes a cut statement relative to the stop of its proxy."""
     stops = [
-        e.began
+        e
         for e in exits
         if e.kind is records_lib.Exit.STOP
         and e.proxy == cut.proxy
@@ -301,10 +301,11 @@
     what = f"{cut.id} {cut.text} of {cut.database} at {cut.proxy}"
     if not stops:
         return f"{what}, cut without a stop"
-    last = max(stops)
+    # The next stop may begin as soon as the process has exited.
+    stop = min(stops, key=lambda e: abs(e.ended - cut.ended))
     return (
-        f"{what}, sent {cut.sent - last:.3f} s and cut"
-        f" {cut.ended - last:.3f} s after SIGTERM"
+        f"{what}, sent {cut.sent - stop.began:.3f} s and cut"
+        f" {cut.ended - stop.began:.3f} s after SIGTERM"
     )
 
 
--- a/bench/soak/checks_test.py
+++ b/bench/soak/checks_test.py
@@ -165,6 +165,12 @@
     assert "sent 6.000 s and cut 6.100 s after SIGTERM, ran on e1" in violation
 
 
+def test_cut_is_described_by_the_stop_that_ended_then():
+    next_stop = _exit(records_lib.Exit.STOP, 10.1, 16.0)
+    [violation] = _lost(_cut(ended=10.11), STOP, next_stop)
+    assert "cut 6.110 s after SIGTERM" in violation
+
+
 def test_cut_of_an_executed_statement_without_a_stop_is_reported():
     assert _lost(_cut())
 
--- a/bench/soak/recovery.py
+++ b/bench/soak/recovery.py
@@ -63,7 +63,7 @@
             with session.sock:
                 statement = callers_lib.execute(
                     session,
-                    "WRITE recovery 1",
+                    f"WRITE {name} v{name}",
                     records=records,
                     proxy=proxy.name,
                     database="own",
