Groups of stops wait until their proxies are ready, and tell how long exits took

Change: the groups of stops wait for readiness, 3 s at most. Each exit is in the list of faults with its time after SIGTERM.

--- a/bench/soak/process_faults.py
+++ b/bench/soak/process_faults.py
@@ -1,6 +1,7 @@
 """Faults of proxy processes: pauses, kills and planned stops."""
 
 import collections.abc
+import contextlib
 import random
 import signal
 import threading
@@ -9,9 +10,12 @@
 from bench.soak import deployment as deployment_lib
 from bench.soak import fault_journal
 from bench.soak import records as records_lib
+from bronzehold.platform import local
 
 # Time past its own limit that a stopping proxy gets before it is killed.
 STOP_MARGIN_S = 2.0
+# Longest wait for a proxy that has just been started.
+READY_TIMEOUT_S = 3.0
 # Time within which several proxies receive SIGTERM.
 STOPS_WITHIN_S = 1.0
 # Shares of the groups of stops with a SIGHUP between, or with a kill beside.
@@ -88,8 +92,16 @@
                 proxy.kill()
             kind = records_lib.Exit.STOP
             self._journal.record_exit(proxy.name, kind, began)
+            seconds = time.monotonic() - began
+            self._journal.record(f"exit of {proxy.name}, {seconds:.2f} s later")
             proxy.start()
 
+    def _restart_ready(self, proxy: deployment_lib.Proxy) -> None:
+        """Restarts a proxy that has callers, if it becomes ready in time."""
+        with contextlib.suppress(TimeoutError):
+            local.wait_until(proxy.is_ready, READY_TIMEOUT_S)
+        self._restart(proxy)
+
     def stop_several(self, rng: random.Random) -> None:
         """Stops two proxies, or all but one, within a moment.
 
@@ -99,7 +111,7 @@
         count = rng.choice((min(2, most), most))
         order = rng.sample(self._proxies, len(self._proxies))
         stopping, others = order[:count], order[count:]
-        work = [(self._restart, (proxy,)) for proxy in stopping]
+        work = [(self._restart_ready, (proxy,)) for proxy in stopping]
         if rng.random() < SIGHUP_SHARE:
             work.insert(1, (self._hang_up, (stopping[0],)))
         if rng.random() < KILL_SHARE and others:
@@ -110,7 +122,7 @@
     def stop_in_turn(self, rng: random.Random) -> None:
         """Stops all proxies one after another, as an update does."""
         for proxy in rng.sample(self._proxies, len(self._proxies)):
-            self._restart(proxy)
+            self._restart_ready(proxy)
 
     def send_sighup(self, rng: random.Random) -> None:
         """Sends SIGHUP to a proxy."""
