The soak waits for the recovery of all proxies at once

Cause: a fault of the soak. The wait for p1 used up the time of p2, which was not asked once. Change: all proxies are asked at the same time, each within the same limit.

--- a/bench/soak/recovery.py
+++ b/bench/soak/recovery.py
@@ -1,5 +1,6 @@
 """Checks that all proxies serve again after the faults of a run."""
 
+import concurrent.futures
 import time
 
 from bench.soak import callers as callers_lib
@@ -19,11 +20,17 @@
 ) -> list[str]:
     """Returns a violation for each proxy that does not recover in time."""
     deadline = time.monotonic() + RECOVERY_TIMEOUT_S
-    return [
-        f"{proxy.name} does not serve again after {RECOVERY_TIMEOUT_S} s"
-        for proxy in deployment.processes
-        if not _wait_until_serving(proxy, records, deadline)
-    ]
+    proxies = deployment.processes
+    # All at once, so that the wait for one takes no time from another.
+    with concurrent.futures.ThreadPoolExecutor(len(proxies)) as pool:
+        serving = pool.map(
+            lambda proxy: _wait_until_serving(proxy, records, deadline), proxies
+        )
+        return [
+            f"{proxy.name} does not serve again after {RECOVERY_TIMEOUT_S} s"
+            for proxy, serves in zip(proxies, serving, strict=True)
+            if not serves
+        ]
 
 
 def find_outdated(deployment: deployment_lib.Deployment) -> list[str]:
