--- a/bronzehold/connection/forward_server.py
+++ b/bronzehold/connection/forward_server.py
@@ -70,15 +70,18 @@
         finally:
             self._runner.end_block(blocks.Idle())
 
-    def report_cut(self, cause: str) -> None:
+    def report_cut(self, cause: str) -> bool:
         """Logs the call that ends without a reply, if there is one.
 
         Args:
             cause: The error that ends it, or that the process exits.
+
+        Returns:
+            Whether there is one.
         """
         call = self._unanswered
         if call is None:
-            return
+            return False
         self._process.timeline.add(
             events.RequestCut(
                 request=call.request.id,
@@ -91,6 +94,7 @@
                 cause=cause,
             )
         )
+        return True
 
     def _receive(self) -> pb.Request:
         with self._lock:
@@ -242,7 +246,11 @@
         key = f"forward {next(self._numbers)}"
         session = ForwardSession(sock=sock, process=self._process)
         self._process.forwarded.add(key, session)
-        self._process.tasks.spawn(key, lambda: self._serve(sock, key))
+        try:
+            self._process.tasks.spawn(key, lambda: self._serve(sock, key))
+        except RuntimeError:
+            self._process.forwarded.remove(key)
+            raise
 
     def _serve(self, sock: socket.socket, key: str) -> None:
         with sock, contextlib.suppress(ports.TransportError, OSError):
--- a/bronzehold/connection/forwarding_runner.py
+++ b/bronzehold/connection/forwarding_runner.py
@@ -159,21 +159,21 @@
     ) -> statements.Completed:
         """Forwards a statement that no transaction ties to a proxy yet."""
         targets = self._links.targets(context.service.limits)
-        while targets:
+        while targets and not context.has_expired():
             target = targets[0]
             try:
                 return self._forward(target, call, context)
             except _TryElsewhereError as exc:
                 self._links.count(type(exc.failure).__name__)
                 self.exchange.record_attempt(target.name, exc.failure)
-                if exc.is_starting and self._may_wait(call):
+                if exc.is_starting and self._may_wait(context):
                     time.sleep(STARTING_RETRY_DELAY_S)
                 else:
                     del targets[0]
         self.via = ""
         return run_here()
 
-    def _may_wait(self, call: codec.Call) -> bool:
+    def _may_wait(self, context: blocks.StatementContext) -> bool:
         """Returns whether a serving proxy that is starting is worth a wait.
 
         If all proxies start, one that serves by itself takes connections from
@@ -181,7 +181,7 @@
         """
         return (
             self._links.may_be_starting()
-            and clock.now() + STARTING_RETRY_DELAY_S < call.deadline
+            and clock.now() + STARTING_RETRY_DELAY_S < context.deadline
         )
 
     def _forward(
--- a/bronzehold/connection/platform_caller.py
+++ b/bronzehold/connection/platform_caller.py
@@ -27,6 +27,10 @@
 LOG_SAMPLE_INTERVAL = 100
 
 
+# A stop closes a connection that has been quiet for this long.
+QUIET_S = 0.1
+
+
 class Host(typing.Protocol):
     """The part of the process that a caller uses.
 
@@ -77,8 +81,12 @@
         )
         self._route: routes.Route | None = None
         self._lock = threading.Lock()
-        self._waiting = False
+        # Since when a request outside of a transaction is waited for, in
+        # seconds of clock.now(); None at other times.
+        self._waiting_since: float | None = None
         self._stopping = False
+        # Whether the caller has been told that the proxy stops.
+        self._refused = False
         # The request that has been read and not been answered yet.
         self._unanswered: statements.Request | None = None
         self._in_transaction = False
@@ -110,10 +118,10 @@
         while True:
             outside_block = self._is_outside_block()
             with self._lock:
-                if self._stopping and outside_block:
+                if self._refused and outside_block:
                     # What has arrived already is still received.
                     self._link.stop_receiving()
-                self._waiting = outside_block
+                self._waiting_since = clock.now() if outside_block else None
             try:
                 return self._link.receive(self._receive_timeout_s())
             except TimeoutError:
@@ -123,7 +131,7 @@
                 self._runner.end_block(blocks.Failed())
             finally:
                 with self._lock:
-                    self._waiting = False
+                    self._waiting_since = None
 
     def _receive_timeout_s(self) -> float | None:
         match self._runner.block:
@@ -133,13 +141,16 @@
                 return None
 
     def stop(self) -> None:
-        """Closes the connection as soon as no transaction is open.
+        """Closes the connection when it is quiet and no transaction is open.
 
-        From now on, a transaction that begins is refused.
+        Called again and again until then. The next request outside of a
+        transaction is refused: a caller may send it at any moment, and could
+        not tell whether it was run if the connection were closed.
         """
         with self._lock:
             self._stopping = True
-            if self._waiting:
+            since = self._waiting_since
+            if since is not None and clock.now() - since >= QUIET_S:
                 self._link.stop_receiving()
 
     def end(self) -> None:
@@ -151,17 +162,20 @@
     def busy(self) -> bool:
         """Returns whether a request or a transaction is in progress."""
         with self._lock:
-            return not self._waiting
+            return self._waiting_since is None
 
-    def report_cut(self, cause: str) -> None:
+    def report_cut(self, cause: str) -> bool:
         """Logs the request that ends without a whole answer, if there is one.
 
         Args:
             cause: The error that ends it, or that the process exits.
+
+        Returns:
+            Whether there is one.
         """
         req = self._unanswered
         if req is None:
-            return
+            return False
         self._process.timeline.add(
             events.RequestCut(
                 request=req.id,
@@ -174,6 +188,7 @@
                 cause=cause,
             )
         )
+        return True
 
     # Answering.
 
@@ -246,9 +261,7 @@
                 errors.Malformed(problem="a transaction is open")
             )
         self._route = self._find_route()
-        shutdown = self._process.shutdown
-        if self._stopping or not shutdown.accepts(self._route.timeout_s):
-            raise _failure_error(errors.Stopping(proxy=self._process.name))
+        self._refuse_if_stopping(self._route)
         self._runner.begin(read_only=read_only)
 
     def _find_route(self) -> routes.Route:
@@ -271,15 +284,18 @@
             shutdown=self._process.shutdown,
         )
 
-    def _refuse_if_stopping(self, context: blocks.StatementContext) -> None:
+    def _refuse_if_stopping(
+        self, route: routes.Route, *, commits: bool = False
+    ) -> None:
         """Refuses a statement that a stop leaves no time for.
 
         The open transaction is rolled back, so the caller may repeat all of
         it.
         """
-        if self._process.shutdown.accepts(context.route.timeout_s):
+        is_new = self._stopping and self._is_outside_block()
+        if not is_new and self._process.shutdown.accepts(route.timeout_s):
             return
-        commits = isinstance(self._unanswered.statement, statements.Commit)
+        self._refused = True
         if not self._is_outside_block():
             self._runner.end_block(
                 blocks.Idle() if commits else blocks.Failed()
@@ -292,14 +308,14 @@
                 errors.Malformed(problem="no transaction is open")
             )
         context = self._context(req)
-        self._refuse_if_stopping(context)
+        self._refuse_if_stopping(context.route, commits=True)
         return self._runner.run_in_block(req, context, "", writes=False)
 
     def _run_on_endpoint(
         self, req: statements.Request, *, writes: bool, prepared: str
     ) -> statements.Completed:
         context = self._context(req)
-        self._refuse_if_stopping(context)
+        self._refuse_if_stopping(context.route)
         match self._runner.block:
             case blocks.Idle() if writes:
                 return self._runner.write(req, context, prepared)
--- a/bronzehold/core/ports.py
+++ b/bronzehold/core/ports.py
@@ -27,7 +27,7 @@
     NO_ANSWER = "no answer"
     TOO_MANY_CONNECTIONS = "the endpoint has too many connections"
     WRONG_ENDPOINT = "another endpoint listens there"
-    NO_DESCRIPTOR = "this process cannot open another socket"
+    LOCAL = "this process cannot open a connection"
 
 
 class DialError(TransportError):
@@ -289,5 +289,6 @@
         """Decodes a listing; raises validation.ProblemsError."""
 
 
-# Opens a connection to a listed endpoint; raises DialError.
-Dial = collections.abc.Callable[[routes.Listing], EndpointConn]
+# Opens a connection to a listed endpoint; the attempt ends at a time in seconds
+# of clock.now(). Raises DialError.
+Dial = collections.abc.Callable[[routes.Listing, float], EndpointConn]
--- a/bronzehold/platform/endpoint.py
+++ b/bronzehold/platform/endpoint.py
@@ -159,20 +159,22 @@
         self._sock.close()
 
 
-def dial(listing: routes.Listing) -> Conn:
+def dial(listing: routes.Listing, deadline: float) -> Conn:
     """Opens a connection to an endpoint.
 
+    Args:
+        listing: The endpoint.
+        deadline: The end of the attempt, in seconds of clock.now().
+
     Raises:
         ports.DialError: The connection failed or the endpoint rejected it.
     """
     try:
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     except OSError as exc:
-        raise ports.DialError(
-            str(exc), ports.DialFailure.NO_DESCRIPTOR
-        ) from exc
+        raise ports.DialError(str(exc), ports.DialFailure.LOCAL) from exc
     try:
-        return _open_session(sock, listing)
+        return _open_session(sock, listing, deadline)
     except ports.DialError:
         sock.close()
         raise
@@ -192,13 +194,35 @@
         raise ports.DialError(str(exc)) from exc
 
 
-def _open_session(sock: socket.socket, listing: routes.Listing) -> Conn:
+def _dial_timeout_s(deadline: float) -> float:
+    """Returns the timeout of one step of a dial.
+
+    Raises:
+        ports.DialError: There is no time left.
+    """
+    remaining_s = deadline - clock.now()
+    if remaining_s <= 0:
+        raise ports.DialError("no time left", ports.DialFailure.LOCAL)
+    return min(remaining_s, DIAL_TIMEOUT_S)
+
+
+def _open_session(
+    sock: socket.socket, listing: routes.Listing, deadline: float
+) -> Conn:
     wire.set_socket_options(sock)
-    sock.settimeout(DIAL_TIMEOUT_S)
-    sock.connect((listing.host, listing.port))
-    sock.sendall(wire.encode_startup(listing.service, "bronzehold", listing.id))
     reader = wire.LineReader(sock=sock)
-    answer = wire.read_startup_answer(reader)
+    try:
+        sock.settimeout(_dial_timeout_s(deadline))
+        sock.connect((listing.host, listing.port))
+        sock.sendall(
+            wire.encode_startup(listing.service, "bronzehold", listing.id)
+        )
+        sock.settimeout(_dial_timeout_s(deadline))
+        answer = wire.read_startup_answer(reader)
+    except TimeoutError as exc:
+        if clock.now() < deadline:
+            raise
+        raise ports.DialError(str(exc), ports.DialFailure.LOCAL) from exc
     match answer:
         case statements.Refused(reason=statements.RefusalReason.WRONG_ENDPOINT):
             failure = ports.DialFailure.WRONG_ENDPOINT
--- a/bronzehold/platform/listener.py
+++ b/bronzehold/platform/listener.py
@@ -191,10 +191,9 @@
         """Returns whether a request or a transaction is in progress."""
         return self._caller is not None and self._caller.busy()
 
-    def report_cut(self, cause: str) -> None:
+    def report_cut(self, cause: str) -> bool:
         """Logs the request that ends without an answer, if there is one."""
-        if self._caller is not None:
-            self._caller.report_cut(cause)
+        return self._caller is not None and self._caller.report_cut(cause)
 
 
 class Listener:
@@ -224,7 +223,13 @@
             sock=sock, number=number, process=self._process, links=self._links
         )
         self._process.callers.add(key, connection)
-        self._process.tasks.spawn(key, lambda: self._process.callers.serve(key))
+        try:
+            self._process.tasks.spawn(
+                key, lambda: self._process.callers.serve(key)
+            )
+        except RuntimeError:
+            self._process.callers.remove(key)
+            raise
 
     def close(self) -> None:
         """Stops accepting connections; open ones continue.
--- a/bronzehold/process/drain.py
+++ b/bronzehold/process/drain.py
@@ -95,7 +95,5 @@
         while clock.now() < self._schedule.exit_at and self._has_work():
             time.sleep(STOP_POLL_S)
         remaining = (*self._callers.list(), *self._forwarded.list())
-        for connection in remaining:
-            connection.report_cut("the process exits")
-        cut = sum(connection.busy() for connection in remaining)
+        cut = sum(c.report_cut("the process exits") for c in remaining)
         self._timeline.add(events.ProxyStopped(ended=ended, cut=cut))
--- a/bronzehold/process/drain_test.py
+++ b/bronzehold/process/drain_test.py
@@ -36,6 +36,7 @@
 
     def report_cut(self, cause):
         self.calls.append(cause)
+        return True
 
 
 @pytest.fixture(name="run")
--- a/bronzehold/process/open_connections.py
+++ b/bronzehold/process/open_connections.py
@@ -20,7 +20,7 @@
     def busy(self) -> bool:
         """Returns whether a request or a transaction is in progress."""
 
-    def report_cut(self, cause: str) -> None:
+    def report_cut(self, cause: str) -> bool:
         """Logs the request that ends without an answer, if there is one."""
 
 
@@ -51,8 +51,12 @@
         try:
             self._connections[key].serve()
         finally:
-            with self._lock:
-                del self._connections[key]
+            self.remove(key)
+
+    def remove(self, key: str) -> None:
+        """Removes a connection that has ended."""
+        with self._lock:
+            del self._connections[key]
 
     def list(self) -> list[AnyConnection]:
         """Returns all connections."""
--- a/bronzehold/process/platform_service.py
+++ b/bronzehold/process/platform_service.py
@@ -118,7 +118,7 @@
     def _add_endpoint(self, listing: routes.Listing) -> None:
         self._pools[listing.id] = pool_lib.Pool(
             endpoint=_endpoint(listing, self.env.regions),
-            dial=lambda _: self.env.dial(listing),
+            dial=lambda _: self._dial(listing),
             limits=self._caps(listing),
             queue_timeout_s=POOL_QUEUE_S,
             idle_timeout_s=MAX_IDLE_S,
@@ -259,8 +259,8 @@
                 self.group.note_answered(name)
             case ports.DialFailure.NO_ANSWER:
                 self.group.note_failing(name, refused=False)
-            case ports.DialFailure.NO_DESCRIPTOR:
-                self.env.timeline.count("no descriptor for a connection")
+            case ports.DialFailure.LOCAL:
+                self.env.timeline.count("connection not opened by this proxy")
             case _:
                 self.group.note_failing(name, refused=True)
 
@@ -292,7 +292,10 @@
         listing = self.group.listings().get(endpoint)
         if listing is None:
             raise ports.DialError("it is not listed")
-        return self.env.dial(listing)
+        return self._dial(listing)
+
+    def _dial(self, listing: routes.Listing) -> ports.EndpointConn:
+        return self.env.dial(listing, self.env.shutdown.answer_by())
 
     def spawn_lasting(
         self, name: str, task: collections.abc.Callable[[], None]
--- a/tests/forwarding_test.py
+++ b/tests/forwarding_test.py
@@ -273,10 +273,10 @@
     primary = own_fleet.deployment.group.primary().name
     real = server._env.dial
 
-    def dial(listing):
+    def dial(listing, deadline):
         if listing.id == primary:
             raise ports.DialError("cut off")
-        return real(listing)
+        return real(listing, deadline)
 
     object.__setattr__(server._env, "dial", dial)
     service = server.service(platform_local.SERVICE)
