PostgreSQL path: a stop answers what it reads and tells whom it accepts

What callers saw: connections closed without an answer around a planned stop, as on the platform path. Statements and COMMITs of transactions that were sent 0.25 s before the exit, single writes and reads under way at the exit, COMMITs that waited for a replica, writes that waited for a primary, callers in the handshake or between two statements; rarely, a connection that the port took just as it closed. Cause: work was accepted until the exit, waits did not end with the stop, and connections in their handshake were not counted. Change: Proxy.drain follows the schedule of process/shutdown.py. Deadlines are limited where they are made (Shutdown.limit_s), also for a stop that begins later; a wait for an endpoint's answer ends when answers are due. Callers that wait for no answer are told (57P01, or 08007 within a pipeline). Giving back a lane no longer holds up an answer. The port drops SYNs before it closes.

--- a/bronzehold/connection/acceptor_test.py
+++ b/bronzehold/connection/acceptor_test.py
@@ -68,3 +68,17 @@
     acceptor.accept_until_closed(listener, serve)
     assert accepted == ["b"]
     assert far.recv(1) == b""
+
+
+def test_settled_listener_completes_no_new_connection():
+    """Guards against a reset of connections that callers take for open."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        address = listener.getsockname()
+        with socket.create_connection(address):
+            acceptor.settle(listener)
+            with pytest.raises(TimeoutError):
+                socket.create_connection(address, timeout=0.2)
+            accepted = []
+            acceptor.accept_pending(listener, accepted.append)
+        assert len(accepted) == 1
+        accepted[0].close()
--- a/bronzehold/connection/backend.py
+++ b/bronzehold/connection/backend.py
@@ -5,6 +5,7 @@
 that the executor sets up only what is missing.
 """
 
+import collections.abc
 import socket
 import threading
 import time
@@ -38,12 +39,27 @@
             time.monotonic().
     """
 
-    def __init__(self, *, endpoint: data.Endpoint, conn: client.Client):
+    def __init__(
+        self,
+        *,
+        endpoint: data.Endpoint,
+        conn: client.Client,
+        limit_s: collections.abc.Callable[[float], float],
+    ):
+        """Initializes the connection.
+
+        Args:
+            endpoint: The endpoint that the connection leads to.
+            conn: The protocol client of the connection.
+            limit_s: Shortens a timeout in seconds to what a planned stop of
+                the proxy allows.
+        """
         self.endpoint = endpoint
         self.conn = conn
         self.prepared: set[bytes] = set()
         self.variables: tuple[str, ...] | None = ()
         self.idle_since = time.monotonic()
+        self._limit_s = limit_s
         self._cancel_lock = threading.Lock()
         self._active_caller = ""
         conn.sock.settimeout(RECEIVE_TIMEOUT_S)
@@ -68,7 +84,7 @@
             TimeoutError: The endpoint did not read the request in time.
         """
         timeout_s = SEND_TIMEOUT_S + len(out) / MIN_SEND_BYTES_PER_S
-        self.conn.sock.settimeout(timeout_s)
+        self.conn.sock.settimeout(self._limit_s(timeout_s))
         try:
             frames.send(self.conn.sock, out)
         finally:
@@ -109,7 +125,7 @@
         Raises:
             client.ClientError: The statement failed or the connection was lost.
         """
-        self.conn.sock.settimeout(DIAL_TIMEOUT_S)
+        self.conn.sock.settimeout(self._limit_s(DIAL_TIMEOUT_S))
         try:
             self.conn.rows(sql)
         finally:
--- a/bronzehold/connection/caller.py
+++ b/bronzehold/connection/caller.py
@@ -5,6 +5,7 @@
 """
 
 import contextlib
+import enum
 import socket
 import threading
 import time
@@ -15,6 +16,7 @@
 from bronzehold.connection import messages
 from bronzehold.connection import router as router_lib
 from bronzehold.connection import session as session_lib
+from bronzehold.core import data
 from bronzehold.core import errors
 from bronzehold.process import metrics
 from bronzehold.process import service as service_lib
@@ -25,6 +27,20 @@
 LINGER_TIMEOUT_S = 2.0
 
 
+class _Phase(enum.Enum):
+    """What a caller's task does.
+
+    Attributes:
+        IDLE: It waits for a request and no transaction is open.
+        READING: It waits for the rest of a request or of a transaction.
+        ANSWERING: It runs a request, or ends the connection.
+    """
+
+    IDLE = enum.auto()
+    READING = enum.auto()
+    ANSWERING = enum.auto()
+
+
 class DisconnectedError(Exception):
     """The caller has disconnected."""
 
@@ -32,8 +48,8 @@
 class Caller:
     """Serves one caller.
 
-    stop, close_if_idle, cancel and busy may be called from any task; all other
-    methods run in the caller's own task.
+    stop, tell_stop, cancel, busy and unanswered may be called from any task;
+    all other methods run in the caller's own task.
 
     Attributes:
         key: The process id and secret that the caller sends to cancel.
@@ -46,13 +62,11 @@
         reader: frames.Reader,
         served: service_lib.ServiceRuntime,
         key: tuple[int, int],
-        proxy: str,
     ):
         self.key = key
         self._sock = sock
         self._reader = reader
         self._served = served
-        self._proxy = proxy
         self._session = session_lib.Session(service=served.service.name)
         self._executor = executor_lib.Executor(
             served=served,
@@ -64,8 +78,11 @@
             executor=self._executor, session=self._session, send=self._send
         )
         self._lock = threading.Lock()
-        self._idle = False
+        self._phase = _Phase.ANSWERING
         self._stopping = False
+        self._told = False
+        # What the caller is told if the proxy stops before the next answer.
+        self._interruption = self._executor.interruption()
 
     # Connection lifecycle.
 
@@ -99,9 +116,10 @@
     def serve(self) -> None:
         """Answers batches until the caller disconnects or the proxy stops."""
         try:
-            while self._await_batch():
+            while True:
+                self._await_batch()
                 batch = self._read_batch()
-                if batch is None:
+                if batch is None or not self._accepts():
                     return
                 self._answer(batch)
         except (DisconnectedError, frames.ClosedError):
@@ -111,21 +129,36 @@
                 messages.failure(errors.Malformed(problem=str(exc)), fatal=True)
             )
         finally:
+            with self._lock:
+                self._phase = _Phase.ANSWERING
             self._executor.close()
 
-    def _await_batch(self) -> bool:
-        """Waits for a request; returns False when the proxy is stopping."""
+    def _await_batch(self) -> None:
+        """Waits for the first bytes of a request."""
+        waits = not self._reader.has_buffered()
+        outside_block = isinstance(self._executor.block, blocks.Idle)
+        self._enter(_Phase.IDLE if waits and outside_block else _Phase.READING)
+        if waits:
+            self._reader.fill()
+        self._enter(_Phase.READING)
+
+    def _enter(self, phase: _Phase) -> None:
+        with self._lock:
+            self._phase = phase
+            self._interruption = self._executor.interruption()
+
+    def _accepts(self) -> bool:
+        """Returns whether a request is run that has been read."""
+        timeout_s = self._served.service.deadline_ms * data.MILLISECOND
+        if self._executor.in_pipeline():
+            # It is the rest of a request that was accepted.
+            timeout_s = 0.0
         outside_block = isinstance(self._executor.block, blocks.Idle)
-        if not self._reader.has_buffered():
-            with self._lock:
-                self._idle = outside_block
-            try:
-                self._reader.fill()
-            finally:
-                with self._lock:
-                    self._idle = False
         with self._lock:
-            return not (self._stopping and outside_block)
+            self._phase = _Phase.ANSWERING
+            if self._told or (self._stopping and outside_block):
+                return False
+            return self._served.env.shutdown.accepts(timeout_s)
 
     def stop(self) -> None:
         """Stops serving at the next request outside of a transaction.
@@ -138,19 +171,25 @@
         with self._lock:
             self._stopping = True
 
-    def close_if_idle(self) -> None:
-        """Sends the shutdown error to a caller that is idle."""
+    def tell_stop(self, *, idle_only: bool) -> None:
+        """Sends the shutdown error to a caller that waits for no answer.
+
+        Nothing that it sends afterwards is run.
+
+        Args:
+            idle_only: Whether callers with an open transaction or an incomplete
+                request are left alone.
+        """
         with self._lock:
-            if self._idle:
-                self._send_shutdown_notice()
+            told = self._phase is _Phase.IDLE or (
+                self._phase is _Phase.READING and not idle_only
+            )
+            if told and not self._told:
+                self._told = True
+                frames.send_last(self._sock, self._shutdown_notice())
 
-    def _send_shutdown_notice(self) -> None:
-        notice = messages.failure(
-            errors.Stopping(proxy=self._proxy), fatal=True
-        )
-        with contextlib.suppress(OSError):
-            self._sock.sendall(notice)
-            self._sock.shutdown(socket.SHUT_WR)
+    def _shutdown_notice(self) -> bytes:
+        return messages.failure(self._interruption, fatal=True)
 
     def close_gracefully(self) -> None:
         """Sends the shutdown error and waits for the caller to disconnect.
@@ -159,13 +198,15 @@
         would cause a connection reset, which can discard the error before the
         caller has read it. Does nothing unless the proxy is stopping.
         """
-        with self._lock:
-            stopping = self._stopping
-        if not stopping:
+        if not self._served.env.shutdown.begun.is_set():
             return
-        self._send_shutdown_notice()
+        with self._lock:
+            told, self._told = self._told, True
         self._sock.settimeout(LINGER_TIMEOUT_S)
         with contextlib.suppress(OSError):
+            if not told:
+                self._sock.sendall(self._shutdown_notice())
+                self._sock.shutdown(socket.SHUT_WR)
             while self._sock.recv(frames.RECEIVE_BYTES):
                 continue
 
@@ -174,9 +215,20 @@
         self._executor.cancel()
 
     def busy(self) -> bool:
-        """Returns whether a request or a transaction is in progress."""
+        """Returns whether a stop of the proxy waits for this caller."""
+        with self._lock:
+            match self._phase:
+                case _Phase.IDLE:
+                    return False
+                case _Phase.READING:
+                    return not self._told
+                case _Phase.ANSWERING:
+                    return True
+
+    def unanswered(self) -> bool:
+        """Returns whether the caller waits for an answer."""
         with self._lock:
-            return not self._idle
+            return self._phase is _Phase.ANSWERING and not self._told
 
     def _send(self, out: bytes) -> None:
         try:
@@ -287,6 +339,7 @@
         self._served.env.metrics.record(key, elapsed_s)
 
     def _skip_to_sync(self) -> None:
+        self._enter(_Phase.READING)
         while True:
             frame = self._reader.read_frame()
             if frame.kind == b"X":
--- a/bronzehold/connection/executor.py
+++ b/bronzehold/connection/executor.py
@@ -68,6 +68,7 @@
         self.block: blocks.Block = blocks.Idle()
         self.endpoint_role = "none"
         self._served = served
+        self._shutdown = served.env.shutdown
         self._session = session
         self._send = send
         self._caller_id = name
@@ -83,6 +84,27 @@
         if backend is not None:
             backend.cancel(self._caller_id)
 
+    def interruption(self) -> errors.Failure:
+        """Returns what a stop of the proxy means for the caller's open work.
+
+        An unfinished pipeline may have ended a transaction already.
+        """
+        match self.block:
+            case blocks.Pinned(place=place) if self.in_pipeline():
+                if place.is_primary:
+                    return errors.OutcomeUnknown(
+                        endpoint=place.endpoint, reason=relay.STOPPING_REASON
+                    )
+        return errors.Stopping(proxy=self._served.env.cfg.name)
+
+    def in_pipeline(self) -> bool:
+        """Returns whether a batch without its Sync has run on an endpoint."""
+        match self.block:
+            case blocks.Pinned(state=state):
+                return state not in blocks.IN_BLOCK
+            case _:
+                return False
+
     def finish_batch(self) -> None:
         """Ends the caller's write unless its transaction is still open."""
         if not isinstance(self.block, blocks.Pinned):
@@ -127,9 +149,17 @@
             raise errors.FailureError(errors.SpendReached(service=service.name))
 
     def _deadline(self, batch: batch_lib.Batch) -> float:
-        return batch.arrived_at + (
-            self._served.service.deadline_ms * data.MILLISECOND
-        )
+        timeout_s = self._served.service.deadline_ms * data.MILLISECOND
+        return self._limit(batch.arrived_at + timeout_s)
+
+    def _limit(self, deadline: float) -> float:
+        """Returns a deadline that leaves time to answer if the proxy stops.
+
+        Args:
+            deadline: A time in seconds of time.monotonic().
+        """
+        now = time.monotonic()
+        return now + self._shutdown.limit_s(deadline - now)
 
     def read(self, batch: batch_lib.Batch) -> str:
         """Runs a read and returns the SQLSTATE of its error, "" for none.
@@ -154,6 +184,10 @@
                     raise errors.FailureError(
                         errors.NoFreshEndpoint(group=served.group.name)
                     ) from None
+                if self._shutdown.overdue():
+                    raise errors.FailureError(
+                        errors.NoFreshEndpoint(group=served.group.name)
+                    ) from None
             if len(excluded) >= len(served.service.endpoints):
                 excluded = frozenset()
                 time.sleep(RETRY_DELAY_S)
@@ -214,9 +248,9 @@
             self._check_read(place, answer)
         except relay.IncompleteAnswerError as exc:
             self._return_connection(pool, backend, good=False)
-            if exc.forwarded:
+            if exc.forwarded or self._shutdown.overdue():
                 raise errors.FailureError(
-                    errors.AnswerCut(endpoint=place.endpoint)
+                    errors.AnswerCut(endpoint=place.endpoint, reason=exc.reason)
                 ) from exc
             raise _RetryError from exc
         except BaseException:
@@ -365,8 +399,9 @@
         answer: relay.Answer,
     ) -> None:
         group = self._served.group
-        now = time.monotonic()
-        deadline = max(self._deadline(batch), now + CONFIRM_TIMEOUT_S)
+        deadline = self._limit(
+            max(self._deadline(batch), time.monotonic() + CONFIRM_TIMEOUT_S)
+        )
         mark = answer.mark
         why = ""
         if mark is not None and mark.term != place.term:
@@ -446,8 +481,9 @@
         return answer.sqlstate
 
     def _is_still_primary(self, place: data.Placement) -> bool:
+        deadline = self._limit(time.monotonic() + CONFIRM_TIMEOUT_S)
         return self._served.group.wait_grant(
-            place.endpoint, place.term, time.monotonic() + CONFIRM_TIMEOUT_S
+            place.endpoint, place.term, deadline
         )
 
     def _lost_block_failure(
@@ -534,6 +570,7 @@
                 backend=backend,
                 forward=self._send,
                 abort_reason=self._make_abort_check(place),
+                overdue=self._shutdown.overdue,
                 hold_back=hold,
                 skipping=skipping,
             )
--- a/bronzehold/connection/frames.py
+++ b/bronzehold/connection/frames.py
@@ -6,6 +6,7 @@
 """
 
 import collections.abc
+import contextlib
 import dataclasses
 import socket
 import struct
@@ -147,6 +148,14 @@
         raise ClosedError(str(exc)) from exc
 
 
+def send_last(sock: socket.socket, data: bytes) -> None:
+    """Sends data without waiting and ends the sending side; ignores errors."""
+    with contextlib.suppress(OSError):
+        sock.send(data, socket.MSG_DONTWAIT)
+    with contextlib.suppress(OSError):
+        sock.shutdown(socket.SHUT_WR)
+
+
 def set_socket_options(sock: socket.socket) -> None:
     """Enables TCP_NODELAY and keepalive."""
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/bronzehold/process/peer_lanes.py
+++ b/bronzehold/process/peer_lanes.py
@@ -22,6 +22,8 @@
         granted: The lanes that this proxy grants.
         live_peers: Returns the last heartbeat of every live peer by its name.
         channels: The channels to the peers.
+        limit_s: Shortens a timeout in seconds to what a planned stop of the
+            proxy allows.
     """
 
     def __init__(
@@ -31,11 +33,13 @@
         granted: lanes_lib.Lanes,
         live_peers: collections.abc.Callable[[], dict[str, pb.Heartbeat]],
         channels: peer_channels.Channels,
+        limit_s: collections.abc.Callable[[float], float],
     ):
         self._own_name = own_name
         self._granted = granted
         self._live_peers = live_peers
         self._channels = channels
+        self._limit_s = limit_s
 
     def acquire(self, group: str, lane_request: lanes_lib.LaneRequest) -> str:
         """Leases a free lane for a long statement.
@@ -63,21 +67,21 @@
         )
         try:
             answer = self._channels.stub(address).TakeLane(
-                req, timeout=peer_channels.CALL_TIMEOUT_S
+                req, timeout=self._limit_s(peer_channels.CALL_TIMEOUT_S)
             )
         except peer_channels.CALL_ERRORS:
             return self._granted.acquire(group, lane_request)
         return answer.endpoint
 
     def release(self, group: str, request_id: str) -> None:
-        """Releases the lane of a request."""
+        """Releases the lane of a request, without waiting for its owner."""
         self._granted.release(group, request_id)
         address = self._owner_address(group)
         if not address:
             return
         req = pb.LaneRelease(request=request_id, group=group)
         with contextlib.suppress(*peer_channels.CALL_ERRORS):
-            self._channels.stub(address).GiveLane(
+            self._channels.stub(address).GiveLane.future(
                 req, timeout=peer_channels.CALL_TIMEOUT_S
             )
 
--- a/bronzehold/process/peers.py
+++ b/bronzehold/process/peers.py
@@ -21,6 +21,7 @@
 from bronzehold.process import peer_lanes
 from bronzehold.process import peer_server
 from bronzehold.process import peer_table
+from bronzehold.process import shutdown as shutdown_lib
 from bronzehold.process import tasks as tasks_lib
 from bronzehold.process import timeline as timeline_lib
 from bronzehold.proto import peer_pb2 as pb
@@ -50,6 +51,7 @@
         timeline: timeline_lib.Timeline,
         catalog: catalog_lib.Catalog,
         tasks: tasks_lib.Tasks,
+        shutdown: shutdown_lib.Shutdown,
     ):
         self._cfg = cfg
         self._timeline = timeline
@@ -72,6 +74,7 @@
             granted=self.lanes,
             live_peers=self._table.live_peers,
             channels=self._channels,
+            limit_s=shutdown.limit_s,
         )
         self.cancel_local: collections.abc.Callable[[int, int], None] = (
             lambda _pid, _secret: None
--- a/bronzehold/process/proxy.py
+++ b/bronzehold/process/proxy.py
@@ -5,6 +5,7 @@
 it stops.
 """
 
+from concurrent import futures
 import contextlib
 import itertools
 import secrets
@@ -18,6 +19,7 @@
 from bronzehold.connection import frames
 from bronzehold.connection import handshake
 from bronzehold.connection import messages
+from bronzehold.core import clock
 from bronzehold.core import data
 from bronzehold.core import errors
 from bronzehold.core import events
@@ -29,6 +31,7 @@
 from bronzehold.process import operator_api
 from bronzehold.process import peers
 from bronzehold.process import service as service_lib
+from bronzehold.process import shutdown as shutdown_lib
 from bronzehold.process import store_sync
 from bronzehold.process import tasks
 from bronzehold.process import timeline as timeline_lib
@@ -36,8 +39,15 @@
 BACKLOG = 1024
 HANDSHAKE_TIMEOUT_S = 10.0
 STOP_POLL_S = 0.02
+ACCEPT_END_TIMEOUT_S = 1.0
 # The time after the port closes from which a planned stop closes idle callers.
 IDLE_CLOSE_DELAY_S = 3.0
+# The time before its exit at which a stopping proxy gives the last answers, and
+# the largest part of the stop time that it may take.
+ANSWER_RESERVE_S = 1.0
+MAX_RESERVE_PART = 0.25
+# The part of the stop time in which all statements of transactions are run.
+UNCONDITIONAL_PART = 0.5
 # The size of the secret in a caller's cancel key.
 SECRET_BITS = 31
 
@@ -63,6 +73,10 @@
         self.tasks = tasks.Tasks(timeline=self.timeline)
         self.metrics = metrics.Metrics()
         self.store = etcd_store.EtcdStore(target=cfg.platform)
+        now = clock.now()
+        self._shutdown = shutdown_lib.Shutdown(
+            notice_s=_schedule(cfg.timing, now).answer_by - now
+        )
         env = service_lib.Environment(
             cfg=cfg,
             timeline=self.timeline,
@@ -74,6 +88,7 @@
             slot_proxy_count=lambda: self.peers.slot_share_count(),  # noqa: PLW0108
             acquire_lane=lambda *args: self.peers.acquire_lane(*args),  # noqa: PLW0108
             release_lane=lambda *args: self.peers.release_lane(*args),  # noqa: PLW0108
+            shutdown=self._shutdown,
         )
         self.catalog = catalog.Catalog(env=env)
         self.peers = peers.Peers(
@@ -81,6 +96,7 @@
             timeline=self.timeline,
             catalog=self.catalog,
             tasks=self.tasks,
+            shutdown=self._shutdown,
         )
         self.peers.cancel_local = self._cancel
         self.peers.operator = operator_api.OperatorServicer(self)
@@ -104,9 +120,11 @@
         self._lock = threading.Lock()
         self._callers: dict[int, caller_lib.Caller] = {}
         self._socks: dict[int, socket.socket] = {}
+        # The callers that were told in their handshake that the proxy stops.
+        self._told: set[int] = set()
         self._pids = itertools.count(1)
         self._listener: socket.socket | None = None
-        self._stopping = False
+        self._accepting: futures.Future | None = None
         self._stopped = threading.Event()
 
     @property
@@ -117,7 +135,7 @@
     @property
     def stopping(self) -> bool:
         """Whether a planned stop has started."""
-        return self._stopping
+        return self._shutdown.begun.is_set()
 
     def start(self) -> None:
         """Starts the background tasks and opens the callers' port."""
@@ -127,7 +145,7 @@
         self._listener = socket.create_server(
             (self.cfg.host, self.cfg.port), backlog=BACKLOG
         )
-        self.tasks.spawn("accept", self._accept)
+        self._accepting = self.tasks.spawn("accept", self._accept)
         self.timeline.add(events.ProxyStarted(port=self.port))
 
     # Callers.
@@ -146,12 +164,18 @@
             frames.set_socket_options(sock)
             sock.settimeout(HANDSHAKE_TIMEOUT_S)
             self._handshake_and_serve(sock, pid)
-        except (frames.ClosedError, frames.FramingError, OSError):
+        except (
+            caller_lib.DisconnectedError,
+            frames.ClosedError,
+            frames.FramingError,
+            OSError,
+        ):
             pass
         finally:
             with self._lock:
                 self._callers.pop(pid, None)
                 self._socks.pop(pid, None)
+                self._told.discard(pid)
             sock.close()
 
     def _handshake_and_serve(self, sock: socket.socket, own_pid: int) -> None:
@@ -190,7 +214,6 @@
             reader=reader,
             served=served,
             key=(pid, secrets.randbits(SECRET_BITS)),
-            proxy=self.cfg.name,
         )
         # The caller is registered before its cancel key is sent, so that the
         # key works at once and a planned stop includes the caller.
@@ -221,38 +244,57 @@
         The proxy first announces the stop to its peers, unregisters from the
         store and still accepts callers. Then it closes its port and tells
         every caller to stop at its next request outside of a transaction. It
-        waits for open transactions, and cuts only those that are still open
-        after the time to stop.
+        runs statements of open transactions as long as it can answer them, and
+        before its exit answers or tells every caller.
         """
-        with self._lock:
-            if self._stopping:
-                return
-            self._stopping = True
+        schedule = _schedule(self.cfg.timing, clock.now())
+        if not self._shutdown.begin(schedule):
+            return
         self.timeline.add(events.ProxyStopping(callers=self.caller_count()))
-        self.tasks.spawn("drain", self._drain)
+        self.tasks.spawn("drain", lambda: self._drain(schedule))
 
-    def _drain(self) -> None:
-        timing = self.cfg.timing
+    def _drain(self, schedule: shutdown_lib.Schedule) -> None:
         self.peers.announce_stop()
         self.store_sync.unregister()
-        time.sleep(timing.announce_ms * data.MILLISECOND)
+        time.sleep(self.cfg.timing.announce_ms * data.MILLISECOND)
         self._close_listener()
         for caller in self.all_callers():
             caller.stop()
-        now = time.monotonic()
-        deadline = now + timing.stop_ms * data.MILLISECOND
-        idle_close_at = now + IDLE_CLOSE_DELAY_S
-        while time.monotonic() < deadline and self._open_socket_count():
+        self._wait_for_callers(schedule)
+        ended = sum(caller.busy() for caller in self.all_callers())
+        self._tell_waiting_callers(idle_only=False)
+        while clock.now() < schedule.exit_at and self._is_busy():
+            time.sleep(STOP_POLL_S)
+            self._tell_waiting_callers(idle_only=False)
+        cut = sum(caller.unanswered() for caller in self.all_callers())
+        self.timeline.add(events.ProxyStopped(ended=ended, cut=cut))
+        self.close()
+
+    def _wait_for_callers(self, schedule: shutdown_lib.Schedule) -> None:
+        """Waits until no caller has work, or until the answers are due."""
+        idle_close_at = clock.now() + IDLE_CLOSE_DELAY_S
+        while clock.now() < schedule.answer_by and self._open_socket_count():
             time.sleep(STOP_POLL_S)
-            if time.monotonic() > idle_close_at:
+            if clock.now() > idle_close_at:
                 # Callers that stay idle or never finish the handshake do not
                 # delay the stop.
-                for caller in self.all_callers():
-                    caller.close_if_idle()
-                if not self._busy_count():
-                    break
-        self.timeline.add(events.ProxyStopped(cut=self._busy_count()))
-        self.close()
+                self._tell_waiting_callers(idle_only=True)
+                if not self._is_busy():
+                    return
+
+    def _is_busy(self) -> bool:
+        return any(caller.busy() for caller in self.all_callers())
+
+    def _tell_waiting_callers(self, *, idle_only: bool) -> None:
+        notice = messages.failure(
+            errors.Stopping(proxy=self.cfg.name), fatal=True
+        )
+        with self._lock:
+            for pid in self._socks.keys() - self._callers.keys() - self._told:
+                self._told.add(pid)
+                frames.send_last(self._socks[pid], notice)
+        for caller in self.all_callers():
+            caller.tell_stop(idle_only=idle_only)
 
     def _open_socket_count(self) -> int:
         with self._lock:
@@ -263,24 +305,17 @@
         with self._lock:
             return list(self._callers.values())
 
-    def _busy_count(self) -> int:
-        return sum(caller.busy() for caller in self.all_callers())
-
     def _close_listener(self) -> None:
         # Connections that are already in the port's backlog are still served.
         with self._lock:
             listener, self._listener = self._listener, None
         if listener is None:
             return
-        listener.setblocking(False)
-        while True:
-            try:
-                sock, _ = listener.accept()
-            except OSError:
-                break
-            sock.setblocking(True)
-            self._spawn_caller(sock)
+        acceptor.settle(listener)
+        acceptor.accept_pending(listener, self._spawn_caller)
         _close_socket(listener)
+        # A connection that the accepting task has taken must be known.
+        futures.wait([self._accepting], ACCEPT_END_TIMEOUT_S)
 
     def close(self) -> None:
         """Stops immediately and cuts the requests in progress."""
@@ -307,3 +342,15 @@
     with contextlib.suppress(OSError):
         sock.shutdown(socket.SHUT_RDWR)
     sock.close()
+
+
+def _schedule(timing: settings.Timing, now: float) -> shutdown_lib.Schedule:
+    """Returns the schedule of a stop that begins now, in clock.now() time."""
+    stop_s = timing.stop_ms * data.MILLISECOND
+    closed_at = now + timing.announce_ms * data.MILLISECOND
+    reserve_s = min(ANSWER_RESERVE_S, MAX_RESERVE_PART * stop_s)
+    return shutdown_lib.Schedule(
+        unconditional_until=closed_at + UNCONDITIONAL_PART * stop_s,
+        answer_by=closed_at + stop_s - reserve_s,
+        exit_at=closed_at + stop_s,
+    )
--- a/bronzehold/process/service.py
+++ b/bronzehold/process/service.py
@@ -21,6 +21,7 @@
 from bronzehold.process import metrics as metrics_lib
 from bronzehold.process import pool as pool_lib
 from bronzehold.process import quota
+from bronzehold.process import shutdown as shutdown_lib
 from bronzehold.process import timeline as timeline_lib
 from bronzehold.request import durations
 
@@ -50,6 +51,8 @@
         acquire_lane: A function that acquires a lane for long work of a
             group.
         release_lane: A function that releases such a lane.
+        shutdown: The planned stop of the process, which limits all waits of
+            requests.
     """
 
     cfg: settings.Settings
@@ -60,6 +63,7 @@
     slot_proxy_count: collections.abc.Callable[[], int]
     acquire_lane: collections.abc.Callable[[str, lanes.LaneRequest], str]
     release_lane: collections.abc.Callable[[str, str], None]
+    shutdown: shutdown_lib.Shutdown
 
 
 class ServiceRuntime:
@@ -147,11 +151,12 @@
         return list(self._pools.values())
 
     def _dial_backend(self, ep: data.Endpoint) -> backend_lib.Backend:
+        limit_s = self.env.shutdown.limit_s
         try:
-            conn = self.dial(ep, backend_lib.DIAL_TIMEOUT_S)
+            conn = self.dial(ep, limit_s(backend_lib.DIAL_TIMEOUT_S))
         except client.ClientError as exc:
             raise ports.DialError(str(exc)) from exc
-        return backend_lib.Backend(endpoint=ep, conn=conn)
+        return backend_lib.Backend(endpoint=ep, conn=conn, limit_s=limit_s)
 
     def call_control(
         self, endpoint: str, call: collections.abc.Callable[[client.Client], _T]
--- a/bronzehold/process/shutdown.py
+++ b/bronzehold/process/shutdown.py
@@ -32,7 +32,14 @@
 class Shutdown:
     """Whether a planned stop has begun; safe to use from any thread."""
 
-    def __init__(self):
+    def __init__(self, *, notice_s: float = math.inf):
+        """Initializes the state of a process that is not stopping.
+
+        Args:
+            notice_s: The shortest time from the beginning of a stop until its
+                answers are due, in seconds.
+        """
+        self._notice_s = notice_s
         self._lock = threading.Lock()
         self._schedule: Schedule | None = None
         self.begun = threading.Event()
@@ -72,6 +79,28 @@
         """
         return min(deadline, self.answer_by())
 
+    def limit_s(self, timeout_s: float) -> float:
+        """Returns a timeout that ends no later than any stop allows.
+
+        It holds also for a stop that begins later, so a wait of this length
+        need not ask again.
+
+        Args:
+            timeout_s: A timeout in seconds that starts now.
+        """
+        schedule = self._schedule
+        left_s = (
+            self._notice_s
+            if schedule is None
+            else schedule.answer_by - clock.now()
+        )
+        return max(0.0, min(timeout_s, left_s))
+
+    def overdue(self) -> bool:
+        """Returns whether the last answers are due."""
+        schedule = self._schedule
+        return schedule is not None and clock.now() >= schedule.answer_by
+
     def answer_by(self) -> float:
         """Returns when the last answers are due, infinity without a stop."""
         schedule = self._schedule
--- a/bronzehold/process/shutdown_test.py
+++ b/bronzehold/process/shutdown_test.py
@@ -61,3 +61,25 @@
     )
     assert not shutdown.begin(later)
     assert shutdown.answer_by() == SCHEDULE.answer_by
+
+
+def test_timeouts_end_before_a_stop_that_may_begin_later(at):
+    """Guards against a wait that begins before a stop and outlasts it."""
+    at(100.0)
+    shutdown = shutdown_lib.Shutdown(notice_s=5.5)
+    assert shutdown.limit_s(2.0) == 2.0
+    assert shutdown.limit_s(60.0) == 5.5
+    shutdown.begin(SCHEDULE)
+    at(102.0)
+    assert shutdown.limit_s(60.0) == 3.5
+    at(106.0)
+    assert shutdown.limit_s(60.0) == 0.0
+
+
+def test_answers_are_overdue_only_in_a_stop(at):
+    """Guards against interrupting requests of a proxy that does not stop."""
+    at(105.5)
+    shutdown = shutdown_lib.Shutdown()
+    assert not shutdown.overdue()
+    shutdown.begin(SCHEDULE)
+    assert shutdown.overdue()
--- a/bronzehold/request/relay.py
+++ b/bronzehold/request/relay.py
@@ -18,6 +18,7 @@
 
 # An incomplete answer is forwarded in parts of at least this size.
 FORWARD_THRESHOLD_BYTES = 32768
+STOPPING_REASON = "the proxy is stopping"
 
 
 class IncompleteAnswerError(Exception):
@@ -73,6 +74,7 @@
         backend: backend_lib.Backend,
         forward: collections.abc.Callable[[bytes], None],
         abort_reason: collections.abc.Callable[[], str],
+        overdue: collections.abc.Callable[[], bool],
         hold_back: bool,
         skipping: bool = False,
     ):
@@ -83,6 +85,8 @@
             forward: Sends bytes to the caller.
             abort_reason: Called at intervals while the endpoint sends nothing;
                 returns the reason to stop waiting, or "".
+            overdue: Returns whether the proxy stops and must answer now; called
+                before each wait for the endpoint.
             hold_back: Whether everything from the first completed command or
                 reported mark on is held back.
             skipping: Whether the endpoint ignores messages until a Sync,
@@ -91,6 +95,7 @@
         self._backend = backend
         self._forward = forward
         self._abort_reason = abort_reason
+        self._overdue = overdue
         self._hold_back = hold_back
         self._holding = False
         self._out = bytearray()
@@ -196,6 +201,8 @@
 
     def _fill(self, reader: frames.Reader) -> None:
         self._forward_buffered()
+        if self._overdue():
+            raise self._incomplete(STOPPING_REASON)
         try:
             reader.fill()
         except TimeoutError:
