A stop serves on after its port has closed, and exits sooner

Cause: with all of them stopping, nobody serves from the close of the ports to the next start. Requests outside of transactions were refused at once there, and the exit waited for connections to be quiet for 0.1 s, new ones for 0.3 s. Change: until half of the stop time, everything that arrives is served, also after the port has closed. Connections that were quiet for 0.04 s are closed, from 0.2 s before the port closes on, so that the process can exit right after it.

--- a/bronzehold/connection/platform_caller.py
+++ b/bronzehold/connection/platform_caller.py
@@ -4,6 +4,7 @@
 records metrics and log events of the requests.
 """
 
+import math
 import threading
 import typing
 
@@ -28,7 +29,7 @@
 
 
 # A stop closes a connection that has been quiet for this long.
-QUIET_S = 0.1
+QUIET_S = 0.04
 
 
 class Host(typing.Protocol):
@@ -143,9 +144,9 @@
     def stop(self) -> None:
         """Closes the connection when it is quiet and no transaction is open.
 
-        Called again and again until then. The next request outside of a
-        transaction is refused: a caller may send it at any moment, and could
-        not tell whether it was run if the connection were closed.
+        Called again and again until then. A caller that is never quiet is
+        refused its next request once not all are accepted any more: it could
+        not tell whether that was run if the connection were closed.
         """
         with self._lock:
             self._stopping = True
@@ -292,8 +293,9 @@
         The open transaction is rolled back, so the caller may repeat all of
         it.
         """
-        is_new = self._stopping and self._is_outside_block()
-        if not is_new and self._process.shutdown.accepts(route.timeout_s):
+        closes_next = self._stopping and self._is_outside_block()
+        timeout_s = math.inf if closes_next else route.timeout_s
+        if self._process.shutdown.accepts(timeout_s):
             return
         self._refused = True
         if not self._is_outside_block():
--- a/bronzehold/platform/listener.py
+++ b/bronzehold/platform/listener.py
@@ -7,6 +7,7 @@
 
 import contextlib
 import itertools
+import math
 import socket
 
 from bronzehold.connection import acceptor
@@ -23,8 +24,6 @@
 # Callers give up on the answer to STARTUP after 2 s, so their STARTUP message
 # arrives well within this timeout.
 STARTUP_TIMEOUT_S = 5.0
-# A planned stop leaves a new connection open for its first statement this long.
-FIRST_STATEMENT_S = 0.3
 # A caller that accepts no data for this long is treated as disconnected.
 SEND_TIMEOUT_S = 10.0
 
@@ -158,7 +157,7 @@
         database = rest.partition(" ")[0]
         if keyword != "STARTUP" or not database:
             return self._reject(errors.Malformed(problem="first message"))
-        if self._process.port_closed:
+        if not self._process.shutdown.accepts(math.inf):
             return self._reject(errors.Stopping(proxy=self._process.name))
         if self._process.find_route(database) is None:
             return self._reject(errors.ServiceUnknown(service=database))
@@ -172,7 +171,7 @@
 
         A new connection gets the time for its first statement.
         """
-        if clock.now() - self._accepted_at < FIRST_STATEMENT_S:
+        if clock.now() - self._accepted_at < platform_caller.QUIET_S:
             return
         if self._caller is None:
             self.end()
--- a/bronzehold/process/drain.py
+++ b/bronzehold/process/drain.py
@@ -19,6 +19,9 @@
 # The time for the load balancer to stop sending connections. It checks
 # readiness once a second and removes an instance after two failed checks.
 READINESS_NOTICE_S = 2.2
+# The time before the port closes from which quiet connections are closed, so
+# that the process can exit soon afterwards.
+CLOSE_LEAD_S = 0.2
 # The part of the stop time in which every request is accepted.
 UNCONDITIONAL_SHARE = 0.5
 # The part of the stop time that is reserved for the process to exit.
@@ -70,7 +73,10 @@
         """
         callers = self._callers.list()
         self._timeline.add(events.ProxyStopping(callers=len(callers)))
-        time.sleep(notice_s)
+        lead_s = min(CLOSE_LEAD_S, notice_s)
+        time.sleep(notice_s - lead_s)
+        closes_at = clock.now() + lead_s
+        self._stop_callers(lambda: clock.now() < closes_at)
         self._close_port()
         self._timeline.add(
             events.CallersPortClosed(
@@ -78,11 +84,19 @@
                 busy=self._callers.count_busy(),
             )
         )
-        while clock.now() < self._schedule.answer_by and self._has_work():
+        self._stop_callers(
+            lambda: clock.now() < self._schedule.answer_by and self._has_work()
+        )
+        self._end_all()
+
+    def _stop_callers(
+        self, goes_on: collections.abc.Callable[[], bool]
+    ) -> None:
+        """Closes the connections that become quiet while goes_on holds."""
+        while goes_on():
             for caller in self._callers.list():
                 caller.stop()
             time.sleep(STOP_POLL_S)
-        self._end_all()
 
     def _has_work(self) -> bool:
         return bool(self._callers.list() or self._forwarded.count_busy())
