Cut requests are logged within the rate limit of frequent events

What operators would see: a line for each caller that leaves in the middle of a request, without a limit, since its answer cannot be sent. Cause: RequestCut was added as a rare event; with millions of connections it is not. Change: it takes the limit of frequent events, for callers and forwarded work. Evidence: by reading the whole diff; no run has shown a flood.

--- a/bronzehold/connection/forward_server.py
+++ b/bronzehold/connection/forward_server.py
@@ -36,9 +36,9 @@
     """Serves one connection of another proxy.
 
     While the process stops, statements that belong to no open transaction are
-    refused as not run, so that their proxies can run them elsewhere. end and
-    busy may be called from any task; all other methods run in the connection's
-    own task.
+    refused as not run, so that their proxies can run them elsewhere. end, busy
+    and report_cut may be called from any task; all other methods run in the
+    connection's own task.
     """
 
     def __init__(
@@ -82,7 +82,7 @@
         call = self._unanswered
         if call is None:
             return False
-        self._process.timeline.add(
+        self._process.timeline.add_frequent(
             events.RequestCut(
                 request=call.request.id,
                 session=self._session.name,
--- a/bronzehold/connection/platform_caller.py
+++ b/bronzehold/connection/platform_caller.py
@@ -60,8 +60,8 @@
 class Caller:
     """Serves one caller.
 
-    stop, end and busy may be called from any task; all other methods run in
-    the caller's own task.
+    stop, end, busy and report_cut may be called from any task; all other
+    methods run in the caller's own task.
     """
 
     def __init__(
@@ -177,7 +177,7 @@
         req = self._unanswered
         if req is None:
             return False
-        self._process.timeline.add(
+        self._process.timeline.add_frequent(
             events.RequestCut(
                 request=req.id,
                 session=self._session.name,
