Workspaces: a caller's key decides whose statements its connections carry

Cause: endpoints were told "bronzehold" for every caller, keys were not read, and unknown or withdrawn keys were served. Callers of one workspace could not be told from those of another at the endpoints.

Change: the configuration names workspaces and keys; a key is looked up for each statement, so that a revocation reaches open sessions and transactions. A connection to an endpoint belongs to one workspace. A workspace's statements for a service meet at one serving proxy of a region (of the primary's region for what needs the primary), so that connections are used again. Configurations without workspaces behave as before.

--- a/bronzehold/connection/backend.py
+++ b/bronzehold/connection/backend.py
@@ -59,6 +59,7 @@
         self.prepared: set[bytes] = set()
         self.variables: tuple[str, ...] | None = ()
         self.idle_since = time.monotonic()
+        self.owner = ""
         self._limit_s = limit_s
         self._cancel_lock = threading.Lock()
         self._active_caller = ""
--- a/bronzehold/connection/forward_client.py
+++ b/bronzehold/connection/forward_client.py
@@ -160,6 +160,12 @@
         """Returns the proxies to forward to, none to serve here."""
         return self._serving.targets(limits)
 
+    def homes(
+        self, limits: routes.ServiceLimits, workspace: str, region: str
+    ) -> list[members_lib.Member]:
+        """Returns the proxies to forward a workspace's statements to."""
+        return self._serving.homes(limits, workspace, region)
+
     def may_be_starting(self) -> bool:
         """Returns whether a proxy that refused a connection may be starting."""
         return self._serving.may_be_starting()
--- a/bronzehold/connection/forward_codec.py
+++ b/bronzehold/connection/forward_codec.py
@@ -57,6 +57,8 @@
         writes: Whether it writes.
         prepared_name: The shared name of the statement that it executes, ""
             for none.
+        workspace: The workspace that it belongs to, "" for none.
+        version: The version of the configuration that allowed it.
     """
 
     request: statements.Request
@@ -66,6 +68,8 @@
     read_only: bool = False
     writes: bool = False
     prepared_name: str = ""
+    workspace: str = ""
+    version: int = 0
 
     @property
     def commits(self) -> bool:
@@ -186,6 +190,8 @@
         target_latency_us=_microseconds(route.target_latency_s),
         priority=route.priority,
         remaining_us=_microseconds(remaining_s),
+        workspace=call.workspace,
+        version=call.version,
     )
     match route.freshness:
         case routes.Latest():
@@ -282,6 +288,8 @@
         read_only=request.read_only,
         writes=request.writes,
         prepared_name=request.prepared.name,
+        workspace=request.workspace,
+        version=request.version,
     )
 
 
--- a/bronzehold/connection/forward_server.py
+++ b/bronzehold/connection/forward_server.py
@@ -174,6 +174,8 @@
             service=service,
             timeout_at=call.deadline,
             shutdown=self._process.shutdown,
+            workspace=call.workspace,
+            version=call.version,
         )
         req = call.request
         match call.block:
--- a/bronzehold/connection/forwarding_runner.py
+++ b/bronzehold/connection/forwarding_runner.py
@@ -18,6 +18,7 @@
 from bronzehold.core import clock
 from bronzehold.core import errors
 from bronzehold.core import ports
+from bronzehold.core import routes
 from bronzehold.core import statements
 from bronzehold.proto import forward_pb2 as pb
 from bronzehold.version import members as members_lib
@@ -158,7 +159,7 @@
         run_here: collections.abc.Callable[[], statements.Completed],
     ) -> statements.Completed:
         """Forwards a statement that no transaction ties to a proxy yet."""
-        targets = self._links.targets(context.service.limits)
+        targets = self._targets(call, context)
         while targets and not context.has_expired():
             target = targets[0]
             try:
@@ -173,6 +174,15 @@
         self.via = ""
         return run_here()
 
+    def _targets(
+        self, call: codec.Call, context: blocks.StatementContext
+    ) -> list[members_lib.Member]:
+        limits = context.service.limits
+        if not context.workspace:
+            return self._links.targets(limits)
+        region = context.service.home_region(on_primary=_on_primary(call))
+        return self._links.homes(limits, context.workspace, region)
+
     def _may_wait(self, context: blocks.StatementContext) -> bool:
         """Returns whether a serving proxy that is starting is worth a wait.
 
@@ -369,9 +379,18 @@
         deadline=context.deadline,
         writes=writes,
         prepared_name=prepared,
+        workspace=context.workspace,
+        version=context.version,
     )
 
 
+def _on_primary(call: codec.Call) -> bool:
+    """Returns whether a statement needs the primary."""
+    opens_plain = call.block == pb.FIRST and not call.read_only
+    reads_latest = isinstance(call.route.freshness, routes.Latest)
+    return call.writes or opens_plain or reads_latest
+
+
 def _reply_deadline(
     call: codec.Call, context: blocks.StatementContext
 ) -> collections.abc.Callable[[], float]:
--- a/bronzehold/connection/platform_blocks.py
+++ b/bronzehold/connection/platform_blocks.py
@@ -28,12 +28,16 @@
         timeout_at: The end of the statement's own timeout, in seconds of
             clock.now().
         shutdown: The planned stop of this proxy.
+        workspace: The workspace that the statement belongs to, "" for none.
+        version: The version of the configuration that allowed it.
     """
 
     route: routes.Route
     service: platform_service.PlatformService
     timeout_at: float
     shutdown: shutdown_lib.Shutdown
+    workspace: str = ""
+    version: int = 0
 
     @property
     def deadline(self) -> float:
--- a/bronzehold/connection/platform_caller.py
+++ b/bronzehold/connection/platform_caller.py
@@ -22,6 +22,7 @@
 from bronzehold.process import platform_service
 from bronzehold.process import shutdown as shutdown_lib
 from bronzehold.process import timeline as timeline_lib
+from bronzehold.version import access
 
 # One in this many successful statements of a session is logged; slow and failed
 # ones always are.
@@ -69,12 +70,17 @@
         *,
         link: ports.CallerConn,
         database: str,
+        key: str,
         process: Host,
         name: str,
         links: forward_client.Links,
     ):
         self._link = link
         self._database = database
+        # A secret: never logged and never sent to endpoints or peers.
+        self._key = key
+        self._access = access.Granted(workspace="")
+        self._version = 0
         self._process = process
         self._session = platform_session.PlatformSession(name=name)
         self._runner = forwarding_runner.ForwardingRunner(
@@ -86,7 +92,8 @@
         # seconds of clock.now(); None at other times.
         self._waiting_since: float | None = None
         self._stopping = False
-        # Whether the caller has been told that the proxy stops.
+        # Whether the caller was refused because the proxy stops or its key was
+        # revoked, so that the connection ends after what has arrived.
         self._refused = False
         # The request that has been read and not been answered yet.
         self._unanswered: statements.Request | None = None
@@ -160,6 +167,15 @@
             self._stopping = True
             self._link.stop_receiving()
 
+    def end_if_revoked(self) -> None:
+        """Closes the connection if it is quiet and its key was revoked."""
+        if not isinstance(self._look_up_key(), access.Denied):
+            return
+        with self._lock:
+            since = self._waiting_since
+            if since is not None and clock.now() - since >= QUIET_S:
+                self._link.stop_receiving()
+
     def busy(self) -> bool:
         """Returns whether a request or a transaction is in progress."""
         with self._lock:
@@ -196,6 +212,7 @@
     def _answer(self, req: statements.Request) -> None:
         self._runner.reset()
         try:
+            self._check_key()
             completed = self._run(req)
         except errors.FailureError as exc:
             self._record(req, exc.failure)
@@ -207,6 +224,39 @@
             self._record(req, None)
             self._link.complete(completed.body, self._state())
 
+    def _look_up_key(self) -> access.Granted | access.Denied:
+        table = self._process.table()
+        route = table.routes.get(self._database) or self._route
+        if route is None:
+            return self._access
+        return access.check(table, route, self._key)
+
+    def _check_key(self) -> None:
+        """Refuses the request if the caller's key has been revoked.
+
+        An open transaction is rolled back. It is also if the key has become
+        another workspace's, since its connection belongs to the former one.
+        """
+        version = self._process.table().version
+        match self._look_up_key():
+            case access.Granted() as granted if (
+                self._is_outside_block() or granted == self._access
+            ):
+                self._access = granted
+                self._version = version
+            case _:
+                self._refused = True
+                self._process.timeline.add_frequent(
+                    events.KeyRefused(
+                        session=self._session.name,
+                        database=self._database,
+                        version=version,
+                        in_transaction=not self._is_outside_block(),
+                    )
+                )
+                self._runner.end_block(blocks.Idle())
+                raise _failure_error(errors.KeyDenied())
+
     def _state(self) -> statements.TransactionState:
         return blocks.state(self._runner.block)
 
@@ -283,6 +333,8 @@
             service=service,
             timeout_at=req.arrived + route.timeout_s,
             shutdown=self._process.shutdown,
+            workspace=self._access.workspace,
+            version=self._version,
         )
 
     def _refuse_if_stopping(
@@ -373,6 +425,7 @@
             "session": self._session.name,
             "database": self._database,
             "group": service,
+            "workspace": self._access.workspace,
             "work": type(req.statement).__name__,
             "endpoint": self._runner.exchange.endpoint,
             "tried": self._format_attempts(req),
--- a/bronzehold/connection/platform_exchange.py
+++ b/bronzehold/connection/platform_exchange.py
@@ -146,12 +146,14 @@
         remaining_s = context.deadline - started
         try:
             conn = pool.acquire(
-                session=self._session.name,
+                # Workspaces share the queue fairly, not their sessions.
+                session=context.workspace or self._session.name,
                 deadline=time.monotonic() + remaining_s,
                 priority=context.route.priority,
                 prefer=self._session.matches,
                 max_wait_s=self.connection_wait_s,
                 max_expected_wait_s=self.remaining_queue_s(context),
+                owner=context.workspace,
             )
         except errors.FailureError as exc:
             raise blocks.TryOtherEndpointError(exc.failure, sent=False) from exc
--- a/bronzehold/core/errors.py
+++ b/bronzehold/core/errors.py
@@ -61,6 +61,11 @@
     user: str
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class KeyDenied:
+    """The caller's key is unknown or has been revoked."""
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Stopping:
     """This proxy is stopping; the caller must connect to another one."""
@@ -202,6 +207,7 @@
     | NoFreshEndpoint
     | ServiceUnknown
     | AccessDenied
+    | KeyDenied
     | Stopping
     | SpendReached
     | Unsupported
@@ -255,6 +261,8 @@
             return _not_run("3D000", f'service "{service}" does not exist')
         case AccessDenied(user=user):
             return _not_run("28P01", f'user "{user}" is not let in')
+        case KeyDenied():
+            return _not_run("28000", "the key is not valid")
         case Stopping(proxy=proxy):
             return _not_run("57P01", f"proxy {proxy} is stopping")
         case SpendReached(service=service):
--- a/bronzehold/core/events.py
+++ b/bronzehold/core/events.py
@@ -453,6 +453,7 @@
         term: Term of the primary.
         proof_age_ms: Age of the newest proof in ms, -1 if there is none.
         version: Version of the configuration in force.
+        workspace: Workspace of the caller, "" for none.
     """
 
     request: str
@@ -470,6 +471,7 @@
     term: int
     proof_age_ms: int
     version: int
+    workspace: str = ""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -487,6 +489,7 @@
         via: Proxy that the statement was forwarded to, "" if none.
         took_ms: Duration of the statement in ms.
         version: Version of the configuration in force.
+        workspace: Workspace of the caller, "" for none.
     """
 
     request: str
@@ -499,6 +502,7 @@
     via: str
     took_ms: int
     version: int
+    workspace: str = ""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -506,6 +510,23 @@
     """A sample of the statements that were served within their target."""
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class KeyRefused:
+    """A caller's key is unknown or was revoked; nothing of it ran.
+
+    Attributes:
+        session: Session of the caller, "" if it was refused at its start.
+        database: Database name that the caller connected to.
+        version: Version of the configuration that does not hold the key.
+        in_transaction: Whether an open transaction was rolled back.
+    """
+
+    session: str
+    database: str
+    version: int
+    in_transaction: bool
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class ForwardedRequestFailed:
     """A statement that another proxy forwarded to this one failed here.
--- a/bronzehold/core/ports.py
+++ b/bronzehold/core/ports.py
@@ -92,11 +92,13 @@
         prepared: Names of the statements that are prepared on it.
         idle_since: Time of its last return to the pool, in seconds of
             time.monotonic().
+        owner: The workspace that it belongs to, "" for none.
     """
 
     values: dict[str, str]
     prepared: set[str]
     idle_since: float
+    owner: str
 
     def send(
         self, commands: collections.abc.Sequence[statements.Command]
@@ -289,6 +291,6 @@
         """Decodes a listing; raises validation.ProblemsError."""
 
 
-# Opens a connection to a listed endpoint; the attempt ends at a time in seconds
-# of clock.now(). Raises DialError.
-Dial = collections.abc.Callable[[routes.Listing, float], EndpointConn]
+# Opens a connection to a listed endpoint for a workspace ("" for none); the
+# attempt ends at a time in seconds of clock.now(). Raises DialError.
+Dial = collections.abc.Callable[[routes.Listing, float, str], EndpointConn]
--- a/bronzehold/core/routes.py
+++ b/bronzehold/core/routes.py
@@ -51,6 +51,7 @@
         timeout_s: Timeout of one statement in seconds.
         target_latency_s: Latency target of an operation in seconds.
         priority: Priority of its statements; 0 is served first.
+        public: Whether its callers need no key and belong to no workspace.
     """
 
     name: str
@@ -60,6 +61,23 @@
     timeout_s: float
     target_latency_s: float
     priority: int
+    public: bool = False
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Workspace:
+    """A customer whose callers present one of its keys.
+
+    Attributes:
+        name: Name of the workspace, which endpoints are told.
+        rate_per_s: Limit on its operations a second, over all proxies; None
+            for no limit.
+        burst: Number of operations that it may run beyond the rate at once.
+    """
+
+    name: str
+    rate_per_s: float | None
+    burst: float
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -87,12 +105,19 @@
         services: Limits of the services by name.
         idle_transaction_s: Idle time in seconds after which a transaction is
             ended.
+        workspaces: Workspaces by name; None if the configuration has none, so
+            that callers need no key.
+        workspace_by_key: Name of the workspace by key. Keys are secrets.
     """
 
     version: int
     routes: dict[str, Route]
     services: dict[str, ServiceLimits]
     idle_transaction_s: float
+    workspaces: dict[str, Workspace] | None = None
+    workspace_by_key: dict[str, str] = dataclasses.field(
+        default_factory=dict, repr=False
+    )
 
 
 EMPTY_TABLE = Table(version=0, routes={}, services={}, idle_transaction_s=3.0)
--- a/bronzehold/platform/directory.py
+++ b/bronzehold/platform/directory.py
@@ -12,6 +12,7 @@
 from bronzehold.core import ports
 from bronzehold.core import routes
 from bronzehold.platform import fields as fields_lib
+from bronzehold.platform import workspaces as workspaces_lib
 
 CONFIG_KEY = "op/config"
 LISTINGS_PREFIX = "servers/"
@@ -54,12 +55,15 @@
         proxy_limits = fields_lib.Fields(
             source=CONFIG_KEY, value=fields.typed("limits", dict)
         )
+        workspaces, workspace_by_key = workspaces_lib.decode(fields)
         return routes.Table(
             version=fields.integer("version"),
             routes={route.database: route for route in decoded_routes},
             services={entry.name: entry for entry in service_limits},
             idle_transaction_s=proxy_limits.number("tx_idle_ms", 3000)
             * SECONDS_PER_MS,
+            workspaces=workspaces,
+            workspace_by_key=workspace_by_key,
         )
 
     def decode_listing(self, item: ports.Item) -> routes.Listing:
@@ -115,6 +119,7 @@
         target_latency_s=fields.number("target_latency_ms", 1000)
         * SECONDS_PER_MS,
         priority=fields.integer("priority", 1),
+        public=fields.boolean("public", default=False),
     )
 
 
--- a/bronzehold/platform/endpoint.py
+++ b/bronzehold/platform/endpoint.py
@@ -19,6 +19,8 @@
 DIAL_TIMEOUT_S = 0.4
 # An endpoint that accepts no data for this long is treated as unreachable.
 SEND_TIMEOUT_S = 1.0
+# Name that endpoints are told where no workspace is involved.
+CLIENT_NAME = "bronzehold"
 # Interval at which a blocked read checks whether it has been cancelled.
 CANCEL_CHECK_INTERVAL_S = 0.1
 
@@ -31,15 +33,19 @@
         prepared: Names of the statements that are prepared on it.
         idle_since: Time of its last return to the pool, in seconds of
             time.monotonic().
+        owner: The workspace that it was opened for, "" for none.
     """
 
-    def __init__(self, *, sock: socket.socket, reader: wire.LineReader):
+    def __init__(
+        self, *, sock: socket.socket, reader: wire.LineReader, owner: str = ""
+    ):
         self._sock = sock
         self._reader = reader
         self._answers_to_discard = 0
         self.values: dict[str, str] = {}
         self.prepared: set[str] = set()
         self.idle_since = time.monotonic()
+        self.owner = owner
 
     def send(
         self, commands: collections.abc.Sequence[statements.Command]
@@ -159,12 +165,13 @@
         self._sock.close()
 
 
-def dial(listing: routes.Listing, deadline: float) -> Conn:
+def dial(listing: routes.Listing, deadline: float, owner: str = "") -> Conn:
     """Opens a connection to an endpoint.
 
     Args:
         listing: The endpoint.
         deadline: The end of the attempt, in seconds of clock.now().
+        owner: The workspace that the connection is for, "" for none.
 
     Raises:
         ports.DialError: The connection failed or the endpoint rejected it.
@@ -174,7 +181,7 @@
     except OSError as exc:
         raise ports.DialError(str(exc), ports.DialFailure.LOCAL) from exc
     try:
-        return _open_session(sock, listing, deadline)
+        return _open_session(sock, listing, deadline, owner)
     except ports.DialError:
         sock.close()
         raise
@@ -207,7 +214,7 @@
 
 
 def _open_session(
-    sock: socket.socket, listing: routes.Listing, deadline: float
+    sock: socket.socket, listing: routes.Listing, deadline: float, owner: str
 ) -> Conn:
     wire.set_socket_options(sock)
     reader = wire.LineReader(sock=sock)
@@ -215,7 +222,9 @@
         sock.settimeout(_dial_timeout_s(deadline))
         sock.connect((listing.host, listing.port))
         sock.sendall(
-            wire.encode_startup(listing.service, "bronzehold", listing.id)
+            wire.encode_startup(
+                listing.service, owner or CLIENT_NAME, listing.id
+            )
         )
         sock.settimeout(_dial_timeout_s(deadline))
         answer = wire.read_startup_answer(reader)
@@ -229,5 +238,5 @@
         case statements.Refused():
             failure = ports.DialFailure.TOO_MANY_CONNECTIONS
         case _:
-            return Conn(sock=sock, reader=reader)
+            return Conn(sock=sock, reader=reader, owner=owner)
     raise ports.DialError(failure.value, failure)
--- a/bronzehold/platform/fields.py
+++ b/bronzehold/platform/fields.py
@@ -112,6 +112,17 @@
             raise self.problem(name, "has a character that is not printable")
         return value
 
+    def has(self, name: str) -> bool:
+        """Returns whether the object has a field."""
+        return name in self._value
+
+    def boolean(self, name: str, *, default: bool) -> bool:
+        """Returns a boolean, or the default for a missing field."""
+        value = self._value.get(name, default)
+        if not isinstance(value, bool):
+            raise self.problem(name, "is not true or false")
+        return value
+
     def list(self, name: str) -> list:
         """Returns a list, whose items are not checked."""
         return self.typed(name, list)
--- a/bronzehold/platform/instance.py
+++ b/bronzehold/platform/instance.py
@@ -64,6 +64,7 @@
             everyone=lambda: self.gossip.share_count(),  # noqa: PLW0108
             silence_s=lambda: self.gossip.silence_timeout_s(),  # noqa: PLW0108
             timeline=self.timeline,
+            regions=cfg.regions,
         )
         self.links = forward_client.Links(serving=self.serving)
         self.process = platform_process.PlatformProcess(
--- a/bronzehold/platform/listener.py
+++ b/bronzehold/platform/listener.py
@@ -6,6 +6,7 @@
 """
 
 import contextlib
+import dataclasses
 import itertools
 import math
 import socket
@@ -15,10 +16,12 @@
 from bronzehold.connection import platform_caller
 from bronzehold.core import clock
 from bronzehold.core import errors
+from bronzehold.core import events
 from bronzehold.core import ports
 from bronzehold.core import statements
 from bronzehold.platform import wire
 from bronzehold.process import platform_process
+from bronzehold.version import access
 
 ACCEPT_BACKLOG = 1024
 # Callers give up on the answer to STARTUP after 2 s, so their STARTUP message
@@ -100,6 +103,12 @@
             self._sock.shutdown(socket.SHUT_RD)
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class _Startup:
+    database: str
+    key: str = dataclasses.field(repr=False)
+
+
 class CallerConnection:
     """A caller's connection from its acceptance on.
 
@@ -132,12 +141,13 @@
             wire.set_socket_options(self._sock)
             self._sock.settimeout(STARTUP_TIMEOUT_S)
             reader = wire.LineReader(sock=self._sock)
-            database = self._read_startup(reader)
-            if database is None:
+            startup = self._read_startup(reader)
+            if startup is None:
                 return
             self._caller = platform_caller.Caller(
                 link=Conn(sock=self._sock, reader=reader),
-                database=database,
+                database=startup.database,
+                key=startup.key,
                 process=self._process,
                 name=f"{self._process.name}/{self._number}",
                 links=self._links,
@@ -147,21 +157,33 @@
             )
             self._caller.serve()
 
-    def _read_startup(self, reader: wire.LineReader) -> str | None:
-        """Returns the database of a valid STARTUP, None after an error."""
+    def _read_startup(self, reader: wire.LineReader) -> _Startup | None:
+        """Returns the fields of a valid STARTUP, None after an error."""
         try:
             line = reader.read_line().decode(wire.ENCODING)
         except wire.ProtocolError as exc:
             return self._reject(errors.Malformed(problem=str(exc)))
         keyword, _, rest = line.partition(" ")
-        database = rest.partition(" ")[0]
+        database, _, key = rest.partition(" ")
         if keyword != "STARTUP" or not database:
             return self._reject(errors.Malformed(problem="first message"))
         if not self._process.shutdown.accepts(math.inf):
             return self._reject(errors.Stopping(proxy=self._process.name))
-        if self._process.find_route(database) is None:
+        table = self._process.table()
+        route = table.routes.get(database)
+        if route is None:
             return self._reject(errors.ServiceUnknown(service=database))
-        return database
+        if isinstance(access.check(table, route, key), access.Denied):
+            self._process.timeline.add_frequent(
+                events.KeyRefused(
+                    session="",
+                    database=database,
+                    version=table.version,
+                    in_transaction=False,
+                )
+            )
+            return self._reject(errors.KeyDenied())
+        return _Startup(database=database, key=key)
 
     def _reject(self, failure: errors.Failure) -> None:
         self._sock.sendall(wire.encode_error(failure))
@@ -186,6 +208,11 @@
         else:
             self._caller.end()
 
+    def end_if_revoked(self) -> None:
+        """Closes the connection if it is quiet and its key was revoked."""
+        if self._caller is not None:
+            self._caller.end_if_revoked()
+
     def busy(self) -> bool:
         """Returns whether a request or a transaction is in progress."""
         return self._caller is not None and self._caller.busy()
--- a/bronzehold/platform/listener_test.py
+++ b/bronzehold/platform/listener_test.py
@@ -2,6 +2,7 @@
 
 from bronzehold.connection import platform_caller
 from bronzehold.core import clock
+from bronzehold.core import routes
 from bronzehold.core import statements
 from bronzehold.platform import listener
 from bronzehold.platform import wire
@@ -50,8 +51,8 @@
                 )
             )
 
-    def find_route(self, database):
-        del database
+    def table(self):
+        return routes.EMPTY_TABLE
 
 
 def _connection(process):
--- a/bronzehold/platform/local.py
+++ b/bronzehold/platform/local.py
@@ -108,13 +108,16 @@
         return [line[4:] for line in answer[:-2]]
 
 
-def connect(address: tuple[str, int], database: str, name: str = "") -> Session:
+def connect(
+    address: tuple[str, int], database: str, name: str = "", key: str = "test"
+) -> Session:
     """Opens a caller's session at a proxy.
 
     Args:
         address: Host and port on which the proxy accepts callers.
         database: Database that the session uses; selects the route.
         name: Prefix of the statement ids, "" for a generated one.
+        key: Key that the caller presents.
 
     Raises:
         OSError: The connection could not be opened.
@@ -122,7 +125,7 @@
         UnexpectedAnswerError: The proxy refused the session.
     """
     sock = socket.create_connection(address, ANSWER_TIMEOUT_S)
-    sock.sendall(f"STARTUP {database} test\r\n".encode())
+    sock.sendall(f"STARTUP {database} {key}\r\n".encode())
     lines = wire.LineReader(sock=sock)
     welcome = lines.read_line().decode()
     if welcome != "READY I -":
@@ -202,13 +205,19 @@
         return found.endpoint if found and found.term else None
 
     def configure(
-        self, *, max_connections: int = 16, marker: str = "", **fields
+        self,
+        *,
+        max_connections: int = 16,
+        marker: str = "",
+        workspaces: list[dict] | None = None,
+        **fields,
     ) -> None:
         """Writes the next version of the configuration to the store.
 
         Args:
             max_connections: Limit on connections to each endpoint.
             marker: Name of a database that only this version has, "" for none.
+            workspaces: Workspaces as operators write them, None for none.
             **fields: Fields to set or replace in every route.
         """
         self.version += 1
@@ -234,6 +243,8 @@
             "services": [{"name": SERVICE, "max_connections": max_connections}],
             "limits": {"tx_idle_ms": 3000},
         }
+        if workspaces is not None:
+            table["tenants"] = workspaces
         self.store.put("op/config", json.dumps(table).encode())
 
     def address(self, name: str) -> str:
@@ -261,10 +272,12 @@
             }
             self.store.put(f"servers/{name}", json.dumps(entry).encode())
 
-    def connect(self, database: str, proxy: int = 0) -> Session:
+    def connect(
+        self, database: str, proxy: int = 0, key: str = "test"
+    ) -> Session:
         """Opens a caller's session at the proxy with the given index."""
         address = addresses.split(self.proxies[proxy].cfg.callers)
-        return connect(address, database)
+        return connect(address, database, key=key)
 
     def close(self) -> None:
         """Stops the proxies, the group and the store."""
--- a/bronzehold/platform/standin_group.py
+++ b/bronzehold/platform/standin_group.py
@@ -76,6 +76,7 @@
         position: Last position of the endpoint's log before the statement.
         in_transaction: Whether it ran in a transaction.
         executed_at: Time of execution, in seconds of time.monotonic().
+        client: Name that the connection's STARTUP gave its client.
     """
 
     endpoint: str
@@ -85,6 +86,7 @@
     position: statements.LogPosition
     in_transaction: bool
     executed_at: float
+    client: str
 
 
 class Group:
@@ -363,6 +365,7 @@
         self._session_values: dict[str, str] = {}
         # Kind of each prepared statement, READ or WRITE, by its name.
         self._prepared: dict[str, str] = {}
+        self._client = ""
         self._state = "I"
         self._is_read_write = False
         self._writes: list[tuple[str, str]] = []
@@ -381,6 +384,7 @@
         if words[0] != "STARTUP" or (words[1], words[-1]) != expected:
             self._send("ERROR WRONGNODE another endpoint")
             return
+        self._client = " ".join(words[2:-1])
         with self._group.lock:
             is_full = endpoint.connections >= self._group.settings.connections
             endpoint.connections += not is_full
@@ -546,6 +550,7 @@
                 position=self._endpoint.last_position(),
                 in_transaction=self._state == "T",
                 executed_at=time.monotonic(),
+                client=self._client,
             )
         )
 
--- a/bronzehold/platform/wire.py
+++ b/bronzehold/platform/wire.py
@@ -207,6 +207,8 @@
             return _CODE_BY_REASON.get(reason, "FAILED"), detail
         case errors.ServiceUnknown():
             return "NODATABASE", text
+        case errors.KeyDenied():
+            return "DENIED", text
         case errors.NoFreshEndpoint():
             return "LAGGING", text
         case errors.TransactionLost():
--- a/bronzehold/process/open_connections.py
+++ b/bronzehold/process/open_connections.py
@@ -30,6 +30,9 @@
     def stop(self) -> None:
         """Closes the connection as soon as no transaction is open."""
 
+    def end_if_revoked(self) -> None:
+        """Closes the connection if it is quiet and its key was revoked."""
+
 
 AnyConnection = typing.TypeVar("AnyConnection", bound=Connection)
 
--- a/bronzehold/process/platform_process.py
+++ b/bronzehold/process/platform_process.py
@@ -77,6 +77,7 @@
             cut_off=cut_off,
             fleet_restarted=fleet_restarted,
             shutdown=shutdown,
+            has_workspaces=lambda: self._table.workspaces is not None,
         )
         self._lock = threading.Lock()
         self._table = routes.EMPTY_TABLE
@@ -188,6 +189,9 @@
         while not self.tasks.stop.wait(SWEEP_INTERVAL_S):
             for service in self.services():
                 service.sweep()
+            if self._table.workspaces is not None:
+                for connection in self.callers.list():
+                    connection.end_if_revoked()
             close_idle_links()
 
     # Callers.
--- a/bronzehold/process/platform_service.py
+++ b/bronzehold/process/platform_service.py
@@ -34,6 +34,10 @@
 # last statement, also outside of the serving set: the proxy in the set does not
 # answer then.
 FORWARDED_S = 2.0
+# Connections to an endpoint of another region, where workspaces have theirs at
+# the proxies of that region: one for probes, one for statements that could not
+# be forwarded.
+FAR_CONNECTIONS = 2
 # The endpoint still counts the connections of an instance that lost power, so
 # unused connections are closed early.
 MAX_IDLE_S = 3.0
@@ -58,6 +62,8 @@
             started, so that the endpoints may still count connections of the
             processes before.
         shutdown: The planned stop of the process.
+        has_workspaces: A function that returns whether the configuration names
+            workspaces, so that connections belong to them.
     """
 
     zone: str
@@ -69,6 +75,7 @@
     cut_off: collections.abc.Callable[[], bool]
     fleet_restarted: collections.abc.Callable[[], bool]
     shutdown: shutdown_lib.Shutdown
+    has_workspaces: collections.abc.Callable[[], bool] = lambda: False
 
 
 class PlatformService:
@@ -118,7 +125,7 @@
     def _add_endpoint(self, listing: routes.Listing) -> None:
         self._pools[listing.id] = pool_lib.Pool(
             endpoint=_endpoint(listing, self.env.regions),
-            dial=lambda _: self._dial(listing),
+            dial=lambda _, owner: self._dial(listing, owner),
             limits=self._caps(listing),
             queue_timeout_s=POOL_QUEUE_S,
             idle_timeout_s=MAX_IDLE_S,
@@ -145,6 +152,8 @@
         # statements that it could not forward.
         sharing = self.env.serving.share_count(self.limits)
         share = max(1, max_connections // max(1, sharing))
+        if self.env.has_workspaces():
+            share = self._share_by_region(listing)
         if not self.serves():
             share = 1
         slots = listing.slots + EXTRA_SLOTS
@@ -164,6 +173,38 @@
             connections=share, slots=slots, max_overflow=max(0, max_overflow)
         )
 
+    def _share_by_region(self, listing: routes.Listing) -> int:
+        """Returns this proxy's share of an endpoint's connections.
+
+        Statements of workspaces are forwarded to the region of their endpoint,
+        so the serving proxies there need nearly all of its connections.
+        """
+        env = self.env
+        region = env.regions.get(listing.zone, listing.zone)
+        near_count = env.serving.count_in_region(self.limits, region)
+        far_count = env.serving.count(self.limits) - near_count
+        if not near_count:
+            return max(1, self.limits.connections // max(1, far_count + 1))
+        if region != env.regions.get(env.zone, env.zone):
+            return FAR_CONNECTIONS
+        reserved = FAR_CONNECTIONS * (far_count + 1)
+        return max(1, (self.limits.connections - reserved) // near_count)
+
+    def home_region(self, *, on_primary: bool) -> str:
+        """Returns the region whose proxies run a workspace's statement.
+
+        Args:
+            on_primary: Whether the statement needs the primary. It crosses to
+                the primary's region in any case, and its proxies there share
+                connections.
+        """
+        zone = self.env.zone
+        leader = self.group.leader()
+        if on_primary and leader is not None:
+            listing = self.group.listings().get(leader.endpoint)
+            zone = zone if listing is None else listing.zone
+        return self.env.regions.get(zone, zone)
+
     def serves(self) -> bool:
         """Returns whether this proxy is one of those that serve the service."""
         return self._replaces_another() or self.env.serving.serves(self.limits)
@@ -294,8 +335,10 @@
             raise ports.DialError("it is not listed")
         return self._dial(listing)
 
-    def _dial(self, listing: routes.Listing) -> ports.EndpointConn:
-        return self.env.dial(listing, self.env.shutdown.answer_by())
+    def _dial(
+        self, listing: routes.Listing, owner: str = ""
+    ) -> ports.EndpointConn:
+        return self.env.dial(listing, self.env.shutdown.answer_by(), owner)
 
     def spawn_lasting(
         self, name: str, task: collections.abc.Callable[[], None]
--- a/bronzehold/process/pool.py
+++ b/bronzehold/process/pool.py
@@ -44,6 +44,9 @@
 INITIAL_SERVICE_S = 0.005
 # Idle connections within the share are closed after this time.
 IDLE_TIMEOUT_S = 60.0
+# An idle connection that only one workspace may use is kept longer: the
+# workspace may rarely use it, and another one costs the endpoint a slot.
+OWNED_IDLE_TIMEOUT_S = 20.0
 # Outdated session tags are removed when there are more than this.
 MAX_SESSION_TAGS = 4096
 LOWEST_PRIORITY = 1 << 30
@@ -69,9 +72,11 @@
 
     Attributes:
         idle_since: Time of the last release, in seconds of time.monotonic().
+        owner: The workspace that alone may use the connection, "" for any.
     """
 
     idle_since: float
+    owner: str
 
     def usable(self) -> bool:
         """Returns whether the next caller may use the connection."""
@@ -171,7 +176,7 @@
         self,
         *,
         endpoint: data.Endpoint,
-        dial: collections.abc.Callable[[data.Endpoint], Connection],
+        dial: collections.abc.Callable[[data.Endpoint, str], Connection],
         limits: Limits,
         queue_timeout_s: float,
         idle_timeout_s: float = IDLE_TIMEOUT_S,
@@ -300,6 +305,7 @@
         prefer: collections.abc.Callable[[Connection], bool] | None = None,
         max_wait_s: float | None = None,
         max_expected_wait_s: float | None = None,
+        owner: str = "",
     ) -> Connection:
         """Waits for a slot and a connection.
 
@@ -316,6 +322,7 @@
                 endpoint can serve too; None for no further limit.
             max_expected_wait_s: The request is refused at once if its
                 expected wait in seconds is longer; None for the queue timeout.
+            owner: The workspace that the connection must belong to.
 
         Returns:
             The connection to use.
@@ -344,7 +351,7 @@
         while True:
             self._wait(waiter, end)
             try:
-                return self._connect(length, prefer)
+                return self._connect(length, prefer, owner)
             except ports.DialError as exc:
                 full = exc.failure is ports.DialFailure.TOO_MANY_CONNECTIONS
                 if not full or time.monotonic() >= end:
@@ -522,17 +529,19 @@
         self,
         length: data.RequestLength,
         prefer: collections.abc.Callable[[Connection], bool] | None,
+        owner: str,
     ) -> Connection:
-        conn = self._take_idle(prefer)
+        conn = self._take_idle(prefer, owner)
         while conn is not None:
             if conn.usable():
                 return conn
             conn.close()
             with self._lock:
                 self._unassigned += 1
-            conn = self._take_idle(prefer)
+            conn = self._take_idle(prefer, owner)
+        self._make_room()
         try:
-            return self._dial(self.endpoint)
+            return self._dial(self.endpoint, owner)
         except ports.DialError as exc:
             if exc.failure is ports.DialFailure.TOO_MANY_CONNECTIONS:
                 self._record_full()
@@ -540,17 +549,37 @@
             raise
 
     def _take_idle(
-        self, prefer: collections.abc.Callable[[Connection], bool] | None
+        self,
+        prefer: collections.abc.Callable[[Connection], bool] | None,
+        owner: str,
     ) -> Connection | None:
         with self._lock:
             self._unassigned -= 1
-            if not self._idle:
-                return None
-            if prefer is not None:
-                for number in range(len(self._idle) - 1, -1, -1):
-                    if prefer(self._idle[number]):
-                        return self._idle.pop(number)
-            return self._idle.pop()
+            found = None
+            for number in range(len(self._idle) - 1, -1, -1):
+                conn = self._idle[number]
+                if conn.owner != owner:
+                    continue
+                if prefer is None or prefer(conn):
+                    return self._idle.pop(number)
+                if found is None:
+                    found = number
+            return None if found is None else self._idle.pop(found)
+
+    def _make_room(self) -> None:
+        """Closes the longest idle connection of others if there are too many.
+
+        A connection to be opened counts already. Idle connections that belong
+        to other workspaces would otherwise add to the open ones.
+        """
+        with self._lock:
+            limit = self._limits.connections
+            if time.monotonic() < self._full_until:
+                limit = min(limit, self._full_count)
+            if not self._idle or self._open_count() <= limit:
+                return
+            conn = self._idle.pop(0)
+        conn.close()
 
     def _release_unconnected(self, length: data.RequestLength) -> None:
         with self._lock:
@@ -640,7 +669,10 @@
             idle_s: Idle time of that connection in seconds.
         """
         extra = self._open_count() - self._limits.connections
-        if extra > self._limits.max_overflow or idle_s > self._idle_timeout_s:
+        timeout_s = self._idle_timeout_s
+        if self._idle[0].owner:
+            timeout_s = max(timeout_s, OWNED_IDLE_TIMEOUT_S)
+        if extra > self._limits.max_overflow or idle_s > timeout_s:
             return True
         if extra <= 0:
             self._overflow_to_close = 0
--- a/bronzehold/process/pool_test.py
+++ b/bronzehold/process/pool_test.py
@@ -17,6 +17,7 @@
         self.closed = False
         self.is_usable = True
         self.idle_since = time.monotonic()
+        self.owner = ""
 
     def usable(self) -> bool:
         return self.is_usable
@@ -31,7 +32,7 @@
 def make_pool(connections: int = 2, slots: int = 2):
     opened = []
 
-    def dial(_endpoint):
+    def dial(_endpoint, _owner):
         opened.append(FakeConnection())
         return opened[-1]
 
@@ -173,7 +174,7 @@
 def test_full_endpoint_is_not_dialled_for_every_waiting_request():
     calls = []
 
-    def dial(_endpoint):
+    def dial(_endpoint, _owner):
         calls.append(1)
         raise ports.DialError("full", ports.DialFailure.TOO_MANY_CONNECTIONS)
 
@@ -221,7 +222,7 @@
         self.dial_count = 0
         self.opened: list[FakeConnection] = []
 
-    def dial(self, _endpoint):
+    def dial(self, _endpoint, _owner):
         self.dial_count += 1
         if sum(not conn.closed for conn in self.opened) >= self.limit:
             raise ports.DialError(
@@ -306,3 +307,92 @@
     with_overflow.release_overflow()
     with_overflow.close_excess_idle()
     assert not held[1].closed and not acquired.closed
+
+
+class OwnedConnections:
+    """Dials connections that belong to the workspace they are opened for."""
+
+    def __init__(self):
+        self.opened: list[FakeConnection] = []
+
+    def dial(self, _endpoint, owner):
+        conn = FakeConnection()
+        conn.owner = owner
+        self.opened.append(conn)
+        return conn
+
+
+def _owned_pool(dialer, connections):
+    return pool_lib.Pool(
+        endpoint=ENDPOINT,
+        dial=dialer.dial,
+        limits=pool_lib.Limits(connections=connections, slots=4),
+        queue_timeout_s=1.0,
+    )
+
+
+def _use(pool, owner):
+    conn = pool.acquire(session=owner, deadline=deadline_in(1), owner=owner)
+    pool.end_statement(0.001)
+    pool.release(conn, reusable=True)
+    return conn
+
+
+def test_a_connection_serves_only_the_workspace_it_was_opened_for():
+    """Guards against statements under another workspace's name."""
+    dialer = OwnedConnections()
+    pool = _owned_pool(dialer, 4)
+    first = _use(pool, "w1")
+    assert _use(pool, "w2") is not first
+    assert _use(pool, "w1") is first
+    assert _use(pool, "") not in dialer.opened[:2]
+    assert [conn.owner for conn in dialer.opened] == ["w1", "w2", ""]
+
+
+def test_many_workspaces_take_turns_within_the_limit_of_connections():
+    """Answers more workspaces than connections.
+
+    The connection that was idle longest makes room, so a workspace that is
+    busy keeps its own.
+    """
+    dialer = OwnedConnections()
+    pool = _owned_pool(dialer, 3)
+    busy = _use(pool, "busy")
+    for number in range(20):
+        _use(pool, f"w{number}")
+        assert _use(pool, "busy") is busy
+        assert pool.load().open <= 3
+    assert sum(not conn.closed for conn in dialer.opened) <= 3
+
+
+def test_workspaces_share_the_queue_evenly():
+    """Answers one workspace with many requests before one with few."""
+    dialer = OwnedConnections()
+    pool = pool_lib.Pool(
+        endpoint=ENDPOINT,
+        dial=dialer.dial,
+        limits=pool_lib.Limits(connections=8, slots=1),
+        queue_timeout_s=5.0,
+    )
+    order = []
+
+    def work(owner):
+        conn = pool.acquire(session=owner, deadline=deadline_in(5), owner=owner)
+        order.append(owner)
+        pool.end_statement(0.001)
+        pool.release(conn, reusable=True)
+
+    held = pool.acquire(session="w0", deadline=deadline_in(5), owner="w0")
+    threads = [
+        threading.Thread(target=work, args=(owner,))
+        for owner in ["many"] * 6 + ["few"] * 2
+    ]
+    for thread in threads:
+        thread.start()
+        time.sleep(0.01)
+    pool.end_statement(0.001)
+    pool.release(held, reusable=True)
+    for thread in threads:
+        thread.join()
+    assert order.index("few") <= 1
+    assert sorted(order[:4]) == ["few", "few", "many", "many"]
--- a/bronzehold/process/service.py
+++ b/bronzehold/process/service.py
@@ -116,7 +116,7 @@
     def _add_endpoint(self, ep: data.Endpoint) -> None:
         self._pools[ep.name] = pool_lib.Pool(
             endpoint=ep,
-            dial=self._dial_backend,
+            dial=lambda endpoint, _: self._dial_backend(endpoint),
             limits=self._pool_limits(ep),
             queue_timeout_s=self.env.cfg.timing.queue_ms * data.MILLISECOND,
         )
--- a/bronzehold/process/serving.py
+++ b/bronzehold/process/serving.py
@@ -6,7 +6,9 @@
 """
 
 import collections.abc
+import itertools
 import threading
+import types
 
 from bronzehold.core import clock
 from bronzehold.core import events
@@ -25,6 +27,7 @@
 MAX_TARGETS = 2
 # Time within which the proxies of a fleet that starts at once are ready.
 STARTING_S = 1.0
+_NO_REGIONS: collections.abc.Mapping[str, str] = types.MappingProxyType({})
 
 
 class Serving:
@@ -37,6 +40,7 @@
         silence_s: Returns the time without a digest after which a peer counts
             as silent, in seconds.
         timeline: The event log of the process.
+        regions: The region of each availability zone.
     """
 
     def __init__(
@@ -46,8 +50,10 @@
         everyone: collections.abc.Callable[[], int],
         silence_s: collections.abc.Callable[[], float],
         timeline: timeline_lib.Timeline,
+        regions: collections.abc.Mapping[str, str] = _NO_REGIONS,
     ):
         self._own = own
+        self._regions = regions
         self._everyone = everyone
         self._timeline = timeline
         self._lock = threading.Lock()
@@ -194,6 +200,66 @@
             ]
         return serving_set.rank(limits.name, candidates)[:MAX_TARGETS]
 
+    def homes(
+        self, limits: routes.ServiceLimits, workspace: str, region: str
+    ) -> list[members_lib.Member]:
+        """Returns the proxies to forward a workspace's statements to.
+
+        A connection to an endpoint belongs to one workspace, so the statements
+        of a workspace meet at one serving proxy of each region. The next one in
+        the order takes its place when it fails.
+
+        Args:
+            limits: The limits of the service.
+            workspace: The name of the workspace.
+            region: The region whose proxies are preferred.
+
+        Returns:
+            The proxies in the order in which they are to be tried; none if this
+            proxy is the first.
+        """
+        names = self.names(limits)
+        now = clock.now()
+        with self._lock:
+            serving = [
+                member
+                for member in self._members.values()
+                if member.name in names
+            ]
+            chosen = (
+                self._in_region(serving, region)
+                or self._in_region(serving, self._region(self._own.zone))
+                or serving
+            )
+            ranked = serving_set.rank_homes(limits.name, workspace, chosen)
+            before_own = itertools.takewhile(
+                lambda member: member.name != self._own.name, ranked
+            )
+            return [
+                member
+                for member in before_own
+                if not self._is_suspect(member.name, now)
+            ][:MAX_TARGETS]
+
+    def _region(self, zone: str) -> str:
+        return self._regions.get(zone, zone)
+
+    def _in_region(
+        self, members: list[members_lib.Member], region: str
+    ) -> list[members_lib.Member]:
+        return [m for m in members if self._region(m.zone) == region]
+
+    def count(self, limits: routes.ServiceLimits) -> int:
+        """Returns the number of proxies that serve a service."""
+        return len(self.names(limits))
+
+    def count_in_region(self, limits: routes.ServiceLimits, region: str) -> int:
+        """Returns the number of proxies of a region that serve a service."""
+        names = self.names(limits)
+        with self._lock:
+            serving = [m for m in self._members.values() if m.name in names]
+            return len(self._in_region(serving, region))
+
     def _is_suspect(self, name: str, now: float) -> bool:
         suspected_at = self._suspected_at.get(name)
         return suspected_at is not None and now - suspected_at < MAX_SUSPECT_S
--- a/bronzehold/version/serving_set.py
+++ b/bronzehold/version/serving_set.py
@@ -50,5 +50,14 @@
     return members_lib.rank(_key(service), members)
 
 
+def rank_homes(
+    service: str,
+    workspace: str,
+    members: collections.abc.Iterable[members_lib.Member],
+) -> list[members_lib.Member]:
+    """Orders proxies for the statements of one workspace to a service."""
+    return members_lib.rank(f"home {service} {workspace}", members)
+
+
 def _key(service: str) -> str:
     return f"serve {service}"
--- a/tests/forwarding_test.py
+++ b/tests/forwarding_test.py
@@ -273,7 +273,7 @@
     primary = own_fleet.deployment.group.primary().name
     real = server._env.dial
 
-    def dial(listing, deadline):
+    def dial(listing, deadline, owner):
         if listing.id == primary:
             raise ports.DialError("cut off")
         return real(listing, deadline)
--- a/tests/stop_review_test.py
+++ b/tests/stop_review_test.py
@@ -80,13 +80,17 @@
     caller = platform_caller.Caller(
         link=link,
         database="d",
+        key="",
         process=types.SimpleNamespace(
             name="p",
             shutdown=shutdown,
             find_route=lambda _: ROUTE,
             service=lambda _: None,
-            table=lambda: types.SimpleNamespace(
-                idle_transaction_s=1.0, version=1
+            table=lambda: routes.Table(
+                version=1,
+                routes={"d": ROUTE},
+                services={},
+                idle_transaction_s=1.0,
             ),
             metrics=types.SimpleNamespace(record=lambda *_: None),
             timeline=types.SimpleNamespace(add_frequent=lambda _: None),
