Statements of workspaces are redirected to the region of their endpoint

Change: a home refuses such a statement as not run and names the region; the origin forwards it to the home there, once.

--- a/bronzehold/connection/forward_codec.py
+++ b/bronzehold/connection/forward_codec.py
@@ -59,6 +59,7 @@
             for none.
         workspace: The workspace that it belongs to, "" for none.
         version: The version of the configuration that allowed it.
+        redirected: Whether a proxy of another region redirected it.
     """
 
     request: statements.Request
@@ -70,6 +71,7 @@
     prepared_name: str = ""
     workspace: str = ""
     version: int = 0
+    redirected: bool = False
 
     @property
     def commits(self) -> bool:
@@ -192,6 +194,7 @@
         remaining_us=_microseconds(remaining_s),
         workspace=call.workspace,
         version=call.version,
+        redirected=call.redirected,
     )
     match route.freshness:
         case routes.Latest():
@@ -290,6 +293,7 @@
         prepared_name=request.prepared.name,
         workspace=request.workspace,
         version=request.version,
+        redirected=request.redirected,
     )
 
 
--- a/bronzehold/connection/forward_server.py
+++ b/bronzehold/connection/forward_server.py
@@ -176,6 +176,7 @@
             shutdown=self._process.shutdown,
             workspace=call.workspace,
             version=call.version,
+            may_redirect=bool(call.workspace) and not call.redirected,
         )
         req = call.request
         match call.block:
--- a/bronzehold/connection/forwarding_runner.py
+++ b/bronzehold/connection/forwarding_runner.py
@@ -28,6 +28,11 @@
 READ_WAIT_SHARE = 0.5
 STARTING_RETRY_DELAY_S = 0.03
 
+# Runs a statement on this proxy.
+_RunHere = collections.abc.Callable[
+    [blocks.StatementContext], statements.Completed
+]
+
 
 class ForwardingRunner:
     """Runs the statements of one caller; used only by the caller's task.
@@ -100,7 +105,7 @@
         """
         call = _make_call(req, context, prepared)
         return self._run(
-            call, context, lambda: self._local.read(req, context, prepared)
+            call, context, lambda here: self._local.read(req, here, prepared)
         )
 
     def write(
@@ -116,7 +121,7 @@
         """
         call = _make_call(req, context, prepared, writes=True)
         return self._run(
-            call, context, lambda: self._local.write(req, context, prepared)
+            call, context, lambda here: self._local.write(req, here, prepared)
         )
 
     def run_in_block(
@@ -138,10 +143,8 @@
             call = dataclasses.replace(call, block=pb.NEXT)
             return self._run_next(self._forwarded, call, context)
 
-        def run_here() -> statements.Completed:
-            return self._local.run_in_block(
-                req, context, prepared, writes=writes
-            )
+        def run_here(here: blocks.StatementContext) -> statements.Completed:
+            return self._local.run_in_block(req, here, prepared, writes=writes)
 
         match self._local.block:
             case blocks.Deferred(read_only=read_only):
@@ -150,16 +153,33 @@
                 )
                 return self._run(call, context, run_here)
             case _:
-                return run_here()
+                return run_here(context)
 
     def _run(
         self,
         call: codec.Call,
         context: blocks.StatementContext,
-        run_here: collections.abc.Callable[[], statements.Completed],
+        run_here: _RunHere,
     ) -> statements.Completed:
         """Forwards a statement that no transaction ties to a proxy yet."""
         targets = self._targets(call, context)
+        while True:
+            try:
+                return self._run_on_first(targets, call, context, run_here)
+            except _RedirectedError as exc:
+                targets = self._links.homes(
+                    context.service.limits, context.workspace, exc.region
+                )
+                call = dataclasses.replace(call, redirected=True)
+
+    def _run_on_first(
+        self,
+        targets: list[members_lib.Member],
+        call: codec.Call,
+        context: blocks.StatementContext,
+        run_here: _RunHere,
+    ) -> statements.Completed:
+        """Offers a statement to proxies in turn; the last one is this one."""
         while targets and not context.has_expired():
             target = targets[0]
             try:
@@ -172,7 +192,15 @@
                 else:
                     del targets[0]
         self.via = ""
-        return run_here()
+        may_redirect = bool(call.workspace) and not call.redirected
+        try:
+            return run_here(
+                dataclasses.replace(context, may_redirect=may_redirect)
+            )
+        except errors.FailureError as exc:
+            if isinstance(exc.failure, errors.ServedElsewhere):
+                raise _RedirectedError(exc.failure.region) from exc
+            raise
 
     def _targets(
         self, call: codec.Call, context: blocks.StatementContext
@@ -337,7 +365,7 @@
         call: codec.Call,
         failure: errors.Failure | None,
     ) -> None:
-        """Raises _TryElsewhereError if another proxy may run the statement.
+        """Raises an error if another proxy may run the statement.
 
         It did not run. Of a primary that is cut off from some proxies, all
         callers of a zone would be refused if its serving proxy is among them.
@@ -347,11 +375,26 @@
                 link.close()
                 self._links.suspect(link.target, "it is stopping")
                 raise _TryElsewhereError(failure)
+            case errors.ServedElsewhere(region=region):
+                self._links.release(link)
+                raise _RedirectedError(region)
             case errors.NoPrimary() if clock.now() < call.deadline:
                 self._links.release(link)
                 raise _TryElsewhereError(failure)
 
 
+class _RedirectedError(Exception):
+    """Proxies of another region are to run the statement; it did not run.
+
+    Attributes:
+        region: The region.
+    """
+
+    def __init__(self, region: str):
+        super().__init__(region)
+        self.region = region
+
+
 class _TryElsewhereError(Exception):
     """The statement may run elsewhere: it did not run here, or it is a read.
 
--- a/bronzehold/connection/platform_blocks.py
+++ b/bronzehold/connection/platform_blocks.py
@@ -30,6 +30,8 @@
         shutdown: The planned stop of this proxy.
         workspace: The workspace that the statement belongs to, "" for none.
         version: The version of the configuration that allowed it.
+        may_redirect: Whether it may be refused in favour of the proxies in the
+            region of its endpoint, which have the workspace's connections.
     """
 
     route: routes.Route
@@ -38,6 +40,7 @@
     shutdown: shutdown_lib.Shutdown
     workspace: str = ""
     version: int = 0
+    may_redirect: bool = False
 
     @property
     def deadline(self) -> float:
--- a/bronzehold/connection/platform_runner.py
+++ b/bronzehold/connection/platform_runner.py
@@ -192,6 +192,7 @@
                 queued_s = self.exchange.queued_s + NEGLIGIBLE_WAIT_S
                 continue
             target = remaining[0]
+            self._redirect(context, target)
             # A read that leaves a queue and returns loses its place, so without
             # a promising alternative it waits until the deadline.
             has_alternative = any(
@@ -325,6 +326,7 @@
             if leader is None:
                 raise errors.FailureError(last_failure)
             self.exchange.endpoint = leader.endpoint
+            self._redirect(context, leader.endpoint)
             try:
                 return run()
             except blocks.TryOtherEndpointError as exc:
@@ -339,6 +341,18 @@
                     raise errors.FailureError(last_failure) from exc
             time.sleep(RETRY_DELAY_S)
 
+    def _redirect(self, context: blocks.StatementContext, target: str) -> None:
+        """Refuses a statement that the proxies of another region are to run.
+
+        Nothing of it has been sent yet: this proxy has hardly any connections
+        of the workspace to that endpoint.
+        """
+        if not context.may_redirect or self.exchange.attempts:
+            return
+        region = context.service.region_with_homes(target)
+        if region is not None:
+            raise errors.FailureError(errors.ServedElsewhere(region=region))
+
     def _check_primary_reachable(
         self, context: blocks.StatementContext
     ) -> None:
--- a/bronzehold/core/errors.py
+++ b/bronzehold/core/errors.py
@@ -66,6 +66,16 @@
     """The caller's key is unknown or has been revoked."""
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ServedElsewhere:
+    """The endpoint for the statement is served by proxies of its region.
+
+    A proxy reports it to another one, never to a caller.
+    """
+
+    region: str
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Stopping:
     """This proxy is stopping; the caller must connect to another one."""
@@ -208,6 +218,7 @@
     | ServiceUnknown
     | AccessDenied
     | KeyDenied
+    | ServedElsewhere
     | Stopping
     | SpendReached
     | Unsupported
@@ -263,6 +274,8 @@
             return _not_run("28P01", f'user "{user}" is not let in')
         case KeyDenied():
             return _not_run("28000", "the key is not valid")
+        case ServedElsewhere(region=region):
+            return _not_run("57P03", f"proxies in {region} serve it")
         case Stopping(proxy=proxy):
             return _not_run("57P01", f"proxy {proxy} is stopping")
         case SpendReached(service=service):
--- a/bronzehold/process/platform_service.py
+++ b/bronzehold/process/platform_service.py
@@ -205,6 +205,23 @@
             zone = zone if listing is None else listing.zone
         return self.env.regions.get(zone, zone)
 
+    def region_with_homes(self, endpoint: str) -> str | None:
+        """Returns the region whose proxies have connections to an endpoint.
+
+        Returns:
+            Another region than this proxy's with serving proxies; None if there
+            is none.
+        """
+        env = self.env
+        listing = self.group.listings().get(endpoint)
+        if listing is None:
+            return None
+        region = env.regions.get(listing.zone, listing.zone)
+        is_own = region == env.regions.get(env.zone, env.zone)
+        if is_own or not env.serving.count_in_region(self.limits, region):
+            return None
+        return region
+
     def serves(self) -> bool:
         """Returns whether this proxy is one of those that serve the service."""
         return self._replaces_another() or self.env.serving.serves(self.limits)
