Statements of the platform path: one module for reads, one for the primary

Reads of bounded staleness, statements on the primary, the interpretation of a read's answer and the choice of its position are modules of their own now; the runner keeps the transaction. No behaviour changes; the connection, workspace, forwarding, failover and system tests of the path pass.

--- a/bronzehold/connection/platform_runner_test.py
+++ b/bronzehold/connection/read_runner_test.py
@@ -1,7 +1,8 @@
 import pytest
 
-from bronzehold.connection import platform_runner
+from bronzehold.connection import platform_exchange
 from bronzehold.connection import platform_session
+from bronzehold.connection import read_runner
 from bronzehold.core import errors
 
 BUSY = errors.Overloaded(endpoint="e2", expected_ms=300)
@@ -13,13 +14,15 @@
     """Returns the failure of a read after attempts with given failures."""
 
     def read_failure(*attempts):
-        runner = platform_runner.Runner(
-            session=platform_session.PlatformSession(name="s")
+        session = platform_session.PlatformSession(name="s")
+        exchange = platform_exchange.Exchange(session=session)
+        runner = read_runner.ReadRunner(
+            session=session, exchange=exchange, primary=None
         )
 
         def run(*_):
             for failure in attempts:
-                runner.exchange.record_attempt("e", failure)
+                exchange.record_attempt("e", failure)
             raise errors.FailureError(attempts[-1])
 
         monkeypatch.setattr(runner, "_read", run)
