A proxy probes a primary that has not answered itself for 1.2 s

Cause: a primary was probed only when the newest proof was 0.6 s old. Proofs also come with the digests of peers, so a serving proxy without traffic might not probe for as long as the peers' proofs arrived in time before each of its checks. Callers would have met the broken path with their first statements, and the proxy had no view to give on the primary. Change: the primary is also due when it has not answered this proxy for 1.2 s. The new test in probes_test.py fails without the change. Cost: at most 0.83 probes a second for each served group (docs/CAPACITY.md).

--- a/bronzehold/process/probes.py
+++ b/bronzehold/process/probes.py
@@ -23,6 +23,9 @@
 # Freshness proofs must be much younger than the shortest data age that a route
 # tolerates.
 PRIMARY_PROBE_INTERVAL_S = 0.6
+# The peers' proofs make probes unnecessary, but do not show that this proxy
+# reaches the primary. That is probed after this time without an answer.
+PRIMARY_SILENCE_S = 1.2
 FAILING_PROBE_INTERVAL_S = 0.3
 REPLICA_PROBE_INTERVAL_S = 5.0
 SEARCH_PROBE_INTERVAL_S = 0.1
@@ -191,10 +194,12 @@
             # While the primary fails, the other endpoints are probed to find
             # its successor.
             return group.is_failing(leader.endpoint)
+        now = clock.now()
+        contact = group.contact(name)
+        if contact is None or now - contact.answered_at > PRIMARY_SILENCE_S:
+            return True
         newest = group.proofs.newest()
-        return (
-            newest is None or clock.now() - newest.at > PRIMARY_PROBE_INTERVAL_S
-        )
+        return newest is None or now - newest.at > PRIMARY_PROBE_INTERVAL_S
 
     # One probe.
 
--- a/bronzehold/process/probes_test.py
+++ b/bronzehold/process/probes_test.py
@@ -1,9 +1,11 @@
 import pytest
 
+from bronzehold.core import clock
 from bronzehold.core import statements
 from bronzehold.process import platform_group
 from bronzehold.process import probes as probes_lib
 from bronzehold.process import timeline as timeline_lib
+from bronzehold.version import freshness
 from tests import helpers
 
 NAMES = ("e1", "e2", "e3")
@@ -144,3 +146,25 @@
     service.probes.refresh()
     service.run_tasks()
     assert service.group.leader().endpoint == "e1"
+
+
+@pytest.mark.parametrize(("silent_s", "is_probed"), [(1.3, True), (0.5, False)])
+def test_primary_that_only_peers_reach_is_probed(service, silent_s, is_probed):
+    """Guards against a broken path to the primary that nobody notices.
+
+    The peers' proofs arrived so often that no probe was due, for as long as
+    no statement came.
+    """
+    service.probes.probe("e1")
+    service.probed.clear()
+    now = clock.now()
+    service.group.contact("e1").answered_at = now - silent_s
+    service.group.proofs.add(
+        freshness.Proof(
+            position=statements.LogPosition(term=1, number=0), at=now
+        )
+    )
+    service.is_serving = True
+    service.probes.refresh()
+    service.run_tasks()
+    assert ("e1" in service.probed) == is_probed
