A stop tells callers before it closes their connections

Cause: a planned stop closed connections that had been quiet for 0.04 s without a message. A statement that was on its way ran nowhere, but its caller could not know: a broken connection promises nothing. Change: before the close, the proxy sends the ERROR BUSY that answers the next request. A caller without a request closes its session; for others it is the answer, and READY completes it when the request arrives. From then on nothing that arrives on the connection runs. CallerNotified logs it.

--- a/bronzehold/connection/platform_caller.py
+++ b/bronzehold/connection/platform_caller.py
@@ -30,6 +30,11 @@
 
 # A stop closes a connection that has been quiet for this long.
 QUIET_S = 0.04
+# The time between the announcement of the close and the close, if the caller
+# does not close the connection before. It covers a round trip between regions,
+# and ends before the port closes (drain.CLOSE_LEAD_S) for callers that were
+# idle, so that they delay no exit.
+CROSSING_S = 0.15
 
 
 class Host(typing.Protocol):
@@ -88,6 +93,10 @@
         self._stopping = False
         # Whether the caller has been told that the proxy stops.
         self._refused = False
+        # Since when the caller is told that its next request will not run, in
+        # seconds of clock.now(); None if it is not.
+        self._announced_at: float | None = None
+        self._receiving = False
         # The request that has been read and not been answered yet.
         self._unanswered: statements.Request | None = None
         self._in_transaction = False
@@ -103,8 +112,11 @@
                 if req is None:
                     return
                 self._unanswered = req
-                self._in_transaction = not self._is_outside_block()
-                self._answer(req)
+                if self._announced_at is None:
+                    self._in_transaction = not self._is_outside_block()
+                    self._answer(req)
+                else:
+                    self._refuse_announced(req)
                 self._unanswered = None
         except Exception as exc:
             self.report_cut(f"{type(exc).__name__}: {exc}")
@@ -112,6 +124,19 @@
         finally:
             self._runner.end_block(blocks.Idle())
 
+    def _refuse_announced(self, req: statements.Request) -> None:
+        """Refuses a request that crossed the announcement of the close.
+
+        The refusal of the next one is announced as well, for requests that
+        arrive after the close.
+        """
+        self._runner.reset()
+        self._runner.end_block(blocks.Idle())
+        failure = errors.Stopping(proxy=self._process.name)
+        self._record(req, failure)
+        self._link.fail(failure, self._state())
+        self._link.announce(failure)
+
     def _is_outside_block(self) -> bool:
         return isinstance(self._runner.block, blocks.Idle)
 
@@ -123,6 +148,7 @@
                     # What has arrived already is still received.
                     self._link.stop_receiving()
                 self._waiting_since = clock.now() if outside_block else None
+                self._receiving = True
             try:
                 return self._link.receive(self._receive_timeout_s())
             except TimeoutError:
@@ -133,6 +159,7 @@
             finally:
                 with self._lock:
                     self._waiting_since = None
+                    self._receiving = False
 
     def _receive_timeout_s(self) -> float | None:
         match self._runner.block:
@@ -145,21 +172,41 @@
         """Closes the connection when it is quiet and no transaction is open.
 
         Called again and again until then. A caller that is never quiet is
-        refused its next request once not all are accepted any more: it could
-        not tell whether that was run if the connection were closed.
+        refused its next request once not all are accepted any more.
         """
         with self._lock:
             self._stopping = True
+            now = clock.now()
             since = self._waiting_since
-            if since is not None and clock.now() - since >= QUIET_S:
-                self._link.stop_receiving()
+            if self._announced_at is not None:
+                if now - self._announced_at >= CROSSING_S:
+                    self._link.stop_receiving()
+            elif since is not None and now - since >= QUIET_S:
+                self._announce_close(now)
 
     def end(self) -> None:
         """Closes the connection once the request in progress is answered."""
         with self._lock:
             self._stopping = True
+            if self._receiving and self._announced_at is None:
+                self._announce_close(clock.now())
             self._link.stop_receiving()
 
+    def _announce_close(self, now: float) -> None:
+        """Tells a caller without a request that its next one will not run.
+
+        That request may be on its way already, and its caller could not know
+        whether it was run if the connection were just closed.
+        """
+        self._announced_at = now
+        self._link.announce(errors.Stopping(proxy=self._process.name))
+        self._process.timeline.add_frequent(
+            events.CallerNotified(
+                session=self._session.name,
+                in_transaction=self._waiting_since is None,
+            )
+        )
+
     def busy(self) -> bool:
         """Returns whether a request or a transaction is in progress."""
         with self._lock:
--- a/bronzehold/core/events.py
+++ b/bronzehold/core/events.py
@@ -56,6 +56,19 @@
     ended: int = 0
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class CallerNotified:
+    """A planned stop has told a caller without a request that it closes.
+
+    Attributes:
+        session: Name of the session.
+        in_transaction: Whether a transaction was open; it is rolled back.
+    """
+
+    session: str
+    in_transaction: bool
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class RequestCut:
     """A request that was read ends without a whole answer to its sender.
--- a/bronzehold/core/ports.py
+++ b/bronzehold/core/ports.py
@@ -83,6 +83,14 @@
     ) -> None:
         """Reports a failure to the caller."""
 
+    def announce(self, failure: errors.Failure) -> None:
+        """Reports the failure of the next request before it arrives.
+
+        If that request arrives, fail completes its answer. No request on the
+        connection may run any more. May be called from another task than
+        receive. Never waits.
+        """
+
 
 class EndpointConn(typing.Protocol):
     """One connection to an endpoint, used by one caller at a time.
--- a/bronzehold/platform/listener.py
+++ b/bronzehold/platform/listener.py
@@ -16,6 +16,7 @@
 from bronzehold.core import clock
 from bronzehold.core import errors
 from bronzehold.core import ports
+from bronzehold.core import sockets
 from bronzehold.core import statements
 from bronzehold.platform import wire
 from bronzehold.process import platform_process
@@ -34,6 +35,9 @@
     def __init__(self, *, sock: socket.socket, reader: wire.LineReader):
         self._sock = sock
         self._reader = reader
+        # The part of an announced answer that has not been sent, None if no
+        # answer is announced.
+        self._announced: bytes | None = None
 
     def receive(self, wait_s: float | None) -> statements.Request | None:
         """Waits for a statement.
@@ -81,8 +85,24 @@
     def fail(
         self, failure: errors.Failure, state: statements.TransactionState
     ) -> None:
-        """Reports a failure to the caller."""
-        self._send(wire.encode_error(failure) + wire.encode_ready(state))
+        """Reports a failure to the caller; completes an announced one."""
+        announced, self._announced = self._announced, None
+        message = wire.encode_error(failure) if announced is None else announced
+        self._send(message + wire.encode_ready(state))
+
+    def announce(self, failure: errors.Failure) -> None:
+        """Sends the ERROR that answers the next request, before it arrives.
+
+        The READY that belongs to it is left for fail: a caller without a
+        request closes its session when it receives the ERROR. Never waits.
+        """
+        message = wire.encode_error(failure)
+        sent = 0
+        with contextlib.suppress(OSError):
+            # A timeout of the socket would apply in spite of MSG_DONTWAIT.
+            if sockets.accepts_output(self._sock):
+                sent = self._sock.send(message, socket.MSG_DONTWAIT)
+        self._announced = message[sent:]
 
     def _send(self, data: bytes) -> None:
         self._sock.settimeout(SEND_TIMEOUT_S)
