--- a/bronzehold/connection/forward_client.py
+++ b/bronzehold/connection/forward_client.py
@@ -22,6 +22,7 @@
 from bronzehold.core import routes
 from bronzehold.core import sockets
 from bronzehold.process import serving as serving_lib
+from bronzehold.process import token_messages
 from bronzehold.proto import forward_pb2 as pb
 from bronzehold.version import members as members_lib
 
@@ -35,6 +36,8 @@
 REPLY_GRACE_S = 0.2
 # Interval at which a wait for a reply looks for an earlier deadline.
 DEADLINE_CHECK_S = 0.1
+# Shortest wait for a reply whose time is over.
+MIN_WAIT_S = 0.001
 # Idle connections are closed after this time.
 IDLE_TIMEOUT_S = 20.0
 _PING = codec.frame(pb.Request(kind=pb.PING))
@@ -133,6 +136,32 @@
         self.idle_since = time.monotonic()
         return reply
 
+    def ask_tokens(
+        self, request: token_messages.TokenRequest, until: float
+    ) -> token_messages.TokenReply:
+        """Asks for tokens and waits for the reply.
+
+        Args:
+            request: The request.
+            until: When to stop waiting, in seconds of time.monotonic().
+
+        Raises:
+            TimeoutError: There was no reply in time.
+            ports.TransportError: The connection was lost.
+            codec.CodecError: The reply is malformed.
+        """
+        try:
+            self._sock.settimeout(_remaining_s(until))
+            self._sock.sendall(codec.frame(codec.encode_token_request(request)))
+            self._sock.settimeout(_remaining_s(until))
+            reply = codec.decode_token_reply(self._reader.read())
+        except TimeoutError:
+            raise
+        except OSError as exc:
+            raise ports.TransportError(str(exc)) from exc
+        self.idle_since = time.monotonic()
+        return reply
+
     def roll_back(self) -> bool:
         """Rolls the open transaction back; returns whether that was sent."""
         try:
@@ -194,16 +223,7 @@
             return idle.pop() if idle else None
 
     def _connect(self, target: members_lib.Member) -> Link:
-        try:
-            sock = socket.create_connection(
-                addresses.split(target.address), CONNECT_TIMEOUT_S
-            )
-            frames.set_socket_options(sock)
-        except ConnectionRefusedError as exc:
-            raise RefusedError(f"no connection: {exc}") from exc
-        except (OSError, ValueError) as exc:
-            raise NotTakenError(f"no connection: {exc}") from exc
-        link = Link(target=target, sock=sock)
+        link = _open(target, CONNECT_TIMEOUT_S)
         link.idle_since = 0.0
         try:
             link.ensure_working()
@@ -212,6 +232,59 @@
             raise
         return link
 
+    def ask_tokens(
+        self,
+        target: members_lib.Member,
+        request: token_messages.TokenRequest,
+        timeout_s: float,
+    ) -> token_messages.TokenReply:
+        """Asks a proxy for tokens of a workspace's rate limit.
+
+        A connection that was idle is used without a check: to ask again costs
+        no more, and an answer that is lost costs its tokens only. A proxy that
+        does not answer still gets statements, whose check waits for longer.
+
+        Args:
+            target: The proxy.
+            request: The request.
+            timeout_s: Time after which it counts as not answered.
+
+        Raises:
+            token_messages.NoAnswerError: There was no valid reply.
+        """
+        until = time.monotonic() + timeout_s
+        link = self._take_idle(target)
+        if link is not None:
+            try:
+                return self._ask_on(link, request, until)
+            except ports.TransportError:
+                # The other proxy may have restarted.
+                self.close_idle_to(target)
+        try:
+            link = _open(target, _remaining_s(until))
+        except RefusedError as exc:
+            raise token_messages.NoAnswerError(str(exc), ended=True) from exc
+        except NotTakenError as exc:
+            raise token_messages.NoAnswerError(str(exc)) from exc
+        try:
+            return self._ask_on(link, request, until)
+        except ports.TransportError as exc:
+            raise token_messages.NoAnswerError(str(exc)) from exc
+
+    def _ask_on(
+        self, link: Link, request: token_messages.TokenRequest, until: float
+    ) -> token_messages.TokenReply:
+        try:
+            reply = link.ask_tokens(request, until)
+        except (TimeoutError, codec.CodecError) as exc:
+            link.close()
+            raise token_messages.NoAnswerError(str(exc)) from exc
+        except ports.TransportError:
+            link.close()
+            raise
+        self.release(link)
+        return reply
+
     def release(self, link: Link) -> None:
         """Returns a connection on which nothing is under way."""
         with self._lock:
@@ -258,3 +331,26 @@
         for link in old:
             with contextlib.suppress(OSError):
                 link.close()
+
+
+def _open(target: members_lib.Member, timeout_s: float) -> Link:
+    """Opens a connection.
+
+    Raises:
+        NotTakenError: It could not be opened.
+    """
+    try:
+        sock = socket.create_connection(
+            addresses.split(target.address), timeout_s
+        )
+        frames.set_socket_options(sock)
+    except ConnectionRefusedError as exc:
+        raise RefusedError(f"no connection: {exc}") from exc
+    except (OSError, ValueError) as exc:
+        raise NotTakenError(f"no connection: {exc}") from exc
+    return Link(target=target, sock=sock)
+
+
+def _remaining_s(until: float) -> float:
+    """Returns the time left, but not 0, which would mean no wait at all."""
+    return max(MIN_WAIT_S, until - time.monotonic())
--- a/bronzehold/connection/forward_codec.py
+++ b/bronzehold/connection/forward_codec.py
@@ -7,6 +7,7 @@
 
 import dataclasses
 import json
+import math
 import socket
 import struct
 import typing
@@ -20,6 +21,7 @@
 from bronzehold.core import ports
 from bronzehold.core import routes
 from bronzehold.core import statements
+from bronzehold.process import token_messages
 from bronzehold.proto import forward_pb2 as pb
 
 LENGTH = struct.Struct("!I")
@@ -324,6 +326,64 @@
         session.names[stored.shared_name] = stored
 
 
+# Tokens of a rate limit.
+
+
+def encode_token_request(request: token_messages.TokenRequest) -> pb.Request:
+    """Encodes a request for tokens."""
+    return pb.Request(
+        kind=pb.TOKENS,
+        workspace=request.workspace,
+        version=request.version,
+        token_count=request.count,
+        skipped=request.skipped,
+        ended=request.ended,
+    )
+
+
+def decode_token_request(request: pb.Request) -> token_messages.TokenRequest:
+    """Decodes a request for tokens.
+
+    Raises:
+        CodecError: It asks for less than one.
+    """
+    if request.token_count < 1:
+        raise CodecError(f"{request.token_count} tokens")
+    return token_messages.TokenRequest(
+        workspace=request.workspace,
+        version=request.version,
+        count=request.token_count,
+        skipped=tuple(request.skipped),
+        ended=tuple(request.ended),
+    )
+
+
+def encode_token_reply(reply: token_messages.TokenReply) -> pb.Reply:
+    """Encodes the answer to a request for tokens."""
+    # Rounded up, since zero stands for no decision.
+    retry_after_us = math.ceil(reply.retry_after_s * MICROSECONDS_PER_S)
+    return pb.Reply(granted=reply.granted, retry_after_us=retry_after_us)
+
+
+def decode_token_reply(body: bytes) -> token_messages.TokenReply:
+    """Decodes the answer to a request for tokens.
+
+    Raises:
+        CodecError: It is malformed.
+    """
+    packed = pb.Reply()
+    try:
+        packed.ParseFromString(body)
+    except message.DecodeError as exc:
+        raise CodecError(str(exc)) from exc
+    if packed.granted < 0 or packed.retry_after_us < 0:
+        raise CodecError("a negative number of tokens or time")
+    return token_messages.TokenReply(
+        granted=packed.granted,
+        retry_after_s=packed.retry_after_us / MICROSECONDS_PER_S,
+    )
+
+
 # Replies.
 
 
--- a/bronzehold/connection/forward_server.py
+++ b/bronzehold/connection/forward_server.py
@@ -22,6 +22,7 @@
 from bronzehold.core import ports
 from bronzehold.core import statements
 from bronzehold.process import platform_process
+from bronzehold.process import token_messages
 from bronzehold.proto import forward_pb2 as pb
 
 ACCEPT_BACKLOG = 1024
@@ -122,6 +123,8 @@
                 self._send(_PONG)
             case pb.ROLLBACK:
                 self._runner.end_block(blocks.Idle())
+            case pb.TOKENS:
+                self._grant_tokens(codec.decode_token_request(request))
             case _:
                 arrived = clock.now()
                 call = codec.decode_call(request, arrived)
@@ -131,6 +134,13 @@
                 self._unanswered = None
                 self._clear_block()
 
+    def _grant_tokens(self, request: token_messages.TokenRequest) -> None:
+        limiter = self._process.rate_limiter
+        reply = token_messages.TokenReply()
+        if limiter is not None:
+            reply = limiter.grant(request)
+        self._send(codec.frame(codec.encode_token_reply(reply)))
+
     def _clear_block(self) -> None:
         # The other proxy keeps the state of a transaction that has failed or
         # has no endpoint yet.
--- a/bronzehold/core/errors.py
+++ b/bronzehold/core/errors.py
@@ -75,6 +75,19 @@
     service: str
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class RateLimited:
+    """The workspace has used up its rate limit for now.
+
+    Attributes:
+        workspace: Name of the workspace.
+        retry_after_ms: Time until its next operation may be let through, in ms.
+    """
+
+    workspace: str
+    retry_after_ms: int
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Unsupported:
     """The statement needs state that pooled connections do not preserve."""
@@ -204,6 +217,7 @@
     | AccessDenied
     | Stopping
     | SpendReached
+    | RateLimited
     | Unsupported
     | Malformed
     | NameMissing
@@ -259,6 +273,12 @@
             return _not_run("57P01", f"proxy {proxy} is stopping")
         case SpendReached(service=service):
             return _not_run("53400", f"{service} has spent its seconds")
+        case RateLimited(workspace=workspace, retry_after_ms=retry_after_ms):
+            return _not_run(
+                "53400",
+                f"{workspace} is over its rate limit for another "
+                f"{retry_after_ms} ms",
+            )
         case Unsupported(feature=feature):
             return _not_run("0A000", f"{feature} is not supported by the proxy")
         case Malformed(problem=problem):
--- a/bronzehold/core/events.py
+++ b/bronzehold/core/events.py
@@ -555,6 +555,50 @@
     why: str
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class LimiterRoleChanged:
+    """This proxy holds another share of a workspace's limit than before.
+
+    Attributes:
+        workspace: Name of the workspace.
+        role: "limiter", "standby" or "none".
+        tokens: Tokens that it starts with.
+        first: Name of the first proxy in the order of the workspace's limiters.
+        present: Number of live proxies of the region.
+        known: Number of known proxies of the region.
+        in_contact: Whether more than half of the known ones were heard lately.
+        version: Version of the configuration.
+    """
+
+    workspace: str
+    role: str
+    tokens: float
+    first: str
+    present: int
+    known: int
+    in_contact: bool
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class LimiterUnanswered:
+    """A limiter gave no tokens and no refusal, so it is not asked for a while.
+
+    Attributes:
+        workspace: Name of the workspace.
+        peer: Name of the proxy that was asked.
+        ended: Whether no process listens there.
+        why: Cause of the failure.
+        asked: Number of tokens that were asked for.
+    """
+
+    workspace: str
+    peer: str
+    ended: bool
+    why: str
+    asked: int
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class EventsNotLogged:
     """Frequent events were not logged because of the rate limit.
@@ -626,6 +670,8 @@
     | ForwardedRequestFailed
     | ServingSetChanged
     | ForwardFailed
+    | LimiterRoleChanged
+    | LimiterUnanswered
     | EventsNotLogged
     | SettingsSignalled
 )
--- a/bronzehold/core/routes.py
+++ b/bronzehold/core/routes.py
@@ -62,6 +62,21 @@
     priority: int
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Workspace:
+    """A workspace and its rate limit over all proxies.
+
+    Attributes:
+        name: Name of the workspace.
+        rate_per_s: Operations in a second, None without a limit.
+        burst: Operations by which the rate may be exceeded at times.
+    """
+
+    name: str
+    rate_per_s: float | None
+    burst: float
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class ServiceLimits:
     """The configured limits of one service.
@@ -87,12 +102,14 @@
         services: Limits of the services by name.
         idle_transaction_s: Idle time in seconds after which a transaction is
             ended.
+        workspaces: Workspaces by name, None if the configuration has none.
     """
 
     version: int
     routes: dict[str, Route]
     services: dict[str, ServiceLimits]
     idle_transaction_s: float
+    workspaces: dict[str, Workspace] | None = None
 
 
 EMPTY_TABLE = Table(version=0, routes={}, services={}, idle_transaction_s=3.0)
--- a/bronzehold/core/settings.py
+++ b/bronzehold/core/settings.py
@@ -121,6 +121,11 @@
             the port.
         stop_s: Maximum duration of a planned stop in seconds.
         log_level: Level of the JSON logs.
+        limit_window_s: Window of the rate limits of workspaces in seconds.
+        limit_overage: Part of a limit by which the operations in a window may
+            exceed it.
+        limit_slack: Number of operations by which they may exceed it in
+            addition.
     """
 
     name: str
@@ -136,3 +141,6 @@
     seeds: tuple[str, ...]
     stop_s: float
     log_level: str = "INFO"
+    limit_window_s: float = 5.0
+    limit_overage: float = 0.1
+    limit_slack: float = 20.0
--- a/bronzehold/platform/settings_file.py
+++ b/bronzehold/platform/settings_file.py
@@ -32,6 +32,22 @@
     return settings.PlatformSettings(**values)
 
 
+def _not_negative(
+    fields: fields_lib.Fields, name: str, default: float
+) -> float:
+    number = fields.number(name, default)
+    if number < 0:
+        raise fields.problem(name, "is negative")
+    return number
+
+
+def _positive(fields: fields_lib.Fields, name: str, default: float) -> float:
+    number = _not_negative(fields, name, default)
+    if not number:
+        raise fields.problem(name, "is zero")
+    return number
+
+
 _FIELD_READERS = {
     "name": lambda f: f.text("name"),
     "zone": lambda f: f.text("zone"),
@@ -46,4 +62,7 @@
     "seeds": lambda f: tuple(f.list("seeds")),
     "stop_s": lambda f: f.number("stop_s"),
     "log_level": lambda f: f.text("log_level", "INFO"),
+    "limit_window_s": lambda f: _positive(f, "limit_window_s", 5.0),
+    "limit_overage": lambda f: _not_negative(f, "limit_overage", 0.1),
+    "limit_slack": lambda f: _not_negative(f, "limit_slack", 20.0),
 }
--- a/bronzehold/process/platform_process.py
+++ b/bronzehold/process/platform_process.py
@@ -18,6 +18,7 @@
 from bronzehold.process import metrics
 from bronzehold.process import open_connections
 from bronzehold.process import platform_service
+from bronzehold.process import rate_limiter as rate_limiter_lib
 from bronzehold.process import serving as serving_lib
 from bronzehold.process import shutdown as shutdown_lib
 from bronzehold.process import tasks
@@ -47,6 +48,7 @@
         forwarded: The connections of proxies that forward statements here.
         port_closed: Whether a stop has closed the callers' port.
         stop_listening: A function that closes the port. The listener sets it.
+        rate_limiter: The limits of the workspaces, None before it is set.
     """
 
     def __init__(
@@ -89,6 +91,7 @@
         self.forwarded = open_connections.OpenConnections()
         self.port_closed = False
         self.stop_listening: collections.abc.Callable[[], None] = lambda: None
+        self.rate_limiter: rate_limiter_lib.RateLimiter | None = None
 
     # Configuration, services and endpoints.
 
--- /dev/null
+++ b/bronzehold/process/rate_limiter.py
@@ -0,0 +1,496 @@
+"""Limits the operations of each workspace over all proxies.
+
+Each region has an equal part of a limit. In a region, one proxy holds the token
+bucket of a workspace: the first of the live ones by rendezvous hashing, its
+limiter. The others ask it for a token for each operation. They ask the second
+if the first does not answer, and have a small allowance if that fails too.
+Which shares these have is in version/rate_shares.py.
+"""
+
+import collections
+import collections.abc
+import contextlib
+import dataclasses
+import enum
+import math
+import threading
+
+from bronzehold.core import clock
+from bronzehold.core import events
+from bronzehold.core import routes
+from bronzehold.process import limiter_order
+from bronzehold.process import serving as serving_lib
+from bronzehold.process import timeline as timeline_lib
+from bronzehold.process import token_bucket
+from bronzehold.process import token_messages as messages
+from bronzehold.process import workspace_share
+from bronzehold.version import members as members_lib
+from bronzehold.version import rate_shares
+
+# A limiter that does not answer within this time is passed over. It is well
+# below the most urgent latency target, 253 ms, so that the second can be asked.
+ASK_TIMEOUT_S = 0.15
+# Number of proxies in the order of a workspace that are asked.
+MAX_ASKED = 2
+# Above this rate of a workspace at this proxy, a request asks for the tokens of
+# BATCH_S, at most MAX_BATCH.
+BATCH_ABOVE_PER_S = 20.0
+BATCH_S = 0.1
+MAX_BATCH = 32
+# Tokens that were granted in advance expire, so that what one window granted is
+# not used in a later one.
+RESERVE_S = 0.25
+# A token is refunded for an operation that ended within this time. Later, it
+# would count for another window than the one that it was taken from.
+MAX_REFUND_AGE_S = 0.5
+# A refusal is remembered until its time, and at most this long: the limit may
+# be raised, or another proxy become the limiter.
+MAX_REFUSAL_S = 1.0
+# The same for a refusal of a proxy that is not the limiter.
+MAX_STANDBY_REFUSAL_S = 0.25
+# The longest time that a refused caller is told to wait.
+MAX_RETRY_AFTER_S = 60.0
+# What is kept of a workspace without operations is dropped after this time.
+IDLE_S = 60.0
+
+
+class Origin(enum.Enum):
+    """Where the token of an operation comes from."""
+
+    NO_LIMIT = "no limit"
+    BUCKET = "bucket"
+    PEER = "peer"
+    ALLOWANCE = "allowance"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Spent:
+    """An operation may run.
+
+    Attributes:
+        workspace: Name of the workspace.
+        at: Time of the decision, in seconds of clock.now().
+        origin: Where its token comes from.
+    """
+
+    workspace: str
+    at: float
+    origin: Origin
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Limited:
+    """An operation is above the limit.
+
+    Attributes:
+        retry_after_s: Time until the next operation may be let through.
+    """
+
+    retry_after_s: float
+
+
+class RateLimiter:
+    """The limits of all workspaces in one proxy; safe to use from any thread.
+
+    Args:
+        own: This proxy.
+        regions: Region of each availability zone.
+        serving: Knows the live proxies.
+        table: Returns the configuration in force.
+        ask: Asks another proxy for tokens within a time in seconds; raises
+            token_messages.NoAnswerError.
+        stopping: Returns whether this proxy is stopping.
+        timeline: The event log of the process.
+        tolerance: How far a limit may be exceeded.
+    """
+
+    def __init__(
+        self,
+        *,
+        own: members_lib.Member,
+        regions: collections.abc.Mapping[str, str],
+        serving: serving_lib.Serving,
+        table: collections.abc.Callable[[], routes.Table],
+        ask: messages.Ask,
+        stopping: collections.abc.Callable[[], bool],
+        timeline: timeline_lib.Timeline,
+        tolerance: rate_shares.Tolerance,
+    ):
+        self._own = own
+        region = regions[own.zone]
+        self._region_count = len(set(regions.values()))
+        self._table = table
+        self._ask = ask
+        self._stopping = stopping
+        self._timeline = timeline
+        self._tolerance = tolerance
+        self._lock = threading.Lock()
+        self._order = limiter_order.LimiterOrder(
+            own=own,
+            zones=frozenset(z for z, r in regions.items() if r == region),
+            serving=serving,
+            stopping=stopping,
+        )
+        self._shares: dict[str, workspace_share.WorkspaceShare] = {}
+        self._counts = collections.Counter[str]()
+        self._events: list[events.Event] = []
+
+    @contextlib.contextmanager
+    def _locked(self) -> collections.abc.Iterator[None]:
+        """Holds the lock and records the events after its release."""
+        with self._lock:
+            yield
+            new_events, self._events = self._events, []
+        for event in new_events:
+            self._timeline.add_frequent(event)
+
+    # Operations of this proxy's callers.
+
+    def try_spend(self, workspace: str, deadline: float) -> Spent | Limited:
+        """Decides whether an operation may run now.
+
+        Args:
+            workspace: Name of the workspace. One that the configuration does
+                not have is not limited.
+            deadline: Deadline of the operation, in seconds of clock.now().
+        """
+        now = clock.now()
+        with self._locked():
+            share = self._share(workspace, now)
+            if share is None:
+                return Spent(
+                    workspace=workspace, at=now, origin=Origin.NO_LIMIT
+                )
+            if not share.limit.rate_per_s and not share.limit.burst:
+                share.turn_at = now + MAX_RETRY_AFTER_S
+                return self._limited(share, now)
+            if share.reserve.take(now):
+                return self._spent(share, now, Origin.PEER)
+            if now < share.refused_until:
+                return self._limited(share, now)
+            candidates = self._order.candidates(workspace, now)[:MAX_ASKED]
+        for place, member in enumerate(candidates):
+            if member.name == self._own.name:
+                decision = self._spend_here(share)
+            else:
+                decision = self._spend_at(
+                    share, member, deadline, is_first=place == 0
+                )
+            if decision is not None:
+                return decision
+        return self._spend_allowance(share)
+
+    def refund(self, spent: Spent) -> None:
+        """Returns the token of an operation that has reached no endpoint."""
+        now = clock.now()
+        if now - spent.at > MAX_REFUND_AGE_S:
+            return
+        with self._locked():
+            share = self._shares.get(spent.workspace)
+            if share is None:
+                return
+            match spent.origin:
+                case Origin.BUCKET if share.bucket is not None:
+                    share.bucket.put_back(now)
+                case Origin.PEER:
+                    share.reserve.add(1, now + RESERVE_S)
+                case Origin.ALLOWANCE:
+                    share.allowance.put_back()
+                case _:
+                    return
+            share.refused_until = -math.inf
+            self._counts["refunded"] += 1
+
+    def _spend_here(
+        self, share: workspace_share.WorkspaceShare
+    ) -> Spent | Limited | None:
+        """Spends from this proxy's own bucket; returns None if it may not.
+
+        Without contact to its region it does not act for it, and its callers
+        have the smaller allowance.
+        """
+        now = clock.now()
+        with self._locked():
+            if not self._order.may_act(now):
+                return None
+            reply = self._take(share, 1, now)
+            if reply.granted:
+                return self._spent(share, now, Origin.BUCKET)
+            is_limiter = share.role is workspace_share.Role.LIMITER
+            return self._refuse(share, reply, now, by_limiter=is_limiter)
+
+    def _spend_at(
+        self,
+        share: workspace_share.WorkspaceShare,
+        member: members_lib.Member,
+        deadline: float,
+        *,
+        is_first: bool,
+    ) -> Spent | Limited | None:
+        """Asks another proxy; returns None if it does not decide."""
+        now = clock.now()
+        timeout_s = min(ASK_TIMEOUT_S, deadline - now)
+        with self._locked():
+            if self._order.is_skipped(member.name, now) or timeout_s <= 0:
+                return None
+            request = self._request(share, member, now)
+            is_batch = request.count > 1
+            share.is_asking_batch |= is_batch
+        failure = None
+        try:
+            reply = self._ask(member, request, timeout_s)
+        except messages.NoAnswerError as exc:
+            reply = messages.TokenReply()
+            failure = exc
+        now = clock.now()
+        with self._locked():
+            share.is_asking_batch &= not is_batch
+            self._counts["asked"] += 1
+            if reply.granted:
+                share.reserve.add(reply.granted - 1, now + RESERVE_S)
+                return self._spent(share, now, Origin.PEER)
+            if reply.is_decision:
+                return self._refuse(share, reply, now, by_limiter=is_first)
+            self._note_unanswered(request, member, failure, now)
+            return None
+
+    def _request(
+        self,
+        share: workspace_share.WorkspaceShare,
+        member: members_lib.Member,
+        now: float,
+    ) -> messages.TokenRequest:
+        name = share.limit.name
+        skipped, ended = self._order.earlier(name, member.name, now)
+        rate_per_s = share.meter.rate_per_s(now)
+        count = 1
+        if rate_per_s > BATCH_ABOVE_PER_S and not share.is_asking_batch:
+            count = min(MAX_BATCH, math.ceil(rate_per_s * BATCH_S))
+        return messages.TokenRequest(
+            workspace=name,
+            version=self._table().version,
+            count=count,
+            skipped=skipped,
+            ended=ended,
+        )
+
+    def _note_unanswered(
+        self,
+        request: messages.TokenRequest,
+        member: members_lib.Member,
+        failure: messages.NoAnswerError | None,
+        now: float,
+    ) -> None:
+        has_ended = failure is not None and failure.ended
+        self._counts["unanswered"] += 1
+        self._order.skip(member.name, now)
+        if has_ended:
+            self._order.mark_ended(member.name, now)
+        self._events.append(
+            events.LimiterUnanswered(
+                workspace=request.workspace,
+                peer=member.name,
+                ended=has_ended,
+                why=str(failure or "it cannot decide"),
+                asked=request.count,
+            )
+        )
+
+    def _spend_allowance(
+        self, share: workspace_share.WorkspaceShare
+    ) -> Spent | Limited:
+        now = clock.now()
+        with self._locked():
+            has_spent = share.take_allowance(
+                proxies=self._order.view(now).fleet_size,
+                rank=self._order.rank(share.limit.name, now),
+                now=now,
+            )
+            if has_spent:
+                self._counts["allowance"] += 1
+                return self._spent(share, now, Origin.ALLOWANCE)
+            reply = messages.TokenReply(
+                retry_after_s=share.allowance.wait_s(now)
+            )
+            return self._refuse(share, reply, now, by_limiter=False)
+
+    def _spent(
+        self, share: workspace_share.WorkspaceShare, now: float, origin: Origin
+    ) -> Spent:
+        share.meter.add(now)
+        self._counts["spent"] += 1
+        return Spent(workspace=share.limit.name, at=now, origin=origin)
+
+    def _refuse(
+        self,
+        share: workspace_share.WorkspaceShare,
+        reply: messages.TokenReply,
+        now: float,
+        *,
+        by_limiter: bool,
+    ) -> Limited:
+        """Refuses an operation and those that follow until its turn."""
+        longest_s = MAX_REFUSAL_S if by_limiter else MAX_STANDBY_REFUSAL_S
+        retry_after_s = reply.retry_after_s
+        if not by_limiter:
+            # A limiter is found within seconds, and its share is larger.
+            retry_after_s = min(retry_after_s, share.limiter_interval_s())
+        share.turn_at = now + min(retry_after_s, MAX_RETRY_AFTER_S)
+        share.refused_until = min(share.turn_at, now + longest_s)
+        return self._limited(share, now)
+
+    def _limited(
+        self, share: workspace_share.WorkspaceShare, now: float
+    ) -> Limited:
+        self._counts["refused"] += 1
+        return Limited(retry_after_s=max(0.0, share.turn_at - now))
+
+    # Requests of other proxies.
+
+    def grant(self, request: messages.TokenRequest) -> messages.TokenReply:
+        """Answers another proxy at once; decides nothing while stopping."""
+        now = clock.now()
+        with self._locked():
+            limit = self._limit(request.workspace)
+            if limit is None or self._stopping():
+                return messages.TokenReply()
+            share = self._share(request.workspace, now)
+            if share is None:
+                return messages.TokenReply(granted=request.count)
+            for name in request.ended:
+                self._order.mark_ended(name, now)
+            reply = self._take(share, request.count, now)
+            self._counts["granted"] += reply.granted
+            return reply
+
+    # What follows is called with the lock held.
+
+    def _take(
+        self, share: workspace_share.WorkspaceShare, count: int, now: float
+    ) -> messages.TokenReply:
+        bucket = self._bucket(share, now)
+        granted = bucket.take(max(1, count), now)
+        if granted:
+            return messages.TokenReply(granted=granted)
+        wait_s = min(bucket.wait_s(now), MAX_RETRY_AFTER_S)
+        return messages.TokenReply(retry_after_s=wait_s)
+
+    def _bucket(
+        self, share: workspace_share.WorkspaceShare, now: float
+    ) -> token_bucket.TokenBucket:
+        is_limiter = self._order.is_limiter(share.limit.name, now)
+        view = self._order.view(now)
+        bucket, is_new = share.set_role(
+            workspace_share.Role.LIMITER
+            if is_limiter
+            else workspace_share.Role.STANDBY,
+            proxies=view.fleet_size,
+            contact_since=view.contact_since,
+            now=now,
+        )
+        if is_new:
+            self._note_role(share, bucket.tokens(now), now)
+        return bucket
+
+    def _note_role(
+        self,
+        share: workspace_share.WorkspaceShare,
+        tokens: float,
+        now: float,
+    ) -> None:
+        view = self._order.view(now)
+        candidates = self._order.candidates(share.limit.name, now)
+        self._events.append(
+            events.LimiterRoleChanged(
+                workspace=share.limit.name,
+                role=share.role.value,
+                tokens=round(tokens, 3),
+                first=candidates[0].name if candidates else "",
+                present=len(view.present),
+                known=len(view.known),
+                in_contact=view.in_contact,
+                version=self._table().version,
+            )
+        )
+
+    def _limit(self, name: str) -> routes.Workspace | None:
+        workspaces = self._table().workspaces
+        return None if workspaces is None else workspaces.get(name)
+
+    def _share(
+        self, name: str, now: float
+    ) -> workspace_share.WorkspaceShare | None:
+        """Returns the share of a workspace, None if it has no limit."""
+        limit = self._limit(name)
+        if limit is None or limit.rate_per_s is None:
+            self._shares.pop(name, None)
+            return None
+        share = self._shares.get(name) or self._add_share(limit, now)
+        if share.limit != limit:
+            share.change_limit(limit)
+        share.used_at = now
+        return share
+
+    def _add_share(
+        self, limit: routes.Workspace, now: float
+    ) -> workspace_share.WorkspaceShare:
+        share = workspace_share.WorkspaceShare(
+            limit=limit,
+            tolerance=self._tolerance,
+            regions=self._region_count,
+            now=now,
+        )
+        self._shares[limit.name] = share
+        return share
+
+    # Maintenance.
+
+    def sweep(self) -> None:
+        """Starts and drops the buckets of the workspaces by this proxy's role.
+
+        Called several times in a window: the bucket of a workspace fills from
+        when this proxy becomes its limiter and not from its first operation,
+        and a proxy that was out of contact notices that without operations.
+        """
+        now = clock.now()
+        limits = {
+            name: limit
+            for name, limit in (self._table().workspaces or {}).items()
+            if limit.rate_per_s is not None
+        }
+        with self._locked():
+            for name in self._shares.keys() - limits.keys():
+                del self._shares[name]
+            self._order.retain(limits.keys())
+            for limit in limits.values():
+                self._sweep_workspace(limit, now)
+
+    def _sweep_workspace(self, limit: routes.Workspace, now: float) -> None:
+        name = limit.name
+        share = self._shares.get(name)
+        if share is not None and share.limit != limit:
+            share.change_limit(limit)
+        if self._order.is_limiter(name, now):
+            self._bucket(share or self._add_share(limit, now), now)
+        elif share is None:
+            return
+        elif now - share.used_at > IDLE_S:
+            del self._shares[name]
+        elif share.role is workspace_share.Role.LIMITER:
+            share.drop_bucket(now)
+            self._note_role(share, 0.0, now)
+
+    def gauges(self) -> dict[str, float]:
+        """Returns counters and sizes for the metrics, by name."""
+        with self._lock:
+            roles = collections.Counter(s.role for s in self._shares.values())
+            return {
+                "limiter_buckets": float(roles[workspace_share.Role.LIMITER]),
+                "limiter_standby_buckets": float(
+                    roles[workspace_share.Role.STANDBY]
+                ),
+                **{
+                    f"limiter_{name}": float(count)
+                    for name, count in self._counts.items()
+                },
+            }
--- a/bronzehold/process/serving.py
+++ b/bronzehold/process/serving.py
@@ -6,6 +6,8 @@
 """
 
 import collections.abc
+import dataclasses
+import math
 import threading
 
 from bronzehold.core import clock
@@ -25,6 +27,38 @@
 MAX_TARGETS = 2
 # Time within which the proxies of a fleet that starts at once are ready.
 STARTING_S = 1.0
+# Parts of the silence timeout, which is four rounds of digests to all peers. A
+# proxy that is cut off must notice before the others count it as absent, so
+# they differ by a round. The lower bounds keep the contact through a lost
+# datagram in small fleets, where a round takes 0.25 s.
+CONTACT_PART = 0.4
+MIN_CONTACT_S = 0.75
+ABSENT_PART = 0.65
+MIN_ABSENT_S = 1.0
+# The others have heard a proxy that comes back after this part, one round.
+SETTLE_PART = 0.25
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class RegionView:
+    """The proxies of a region as this proxy sees them.
+
+    Attributes:
+        present: This proxy and those that are live, without the stopping ones.
+        known: Names of all that are live or registered, in alphabetical order.
+        in_contact: Whether more than half of the known ones, this proxy
+            included, have been heard for long enough that they have heard this
+            one too.
+        contact_since: The time since which this proxy has heard more than half
+            of them without a gap, in seconds of clock.now().
+        fleet_size: Number of known proxies of all regions.
+    """
+
+    present: tuple[members_lib.Member, ...]
+    known: tuple[str, ...]
+    in_contact: bool
+    contact_since: float
+    fleet_size: int
 
 
 class Serving:
@@ -62,6 +96,10 @@
         self._watchers: frozenset[str] | None = None
         self._announced: dict[str, frozenset[str]] = {}
         self._suspected_at: dict[str, float] = {}
+        self._registered: dict[str, members_lib.Member] = {}
+        self._heard_at: dict[str, float] = {}
+        self._last_heard_at = -math.inf
+        self._contact_since = self._started_at
 
     def set_peers(
         self,
@@ -93,6 +131,7 @@
             self._expected = {
                 member.name: member for member in registered if member.zone
             }
+            self._registered = self._expected
             self._update_members()
 
     def may_be_starting(self) -> bool:
@@ -210,14 +249,65 @@
 
     def note_heard(self, name: str) -> None:
         """Records that a digest of a proxy has arrived."""
+        now = clock.now()
         with self._lock:
+            if now - self._last_heard_at > self._contact_s():
+                # This process was suspended or cut off.
+                self._contact_since = now
+            self._last_heard_at = self._heard_at[name] = now
             suspected_at = self._suspected_at.get(name)
-            if (
-                suspected_at is not None
-                and clock.now() - suspected_at > MIN_SUSPECT_S
-            ):
+            if suspected_at is not None and now - suspected_at > MIN_SUSPECT_S:
                 del self._suspected_at[name]
 
+    def _contact_s(self) -> float:
+        return max(MIN_CONTACT_S, CONTACT_PART * self._silence_s())
+
+    def heard_at(self, name: str) -> float | None:
+        """Returns when the last digest of a proxy arrived, None if never."""
+        return self._heard_at.get(name)
+
+    def region_view(self, zones: frozenset[str]) -> RegionView:
+        """Returns the proxies of this proxy's region as of now.
+
+        It goes by the times of the last digests and not by the list of live
+        peers, which a process that was suspended still has from before.
+
+        Args:
+            zones: The availability zones of the region.
+        """
+        now = clock.now()
+        silence_s = self._silence_s()
+        absent_s = max(MIN_ABSENT_S, ABSENT_PART * silence_s)
+        contact_s = self._contact_s()
+        with self._lock:
+            self._forget_expected()
+            members = self._members
+            everyone = self._registered | members
+            known = {n for n, m in everyone.items() if m.zone in zones}
+            ages = {
+                n: now - self._heard_at[n] for n in known if n in self._heard_at
+            }
+            ages[self._own.name] = 0.0
+            heard_count = sum(ages.get(n, now) < contact_s for n in known)
+            is_majority = 2 * heard_count > len(known)
+            is_silent = now - self._last_heard_at > contact_s
+            is_alone = len(known) == 1
+            if not is_alone and (is_silent or not is_majority):
+                self._contact_since = now
+            contact_since = self._contact_since
+        settled = now - contact_since >= SETTLE_PART * silence_s
+        return RegionView(
+            present=tuple(
+                m
+                for n, m in members.items()
+                if n in known and ages.get(n, 0.0) < absent_s
+            ),
+            known=tuple(sorted(known)),
+            in_contact=is_alone or (is_majority and settled),
+            contact_since=contact_since,
+            fleet_size=len(everyone),
+        )
+
     def suspect_count(self) -> int:
         """Returns the number of proxies that get no statements for now."""
         now = clock.now()
--- /dev/null
+++ b/bronzehold/version/rate_shares.py
@@ -0,0 +1,134 @@
+"""Splits the rate limit of a workspace among the proxies.
+
+The functions are pure. The shares add up to the limit as long as each region
+has one limiter; what the other proxies may let through at the same time, and
+what a new limiter starts with, comes out of the slack of the limit.
+"""
+
+import dataclasses
+
+# The parts of the slack. A handover needs one part for the new limiter. A limit
+# in force in three regions uses at most six parts for their capacities and two
+# for handovers; the allowances of proxies that reach no limiter use half of it
+# when the others are not in use.
+SLACK_PARTS = 12
+# A share below one token would never let an operation through.
+MIN_CAPACITY = 1.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Tolerance:
+    """How much the operations in a window may exceed a limit.
+
+    Attributes:
+        window_s: Length of the window in seconds.
+        overage: Part of the limit by which it may be exceeded.
+        slack: Number of operations by which it may be exceeded in addition.
+    """
+
+    window_s: float = 5.0
+    overage: float = 0.1
+    slack: float = 20.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Share:
+    """The part of a limit that one token bucket holds.
+
+    Attributes:
+        rate_per_s: Tokens that are added in a second.
+        capacity: Highest number of tokens.
+        initial: Tokens of a new bucket.
+    """
+
+    rate_per_s: float
+    capacity: float
+    initial: float
+
+
+def slack(tolerance: Tolerance, rate_per_s: float, burst: float) -> float:
+    """Returns the operations in a window by which a limit may be exceeded."""
+    in_window = rate_per_s * tolerance.window_s + burst
+    return tolerance.overage * in_window + tolerance.slack
+
+
+def most_in_window(
+    tolerance: Tolerance, rate_per_s: float, burst: float
+) -> float:
+    """Returns the highest number of operations that a window may have."""
+    in_window = rate_per_s * tolerance.window_s + burst
+    return in_window + slack(tolerance, rate_per_s, burst)
+
+
+def limiter_share(
+    tolerance: Tolerance, rate_per_s: float, burst: float, regions: int
+) -> Share:
+    """Returns the share of the proxy that holds a region's part of a limit.
+
+    Args:
+        tolerance: How far the limit may be exceeded.
+        rate_per_s: Rate of the limit.
+        burst: Burst of the limit.
+        regions: Number of regions, each with an equal part.
+    """
+    initial = _handover(tolerance, rate_per_s, burst)
+    return Share(
+        rate_per_s=rate_per_s / regions,
+        capacity=max(burst / regions, initial),
+        initial=initial,
+    )
+
+
+def standby_share(
+    tolerance: Tolerance, rate_per_s: float, burst: float, proxies: int
+) -> Share:
+    """Returns the share of a proxy that is asked but is not the limiter.
+
+    In a small fleet, half of the rate divided by the proxies would exceed the
+    slack, so what a window adds is at most two parts of it.
+
+    Args:
+        tolerance: How far the limit may be exceeded.
+        rate_per_s: Rate of the limit.
+        burst: Burst of the limit.
+        proxies: Number of proxies of all regions.
+    """
+    initial = _handover(tolerance, rate_per_s, burst)
+    parts_per_s = 2 * initial / tolerance.window_s
+    return Share(
+        rate_per_s=min(rate_per_s / (2 * proxies), parts_per_s),
+        capacity=initial,
+        initial=initial,
+    )
+
+
+def own_allowance(
+    tolerance: Tolerance,
+    rate_per_s: float,
+    burst: float,
+    *,
+    proxies: int,
+    regions: int,
+    rank: int,
+) -> int:
+    """Returns the operations in a window of a proxy that reaches no limiter.
+
+    All proxies together have half of the slack. If that is less than one
+    operation for each, only the first ones of each region have one.
+
+    Args:
+        tolerance: How far the limit may be exceeded.
+        rate_per_s: Rate of the limit.
+        burst: Burst of the limit.
+        proxies: Number of proxies of all regions.
+        regions: Number of regions.
+        rank: Place of the proxy in its region's order, 0 for the first.
+    """
+    total = int(slack(tolerance, rate_per_s, burst) / 2)
+    each, left = divmod(total, proxies)
+    return each + (rank < left // regions)
+
+
+def _handover(tolerance: Tolerance, rate_per_s: float, burst: float) -> float:
+    parts = slack(tolerance, rate_per_s, burst) / SLACK_PARTS
+    return max(MIN_CAPACITY, parts)
