Limits of workspaces: sums over a fleet under failures

First runs: when all proxies started at once, each took itself for the only one of its region and let 10 operations through (37 where 26.6 are allowed); a proxy that has just started and may have unknown peers now has neither the limiter's share nor an allowance.

--- a/bronzehold/process/limiter_order.py
+++ b/bronzehold/process/limiter_order.py
@@ -40,6 +40,7 @@
         zones: Availability zones of the region.
         serving: Knows the live proxies.
         stopping: Returns whether this proxy is stopping.
+        has_seeds: Whether the settings name instances of other proxies.
     """
 
     def __init__(
@@ -49,11 +50,13 @@
         zones: frozenset[str],
         serving: serving_lib.Serving,
         stopping: collections.abc.Callable[[], bool],
+        has_seeds: bool,
     ):
         self._own = own
         self._zones = zones
         self._serving = serving
         self._stopping = stopping
+        self._has_seeds = has_seeds
         self._view: serving_lib.RegionView | None = None
         self._view_at = -math.inf
         # Whether this proxy leaves its tasks to the others of the region.
@@ -112,9 +115,16 @@
         """Returns whether this proxy may act for its region.
 
         Without contact to the others it may not. One that stops leaves it to
-        the others, if there are any.
+        the others, if there are any. One that has just started and knows no
+        others may be one of many that start together.
         """
-        return self.view(now).in_contact and not self._is_leaving
+        view = self.view(now)
+        is_first_known = self.may_be_unaware(now) and len(view.known) == 1
+        return view.in_contact and not is_first_known and not self._is_leaving
+
+    def may_be_unaware(self, now: float) -> bool:
+        """Returns whether there may be proxies that this one does not know."""
+        return self._has_seeds and self.view(now).is_starting
 
     def is_limiter(self, workspace: str, now: float) -> bool:
         """Returns whether this proxy is the limiter of a workspace."""
--- a/bronzehold/process/rate_limiter.py
+++ b/bronzehold/process/rate_limiter.py
@@ -102,6 +102,7 @@
         stopping: Returns whether this proxy is stopping.
         timeline: The event log of the process.
         tolerance: How far a limit may be exceeded.
+        has_seeds: Whether the settings name instances of other proxies.
     """
 
     def __init__(
@@ -115,6 +116,7 @@
         stopping: collections.abc.Callable[[], bool],
         timeline: timeline_lib.Timeline,
         tolerance: rate_shares.Tolerance,
+        has_seeds: bool,
     ):
         self._own = own
         region = regions[own.zone]
@@ -130,6 +132,7 @@
             zones=frozenset(z for z, r in regions.items() if r == region),
             serving=serving,
             stopping=stopping,
+            has_seeds=has_seeds,
         )
         self._shares: dict[str, workspace_share.WorkspaceShare] = {}
         self._counts = collections.Counter[str]()
@@ -301,7 +304,10 @@
     ) -> Spent | Limited:
         now = clock.now()
         with self._locked():
-            has_spent = share.take_allowance(
+            # Its part is not known while others may be starting too.
+            has_spent = not self._order.may_be_unaware(
+                now
+            ) and share.take_allowance(
                 proxies=self._order.view(now).fleet_size,
                 rank=self._order.rank(share.limit.name, now),
                 now=now,
--- a/bronzehold/process/serving.py
+++ b/bronzehold/process/serving.py
@@ -52,6 +52,8 @@
         contact_since: The time since which this proxy has heard more than half
             of them without a gap, in seconds of clock.now().
         fleet_size: Number of known proxies of all regions.
+        is_starting: Whether this proxy has just started, so that others that
+            start along with it may not be known yet.
     """
 
     present: tuple[members_lib.Member, ...]
@@ -59,6 +61,7 @@
     in_contact: bool
     contact_since: float
     fleet_size: int
+    is_starting: bool
 
 
 class Serving:
@@ -306,6 +309,7 @@
             in_contact=is_alone or (is_majority and settled),
             contact_since=contact_since,
             fleet_size=len(everyone),
+            is_starting=self._expects_registered(),
         )
 
     def suspect_count(self) -> int:
--- a/bronzehold/version/rate_shares.py
+++ b/bronzehold/version/rate_shares.py
@@ -74,7 +74,7 @@
     initial = _handover(tolerance, rate_per_s, burst)
     return Share(
         rate_per_s=rate_per_s / regions,
-        capacity=max(burst / regions, initial),
+        capacity=max(burst / regions, 2 * initial),
         initial=initial,
     )
 
