Merge the limits of workspaces over all proxies, and take tokens for operations

Cause: rates and bursts of workspaces were not read; one workspace at six times its usual rate took the others' room.

Change: each operation takes a token of its workspace before it reaches an endpoint, for a transaction at its BEGIN, and gives it back if nothing of it ran. A refusal is BUSY with the time until the next turn.

--- /dev/null
+++ b/bronzehold/connection/operation_token.py
@@ -0,0 +1,56 @@
+"""The token of a caller's operation under the limit of its workspace.
+
+An operation is a statement outside of a transaction, or a whole transaction. It
+takes a token before it reaches an endpoint and gives it back if it has not run.
+"""
+
+from bronzehold.core import data
+from bronzehold.core import errors
+from bronzehold.process import rate_limiter as rate_limiter_lib
+
+
+class OperationToken:
+    """The token of the operation in progress; used by the caller's task only.
+
+    Args:
+        limiter: The limits of the workspaces, None if there are none.
+    """
+
+    def __init__(self, *, limiter: rate_limiter_lib.RateLimiter | None):
+        self._limiter = limiter
+        self._spent: rate_limiter_lib.Spent | None = None
+        self._is_used = False
+
+    def take(self, workspace: str, deadline: float) -> None:
+        """Takes a token, if the operation has none yet.
+
+        Args:
+            workspace: The workspace of the caller, "" for none.
+            deadline: The deadline of the statement, in seconds of clock.now().
+
+        Raises:
+            errors.FailureError: The workspace is over its limit.
+        """
+        if self._limiter is None or not workspace or self._spent is not None:
+            return
+        match self._limiter.try_spend(workspace, deadline):
+            case rate_limiter_lib.Limited(retry_after_s=retry_after_s):
+                raise errors.FailureError(
+                    errors.RateLimited(
+                        workspace=workspace,
+                        retry_after_ms=int(retry_after_s / data.MILLISECOND),
+                    )
+                )
+            case spent:
+                self._spent = spent
+
+    def use(self) -> None:
+        """Records that a statement of the operation has run, or may have."""
+        self._is_used = True
+
+    def end(self) -> None:
+        """Ends the operation; a token that was not used is given back."""
+        spent, self._spent = self._spent, None
+        is_used, self._is_used = self._is_used, False
+        if spent is not None and not is_used:
+            self._limiter.refund(spent)
--- /dev/null
+++ b/bronzehold/connection/operation_token_test.py
@@ -0,0 +1,71 @@
+import pytest
+
+from bronzehold.connection import operation_token
+from bronzehold.core import errors
+from bronzehold.process import rate_limiter
+
+
+class FakeLimiter:
+    def __init__(self):
+        self.tokens = 1
+        self.asked = []
+
+    def try_spend(self, workspace, deadline):
+        self.asked.append((workspace, deadline))
+        if not self.tokens:
+            return rate_limiter.Limited(retry_after_s=0.25)
+        self.tokens -= 1
+        return rate_limiter.Spent(
+            workspace=workspace, at=0.0, origin=rate_limiter.Origin.BUCKET
+        )
+
+    def refund(self, spent):
+        self.tokens += 1
+
+
+@pytest.fixture(name="limiter")
+def _limiter():
+    return FakeLimiter()
+
+
+@pytest.fixture(name="token")
+def _token(limiter):
+    return operation_token.OperationToken(limiter=limiter)
+
+
+def test_a_transaction_takes_one_token(limiter, token):
+    """Guards against statements that count as operations."""
+    for _ in range(3):
+        token.take("w", 1.0)
+    assert len(limiter.asked) == 1
+
+
+def test_an_operation_over_the_limit_is_told_its_time(limiter, token):
+    limiter.tokens = 0
+    with pytest.raises(errors.FailureError) as caught:
+        token.take("w", 1.0)
+    assert caught.value.failure == errors.RateLimited(
+        workspace="w", retry_after_ms=250
+    )
+
+
+def test_the_next_operation_takes_its_own_token(limiter, token):
+    token.take("w", 1.0)
+    token.use()
+    token.end()
+    with pytest.raises(errors.FailureError):
+        token.take("w", 1.0)
+
+
+def test_the_token_of_an_operation_that_did_not_run_is_given_back(
+    limiter, token
+):
+    token.take("w", 1.0)
+    token.end()
+    token.end()
+    assert limiter.tokens == 1
+
+
+def test_callers_without_a_workspace_are_not_limited(limiter, token):
+    token.take("", 1.0)
+    assert not limiter.asked
--- a/bronzehold/connection/platform_caller.py
+++ b/bronzehold/connection/platform_caller.py
@@ -10,6 +10,7 @@
 
 from bronzehold.connection import forward_client
 from bronzehold.connection import forwarding_runner
+from bronzehold.connection import operation_token
 from bronzehold.connection import platform_blocks as blocks
 from bronzehold.connection import platform_session
 from bronzehold.core import clock
@@ -20,6 +21,7 @@
 from bronzehold.core import statements
 from bronzehold.process import metrics
 from bronzehold.process import platform_service
+from bronzehold.process import rate_limiter as rate_limiter_lib
 from bronzehold.process import shutdown as shutdown_lib
 from bronzehold.process import timeline as timeline_lib
 from bronzehold.version import access
@@ -46,12 +48,14 @@
         timeline: The log of events.
         metrics: The metrics.
         shutdown: The planned stop of the proxy.
+        rate_limiter: The limits of the workspaces.
     """
 
     name: str
     timeline: timeline_lib.Timeline
     metrics: metrics.Metrics
     shutdown: shutdown_lib.Shutdown
+    rate_limiter: rate_limiter_lib.RateLimiter | None
 
     def table(self) -> routes.Table:
         """Returns the current routing table."""
@@ -91,6 +95,9 @@
         self._runner = forwarding_runner.ForwardingRunner(
             session=self._session, links=links
         )
+        self._token = operation_token.OperationToken(
+            limiter=process.rate_limiter
+        )
         self._route: routes.Route | None = None
         self._lock = threading.Lock()
         # Since when a request outside of a transaction is waited for, in
@@ -131,6 +138,7 @@
             raise
         finally:
             self._runner.end_block(blocks.Idle())
+            self._token.end()
 
     def _refuse_announced(self, req: statements.Request) -> None:
         """Refuses a request that crossed the announcement of the close.
@@ -267,15 +275,21 @@
             self._check_key()
             completed = self._run(req)
         except errors.FailureError as exc:
+            self._end_operation()
             self._record(req, exc.failure)
             self._link.fail(exc.failure, self._state())
             return
+        self._end_operation()
         if completed is None:
             self._link.acknowledge(self._state())
         else:
             self._record(req, None)
             self._link.complete(completed.body, self._state())
 
+    def _end_operation(self) -> None:
+        if self._is_outside_block():
+            self._token.end()
+
     def _look_up_key(self) -> access.Granted | access.Denied:
         table = self._process.table()
         route = table.routes.get(self._database) or self._route
@@ -365,6 +379,11 @@
             )
         self._route = self._find_route()
         self._refuse_if_stopping(self._route)
+        # A transaction over the limit is refused before it begins, which leaves
+        # the session usable.
+        self._token.take(
+            self._access.workspace, clock.now() + self._route.timeout_s
+        )
         self._runner.begin(read_only=read_only)
 
     def _find_route(self) -> routes.Route:
@@ -422,6 +441,28 @@
     ) -> statements.Completed:
         context = self._context(req)
         self._refuse_if_stopping(context.route)
+        if isinstance(self._runner.block, blocks.Idle | blocks.Deferred):
+            self._token.take(context.workspace, context.deadline)
+        try:
+            completed = self._run_in_state(
+                req, context, writes=writes, prepared=prepared
+            )
+        except errors.FailureError as exc:
+            outcome = errors.report(exc.failure).outcome
+            if outcome is not errors.Outcome.NOT_RUN:
+                self._token.use()
+            raise
+        self._token.use()
+        return completed
+
+    def _run_in_state(
+        self,
+        req: statements.Request,
+        context: blocks.StatementContext,
+        *,
+        writes: bool,
+        prepared: str,
+    ) -> statements.Completed:
         match self._runner.block:
             case blocks.Idle() if writes:
                 return self._runner.write(req, context, prepared)
--- a/bronzehold/platform/instance.py
+++ b/bronzehold/platform/instance.py
@@ -22,6 +22,7 @@
 from bronzehold.process import gossip as gossip_lib
 from bronzehold.process import platform_process
 from bronzehold.process import promotions as promotions_lib
+from bronzehold.process import rate_limiter as rate_limiter_lib
 from bronzehold.process import registration as registration_lib
 from bronzehold.process import serving as serving_lib
 from bronzehold.process import store_mirror as mirror_lib
@@ -29,6 +30,7 @@
 from bronzehold.process import timeline as timeline_lib
 from bronzehold.process import tokens as tokens_lib
 from bronzehold.version import members as members_lib
+from bronzehold.version import rate_shares
 
 MEMBERS_PREFIX = "bronzehold/proxies/"
 INCARNATION_BYTES = 4
@@ -101,6 +103,21 @@
             key=MEMBERS_PREFIX + cfg.name,
             own=own,
         )
+        self.process.rate_limiter = rate_limiter_lib.RateLimiter(
+            own=own,
+            regions=cfg.regions,
+            serving=self.serving,
+            table=self.process.table,
+            ask=self.links.ask_tokens,
+            stopping=self.process.shutdown.begun.is_set,
+            timeline=self.timeline,
+            tolerance=rate_shares.Tolerance(
+                window_s=cfg.limit_window_s,
+                overage=cfg.limit_overage,
+                slack=cfg.limit_slack,
+            ),
+            has_seeds=bool(cfg.seeds),
+        )
         self.tokens = tokens_lib.Tokens(
             proxy=cfg.name,
             incarnation=incarnation,
@@ -165,6 +182,7 @@
             "store_away": float(self.mirror.store_unreachable()),
             "store_watched": float(self.serving.watches_store()),
             "forward_suspects": float(self.serving.suspect_count()),
+            **self.process.rate_limiter.gauges(),
             **{
                 f"forwarded_{outcome}": float(count)
                 for outcome, count in self.links.counts().items()
--- /dev/null
+++ b/bronzehold/process/rate_limiter_test.py
@@ -0,0 +1,125 @@
+import dataclasses
+
+import pytest
+
+from bronzehold.core import clock
+from bronzehold.core import routes
+from bronzehold.process import rate_limiter
+from tests import limiter_fleet
+
+
+@pytest.fixture(name="at")
+def _at(monkeypatch):
+    at = [1000.0]
+    monkeypatch.setattr(clock, "now", lambda: at[0])
+    return at
+
+
+def test_removed_workspace_keeps_no_state(at):
+    fleet = limiter_fleet.Fleet(at, limiter_fleet.LARGE)
+    fleet.run(2.0, limiter_fleet.excess(limiter_fleet.LARGE))
+    for proxy in fleet.proxies.values():
+        proxy.table = limiter_fleet.table(version=2)
+    fleet.run(1.0)
+    for proxy in fleet.proxies.values():
+        gauges = proxy.limiter.gauges()
+        assert not gauges["limiter_buckets"]
+        assert not gauges["limiter_standby_buckets"]
+
+
+def test_limiter_with_an_older_configuration_is_passed_over(at):
+    """Guards against a refusal by a peer that does not know the workspace."""
+    fleet = limiter_fleet.Fleet(at, limiter_fleet.SMALL)
+    first, _, third, *_ = fleet.order()
+    first.table = limiter_fleet.table(version=0)
+    assert isinstance(fleet.attempt(third), rate_limiter.Spent)
+    assert third.limiter.gauges()["limiter_unanswered"] == 1
+
+
+def test_workspace_without_a_limit_asks_nobody(at):
+    fleet = limiter_fleet.Fleet(
+        at, dataclasses.replace(limiter_fleet.SMALL, rate_per_s=None)
+    )
+    fleet.run(1.0, 1000.0)
+    assert not fleet.refused_count
+    assert not any(
+        p.limiter.gauges().get("limiter_asked") for p in fleet.proxies.values()
+    )
+
+
+def test_limit_of_zero_lets_nothing_through(at):
+    zero = dataclasses.replace(limiter_fleet.SMALL, rate_per_s=0.0, burst=0.0)
+    fleet = limiter_fleet.Fleet(at, zero)
+    fleet.run(5.0, 50.0)
+    assert not fleet.spent_at
+
+
+def test_excess_of_one_workspace_takes_nothing_from_another(at):
+    fleet = limiter_fleet.Fleet(at, limiter_fleet.SMALL)
+    other = routes.Workspace(name="v", rate_per_s=10.0, burst=10.0)
+    for proxy in fleet.proxies.values():
+        proxy.table = limiter_fleet.table(limiter_fleet.SMALL, other, version=2)
+    fleet.run(5.0, 100.0)
+    proxy = next(iter(fleet.proxies.values()))
+    decision = proxy.limiter.try_spend("v", clock.now() + 1.0)
+    assert isinstance(decision, rate_limiter.Spent)
+
+
+def test_limiter_that_does_not_answer_is_asked_once_a_second(at):
+    """Guards against 150 ms of waiting in every operation."""
+    fleet = limiter_fleet.Fleet(at, limiter_fleet.LARGE)
+    first, _, third, *_ = fleet.order()
+    first.frozen = True
+    for _ in range(20):
+        fleet.attempt(third)
+    assert third.limiter.gauges()["limiter_unanswered"] == 1
+
+
+def test_refusal_is_remembered_until_its_time(at):
+    """Guards against a request between proxies for each refused operation."""
+    fleet = limiter_fleet.Fleet(at, limiter_fleet.SMALL)
+    third = fleet.order()[2]
+    while isinstance(fleet.attempt(third), rate_limiter.Spent):
+        pass
+    asked = third.limiter.gauges()["limiter_asked"]
+    for _ in range(100):
+        fleet.attempt(third)
+    assert third.limiter.gauges()["limiter_asked"] == asked
+
+
+def test_turn_that_a_refusal_names_is_kept(at):
+    fleet = limiter_fleet.Fleet(at, limiter_fleet.SMALL)
+    third = fleet.order()[2]
+    decision = fleet.attempt(third)
+    while isinstance(decision, rate_limiter.Spent):
+        decision = fleet.attempt(third)
+    fleet.run(decision.retry_after_s + limiter_fleet.STEP_S)
+    assert isinstance(fleet.attempt(third), rate_limiter.Spent)
+
+
+@pytest.mark.parametrize("place", [0, 2])
+def test_refunded_token_is_spent_again(at, place):
+    fleet = limiter_fleet.Fleet(at, limiter_fleet.SMALL)
+    proxy = fleet.order()[place]
+    spent = fleet.attempt(proxy)
+    while isinstance(fleet.attempt(proxy), rate_limiter.Spent):
+        pass
+    proxy.limiter.refund(spent)
+    assert isinstance(fleet.attempt(proxy), rate_limiter.Spent)
+    at[0] += rate_limiter.MAX_REFUND_AGE_S + 0.01
+    proxy.limiter.refund(spent)
+    assert isinstance(fleet.attempt(proxy), rate_limiter.Limited)
+
+
+def test_busy_proxy_asks_for_several_tokens(at):
+    fleet = limiter_fleet.Fleet(
+        at, dataclasses.replace(limiter_fleet.LARGE, rate_per_s=900.0)
+    )
+    third = fleet.order()[2]
+    for _ in range(100):
+        for _ in range(5):
+            fleet.attempt(third)
+        fleet.run(limiter_fleet.STEP_S)
+    gauges = third.limiter.gauges()
+    assert gauges["limiter_spent"] == 500
+    assert gauges["limiter_asked"] < 0.3 * gauges["limiter_spent"]
--- a/tests/stop_crossing_test.py
+++ b/tests/stop_crossing_test.py
@@ -148,6 +148,7 @@
     timeline = types.SimpleNamespace(add_frequent=lambda _: None)
     metrics = types.SimpleNamespace(record=lambda *_: None)
     shutdown = shutdown_lib.Shutdown()
+    rate_limiter = None
 
     def table(self):
         return routes.EMPTY_TABLE
--- a/tests/stop_review_test.py
+++ b/tests/stop_review_test.py
@@ -84,6 +84,7 @@
         process=types.SimpleNamespace(
             name="p",
             shutdown=shutdown,
+            rate_limiter=None,
             find_route=lambda _: ROUTE,
             service=lambda _: None,
             table=lambda: routes.Table(
