--- a/bronzehold/version/rate_shares.py
+++ b/bronzehold/version/rate_shares.py
@@ -12,6 +12,11 @@
 # for handovers; the allowances of proxies that reach no limiter use half of it
 # when the others are not in use.
 SLACK_PARTS = 12
+# The part of a burst that a limiter grants at once. The rest is spread over the
+# window: the limit is a number of operations in a window, and a workspace that
+# is over its rate for long would otherwise have the burst in the first window
+# only.
+BURST_AT_ONCE = 0.25
 # A share below one token would never let an operation through.
 MIN_CAPACITY = 1.0
 
@@ -72,9 +77,11 @@
         regions: Number of regions, each with an equal part.
     """
     initial = _handover(tolerance, rate_per_s, burst)
+    at_once = burst * BURST_AT_ONCE
+    spread_per_s = (burst - at_once) / tolerance.window_s
     return Share(
-        rate_per_s=rate_per_s / regions,
-        capacity=max(burst / regions, 2 * initial),
+        rate_per_s=(rate_per_s + spread_per_s) / regions,
+        capacity=max(at_once / regions, 2 * initial),
         initial=initial,
     )
 
