--- a/bronzehold/platform/settings_file_test.py
+++ b/bronzehold/platform/settings_file_test.py
@@ -51,3 +51,25 @@
 def test_missing_file_is_reported():
     with pytest.raises(validation.ProblemsError):
         settings_file.load("/nowhere/settings.json")
+
+
+def test_tolerance_of_limits_is_optional(tmp_path):
+    cfg = _load(tmp_path, json.dumps(VALID))
+    assert (cfg.limit_window_s, cfg.limit_overage, cfg.limit_slack) == (
+        5.0,
+        0.1,
+        20.0,
+    )
+    fields = {"limit_window_s": 2, "limit_overage": 0, "limit_slack": 3}
+    cfg = _load(tmp_path, json.dumps({**VALID, **fields}))
+    assert cfg.limit_window_s == 2.0
+    assert cfg.limit_overage == 0.0
+    assert cfg.limit_slack == 3.0
+
+
+def test_tolerance_that_no_limit_can_have_is_reported(tmp_path):
+    fields = {"limit_window_s": 0, "limit_overage": -0.1, "limit_slack": "1"}
+    with pytest.raises(validation.ProblemsError) as caught:
+        _load(tmp_path, json.dumps({**VALID, **fields}))
+    locations = [problem.location for problem in caught.value.problems]
+    assert locations == list(fields)
--- a/bronzehold/platform/wire_test.py
+++ b/bronzehold/platform/wire_test.py
@@ -138,6 +138,7 @@
     [
         (errors.Overloaded(endpoint="e", expected_ms=1), "BUSY"),
         (errors.NoPrimary(group="g"), "BUSY"),
+        (errors.RateLimited(workspace="w", retry_after_ms=250), "BUSY"),
         (errors.NoFreshEndpoint(group="g"), "LAGGING"),
         (errors.TransactionLost(endpoint="e"), "ABORTED"),
         (errors.OutcomeUnknown(endpoint="e", reason="w"), "INDOUBT"),
@@ -194,3 +195,10 @@
             connections=17,
         )
     )
+
+
+def test_refusal_above_a_rate_limit_names_the_time_of_the_next_turn():
+    failure = errors.RateLimited(workspace="w", retry_after_ms=250)
+    assert wire.encode_error(failure) == (
+        b"ERROR BUSY not run: w is over its rate limit for another 250 ms\r\n"
+    )
