--- a/bronzehold/connection/forward_codec.py
+++ b/bronzehold/connection/forward_codec.py
@@ -350,6 +350,7 @@
         token_count=request.count,
         skipped=request.skipped,
         ended=request.ended,
+        borrows=request.borrows,
     )
 
 
@@ -367,6 +368,7 @@
         count=request.token_count,
         skipped=tuple(request.skipped),
         ended=tuple(request.ended),
+        borrows=request.borrows,
     )
 
 
--- a/bronzehold/process/rate_limiter.py
+++ b/bronzehold/process/rate_limiter.py
@@ -22,6 +22,7 @@
 from bronzehold.process import serving as serving_lib
 from bronzehold.process import timeline as timeline_lib
 from bronzehold.process import token_bucket
+from bronzehold.process import token_loans
 from bronzehold.process import token_messages as messages
 from bronzehold.process import workspace_share
 from bronzehold.version import members as members_lib
@@ -134,6 +135,13 @@
             stopping=stopping,
             has_seeds=has_seeds,
         )
+        self._borrower = token_loans.Borrower(
+            own=own,
+            regions=regions,
+            serving=serving,
+            ask=ask,
+            rank=limiter_order.rank,
+        )
         self._shares: dict[str, workspace_share.WorkspaceShare] = {}
         self._counts = collections.Counter[str]()
         self._events: list[events.Event] = []
@@ -219,6 +227,11 @@
             reply = self._take(share, 1, now)
             if reply.granted:
                 return self._spent(share, now, Origin.BUCKET)
+        reply = self._borrow(share, 1, reply)
+        now = clock.now()
+        with self._locked():
+            if reply.granted:
+                return self._spent(share, now, Origin.PEER)
             is_limiter = share.role is workspace_share.Role.LIMITER
             return self._refuse(share, reply, now, by_limiter=is_limiter)
 
@@ -353,11 +366,68 @@
             share = self._share(request.workspace, now)
             if share is None:
                 return messages.TokenReply(granted=request.count)
+            if request.borrows:
+                return self._lend(share, request.count, now)
             for name in request.ended:
                 self._order.mark_ended(name, now)
             reply = self._take(share, request.count, now)
             self._counts["granted"] += reply.granted
+        if reply.granted:
             return reply
+        return self._borrow(share, request.count, reply)
+
+    # Tokens of other regions.
+
+    def _lend(
+        self, share: workspace_share.WorkspaceShare, count: int, now: float
+    ) -> messages.TokenReply:
+        if not self._order.is_limiter(share.limit.name, now):
+            return messages.TokenReply()
+        granted = token_loans.lend(self._bucket(share, now), count, now)
+        self._counts["lent"] += granted
+        return messages.TokenReply(granted=granted)
+
+    def _borrow(
+        self,
+        share: workspace_share.WorkspaceShare,
+        count: int,
+        refusal: messages.TokenReply,
+    ) -> messages.TokenReply:
+        """Borrows tokens for operations that the own bucket refused.
+
+        Args:
+            share: The share of the workspace.
+            count: Number of operations.
+            refusal: The reply if no other region has tokens to spare.
+        """
+        if share.role is not workspace_share.Role.LIMITER:
+            return refusal
+        if not share.loan_lock.acquire(timeout=token_loans.ASK_TIMEOUT_S):
+            return refusal
+        try:
+            with self._locked():
+                now = clock.now()
+                taken = share.take_borrowed(count, now)
+                wanted = token_loans.wanted(share.demand.rate_per_s(now))
+            if taken:
+                return messages.TokenReply(granted=taken)
+            request = messages.TokenRequest(
+                workspace=share.limit.name,
+                version=self._table().version,
+                count=max(count, wanted),
+                borrows=True,
+            )
+            reply = self._borrower.borrow(request, clock.now())
+            if not reply.granted:
+                return refusal
+            now = clock.now()
+            with self._locked():
+                self._counts["borrowed"] += reply.granted
+                share.borrowed.add(reply.granted, now + token_loans.LOAN_S)
+                taken = share.take_borrowed(count, now)
+                return messages.TokenReply(granted=taken)
+        finally:
+            share.loan_lock.release()
 
     # What follows is called with the lock held.
 
@@ -365,7 +435,11 @@
         self, share: workspace_share.WorkspaceShare, count: int, now: float
     ) -> messages.TokenReply:
         bucket = self._bucket(share, now)
-        granted = bucket.take(max(1, count), now)
+        for _ in range(count):
+            share.demand.add(now)
+        granted = share.take_borrowed(count, now) or bucket.take(
+            max(1, count), now
+        )
         if granted:
             return messages.TokenReply(granted=granted)
         wait_s = min(bucket.wait_s(now), MAX_RETRY_AFTER_S)
@@ -458,6 +532,7 @@
             for name in self._shares.keys() - limits.keys():
                 del self._shares[name]
             self._order.retain(limits.keys())
+            self._borrower.retain(limits.keys())
             for limit in limits.values():
                 self._sweep_workspace(limit, now)
 
--- a/bronzehold/process/serving.py
+++ b/bronzehold/process/serving.py
@@ -337,6 +337,11 @@
         """Returns when the last digest of a proxy arrived, None if never."""
         return self._heard_at.get(name)
 
+    def live(self, zones: frozenset[str]) -> list[members_lib.Member]:
+        """Returns the live proxies in some availability zones."""
+        with self._lock:
+            return [m for m in self._members.values() if m.zone in zones]
+
     def region_view(self, zones: frozenset[str]) -> RegionView:
         """Returns the proxies of this proxy's region as of now.
 
--- a/bronzehold/process/token_messages.py
+++ b/bronzehold/process/token_messages.py
@@ -18,6 +18,7 @@
             or did not answer.
         ended: Of these, the ones that limit nothing: no process accepts
             connections there, or it is stopping.
+        borrows: Whether the sender is the limiter of another region.
     """
 
     workspace: str
@@ -25,6 +26,7 @@
     count: int
     skipped: tuple[str, ...] = ()
     ended: tuple[str, ...] = ()
+    borrows: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/bronzehold/process/workspace_share.py
+++ b/bronzehold/process/workspace_share.py
@@ -5,6 +5,7 @@
 
 import enum
 import math
+import threading
 
 from bronzehold.core import routes
 from bronzehold.process import token_bucket
@@ -29,6 +30,10 @@
         bucket: Its bucket, None if there is none.
         allowance: Operations that ran without a token.
         reserve: Tokens that were granted in advance.
+        borrowed: Tokens of other regions.
+        demand: Rate of the operations that this proxy was asked for as the
+            limiter.
+        loan_lock: Held while tokens are borrowed.
         meter: Rate of the operations that were let through.
         is_asking_batch: Whether a request for several tokens is under way.
         refused_until: Until when operations are refused without asking.
@@ -54,6 +59,9 @@
         self._left_at = -math.inf
         self.allowance = token_bucket.WindowCount(window_s=tolerance.window_s)
         self.reserve = token_bucket.Reserve()
+        self.borrowed = token_bucket.Reserve()
+        self.demand = token_bucket.RateMeter()
+        self.loan_lock = threading.Lock()
         self.meter = token_bucket.RateMeter()
         self.is_asking_batch = False
         self.refused_until = -math.inf
@@ -125,6 +133,10 @@
             self._tolerance, rate_per_s, burst, proxies
         )
 
+    def take_borrowed(self, count: int, now: float) -> int:
+        """Takes tokens of other regions; returns how many there were."""
+        return sum(self.borrowed.take(now) for _ in range(count))
+
     def take_allowance(self, *, proxies: int, rank: int, now: float) -> bool:
         """Counts an operation that no limiter could be asked for.
 
