--- a/tests/limiter_fleet.py
+++ b/tests/limiter_fleet.py
@@ -40,6 +40,17 @@
     )
 
 
+def most_in_window(spent_at):
+    """Returns the highest number of operations in any window."""
+    times = sorted(spent_at)
+    most = start = 0
+    for end, at in enumerate(times):
+        while times[start] <= at - TOLERANCE.window_s:
+            start += 1
+        most = max(most, end + 1 - start)
+    return most
+
+
 class Proxy:
     """One proxy with its view of the fleet."""
 
@@ -214,20 +225,11 @@
                 self.refused_count += 1
         return decision
 
-    def most_in_window(self):
-        times = sorted(self.spent_at)
-        most = start = 0
-        for end, at in enumerate(times):
-            while times[start] <= at - TOLERANCE.window_s:
-                start += 1
-            most = max(most, end + 1 - start)
-        return most
-
     def assert_limited(self, limit):
         allowed = rate_shares.most_in_window(
             TOLERANCE, limit.rate_per_s, limit.burst
         )
-        most = self.most_in_window()
+        most = most_in_window(self.spent_at)
         assert most <= allowed
         return most
 
