Limits: a limit counts in a window, and limiters hand over what was granted

Cause: a workspace above its rate got only the rate and not what its limit allows in each window, bursts below the limit were refused by small buckets, and after each change of a limiter the new one began nearly empty, whatever had been used.

Change: a limiter bounds the operations of a window, with a larger bucket for what comes at once. Its answers carry what it has granted in half-second slots; proxies bring that report to its successor.

--- a/bronzehold/connection/forward_codec.py
+++ b/bronzehold/connection/forward_codec.py
@@ -351,6 +351,10 @@
         skipped=request.skipped,
         ended=request.ended,
         borrows=request.borrows,
+        used=request.usage.slots,
+        used_by=request.usage.limiter,
+        used_slot=request.usage.last_slot,
+        used_age_us=_microseconds(request.usage_age_s),
     )
 
 
@@ -369,6 +373,18 @@
         skipped=tuple(request.skipped),
         ended=tuple(request.ended),
         borrows=request.borrows,
+        usage=_decode_usage(request),
+        usage_age_s=max(0, request.used_age_us) / MICROSECONDS_PER_S,
+    )
+
+
+def _decode_usage(packed: pb.Request | pb.Reply) -> token_messages.Usage:
+    if any(count < 0 for count in packed.used):
+        raise CodecError("a negative number of operations")
+    return token_messages.Usage(
+        limiter=packed.used_by,
+        last_slot=packed.used_slot,
+        slots=tuple(packed.used),
     )
 
 
@@ -380,6 +396,9 @@
         granted=reply.granted,
         retry_after_us=retry_after_us,
         failure=errors.Stopping.__name__ if reply.is_leaving else "",
+        used=reply.usage.slots,
+        used_by=reply.usage.limiter,
+        used_slot=reply.usage.last_slot,
     )
 
 
@@ -400,6 +419,7 @@
         granted=packed.granted,
         retry_after_s=packed.retry_after_us / MICROSECONDS_PER_S,
         is_leaving=packed.failure == errors.Stopping.__name__,
+        usage=_decode_usage(packed),
     )
 
 
--- a/bronzehold/process/rate_limiter.py
+++ b/bronzehold/process/rate_limiter.py
@@ -13,6 +13,7 @@
 import dataclasses
 import enum
 import math
+import os
 import threading
 
 from bronzehold.core import clock
@@ -21,9 +22,9 @@
 from bronzehold.process import limiter_order
 from bronzehold.process import serving as serving_lib
 from bronzehold.process import timeline as timeline_lib
-from bronzehold.process import token_bucket
 from bronzehold.process import token_loans
 from bronzehold.process import token_messages as messages
+from bronzehold.process import window_budget
 from bronzehold.process import workspace_share
 from bronzehold.version import members as members_lib
 from bronzehold.version import rate_shares
@@ -53,6 +54,7 @@
 MAX_RETRY_AFTER_S = 60.0
 # What is kept of a workspace without operations is dropped after this time.
 IDLE_S = 60.0
+PROCESS_ID_BYTES = 4
 
 
 class Origin(enum.Enum):
@@ -120,6 +122,7 @@
         has_seeds: bool,
     ):
         self._own = own
+        self._process_id = f"{own.name}/{os.urandom(PROCESS_ID_BYTES).hex()}"
         region = regions[own.zone]
         self._region_count = len(set(regions.values()))
         self._table = table
@@ -260,6 +263,7 @@
             why = str(exc)
         now = clock.now()
         with self._locked():
+            share.note_usage(reply.usage, now)
             share.is_asking_batch &= not is_batch
             self._counts["asked"] += 1
             if reply.granted:
@@ -298,6 +302,8 @@
             workspace=name,
             version=self._table().version,
             count=count,
+            usage=share.usage,
+            usage_age_s=now - share.usage_at if share.usage.limiter else 0.0,
             skipped=skipped,
             ended=ended,
         )
@@ -370,12 +376,25 @@
                 return self._lend(share, request.count, now)
             for name in request.ended:
                 self._order.mark_ended(name, now)
+            self._apply_usage(share, request, now)
             reply = self._take(share, request.count, now)
             self._counts["granted"] += reply.granted
         if reply.granted:
             return reply
         return self._borrow(share, request.count, reply)
 
+    def _apply_usage(
+        self,
+        share: workspace_share.WorkspaceShare,
+        request: messages.TokenRequest,
+        now: float,
+    ) -> None:
+        """Counts what the limiter before this one has granted."""
+        is_other = request.usage.limiter not in ("", self._process_id)
+        match self._bucket(share, now):
+            case window_budget.WindowBudget() as budget if is_other:
+                budget.apply_report(request.usage, request.usage_age_s, now)
+
     # Tokens of other regions.
 
     def _lend(
@@ -441,13 +460,26 @@
             max(1, count), now
         )
         if granted:
-            return messages.TokenReply(granted=granted)
+            return messages.TokenReply(
+                granted=granted, usage=self._usage(bucket, now)
+            )
         wait_s = min(bucket.wait_s(now), MAX_RETRY_AFTER_S)
-        return messages.TokenReply(retry_after_s=wait_s)
+        return messages.TokenReply(
+            retry_after_s=wait_s, usage=self._usage(bucket, now)
+        )
+
+    def _usage(
+        self, bucket: workspace_share.Bucket, now: float
+    ) -> messages.Usage:
+        match bucket:
+            case window_budget.WindowBudget():
+                return bucket.usage(self._process_id, now)
+            case _:
+                return messages.NO_USAGE
 
     def _bucket(
         self, share: workspace_share.WorkspaceShare, now: float
-    ) -> token_bucket.TokenBucket:
+    ) -> workspace_share.Bucket:
         is_limiter = self._order.is_limiter(share.limit.name, now)
         view = self._order.view(now)
         bucket, is_new = share.set_role(
--- a/bronzehold/process/token_bucket.py
+++ b/bronzehold/process/token_bucket.py
@@ -54,6 +54,11 @@
         self._tokens -= taken
         return taken
 
+    def raise_to(self, tokens: float, now: float) -> None:
+        """Raises the number of tokens, at most to the capacity."""
+        tokens = max(self.tokens(now), tokens)
+        self._tokens = min(self.share.capacity, tokens)
+
     def put_back(self, now: float) -> None:
         """Returns a token that was not used."""
         self._tokens = min(self.share.capacity, self.tokens(now) + 1)
--- a/bronzehold/process/token_loans.py
+++ b/bronzehold/process/token_loans.py
@@ -10,8 +10,8 @@
 import math
 
 from bronzehold.process import serving as serving_lib
-from bronzehold.process import token_bucket
 from bronzehold.process import token_messages as messages
+from bronzehold.process import workspace_share
 from bronzehold.version import members as members_lib
 
 # A limiter in another region answers within a round trip between regions. While
@@ -105,7 +105,7 @@
     return max(1, min(MAX_LOAN, math.ceil(demand_per_s * LOAN_S)))
 
 
-def lend(bucket: token_bucket.TokenBucket, count: int, now: float) -> int:
+def lend(bucket: workspace_share.Bucket, count: int, now: float) -> int:
     """Takes tokens that a region has to spare from its bucket.
 
     Args:
--- a/bronzehold/process/token_messages.py
+++ b/bronzehold/process/token_messages.py
@@ -5,6 +5,28 @@
 
 from bronzehold.version import members as members_lib
 
+# Length of a slot of Usage.
+SLOT_S = 0.5
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Usage:
+    """What a limiter has granted of late.
+
+    Attributes:
+        limiter: Text that tells the process of the limiter from all others.
+        last_slot: Number of the latest slot on the limiter's clock. Reports of
+            the same operations name the same slots.
+        slots: Number of operations in each slot of SLOT_S, the latest first.
+    """
+
+    limiter: str = ""
+    last_slot: int = 0
+    slots: tuple[int, ...] = ()
+
+
+NO_USAGE = Usage()
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class TokenRequest:
@@ -19,6 +41,8 @@
         ended: Of these, the ones that limit nothing: no process accepts
             connections there, or it is stopping.
         borrows: Whether the sender is the limiter of another region.
+        usage: The last report that the sender has of a limiter.
+        usage_age_s: Time since that report arrived.
     """
 
     workspace: str
@@ -27,6 +51,8 @@
     skipped: tuple[str, ...] = ()
     ended: tuple[str, ...] = ()
     borrows: bool = False
+    usage: Usage = NO_USAGE
+    usage_age_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -37,11 +63,13 @@
         granted: Number of tokens granted.
         retry_after_s: If there are none, the time until there is one.
         is_leaving: Whether the proxy is stopping and limits nothing any more.
+        usage: What the limiter has granted of late.
     """
 
     granted: int = 0
     retry_after_s: float = 0.0
     is_leaving: bool = False
+    usage: Usage = NO_USAGE
 
     @property
     def is_decision(self) -> bool:
--- a/bronzehold/process/workspace_share.py
+++ b/bronzehold/process/workspace_share.py
@@ -9,6 +9,8 @@
 
 from bronzehold.core import routes
 from bronzehold.process import token_bucket
+from bronzehold.process import token_messages as messages
+from bronzehold.process import window_budget
 from bronzehold.version import rate_shares
 
 
@@ -20,6 +22,9 @@
     NONE = "none"
 
 
+Bucket = token_bucket.TokenBucket | window_budget.WindowBudget
+
+
 class WorkspaceShare:
     """The tokens and refusals of one workspace in this proxy.
 
@@ -53,7 +58,12 @@
         self.limit = limit
         self.used_at = now
         self.role = Role.NONE
-        self.bucket: token_bucket.TokenBucket | None = None
+        self.bucket: Bucket | None = None
+        # What this process has granted as the limiter, and the last report of
+        # a limiter with the time of its arrival.
+        self._last_budget: window_budget.WindowBudget | None = None
+        self.usage = messages.NO_USAGE
+        self.usage_at = -math.inf
         # The tokens that the last bucket left, and when it was dropped.
         self._left_tokens = math.inf
         self._left_at = -math.inf
@@ -81,7 +91,7 @@
 
     def set_role(
         self, role: Role, *, proxies: int, contact_since: float, now: float
-    ) -> tuple[token_bucket.TokenBucket, bool]:
+    ) -> tuple[Bucket, bool]:
         """Returns the bucket of a role and whether it is a new one.
 
         A limiter that was suspended or out of contact has a new one, since
@@ -109,11 +119,38 @@
         # bucket once in a window.
         is_recent = now - self._left_at < self._tolerance.window_s
         tokens = self._left_tokens if is_recent else math.inf
-        bucket = token_bucket.TokenBucket(share=share, now=now, tokens=tokens)
+        if role is Role.LIMITER:
+            bucket = self._new_budget(share, tokens, now)
+        else:
+            bucket = token_bucket.TokenBucket(
+                share=share, now=now, tokens=tokens
+            )
         self.role = role
         self.bucket = bucket
         return bucket, True
 
+    def _new_budget(
+        self, share: rate_shares.Share, initial: float, now: float
+    ) -> window_budget.WindowBudget:
+        budget = window_budget.WindowBudget(
+            share=share,
+            window_s=self._tolerance.window_s,
+            now=now,
+            initial=initial,
+        )
+        if self._last_budget is not None:
+            budget.carry_over(self._last_budget)
+        if self.usage.limiter:
+            budget.apply_report(self.usage, now - self.usage_at, now)
+        self._last_budget = budget
+        return budget
+
+    def note_usage(self, usage: messages.Usage, now: float) -> None:
+        """Keeps the report of a limiter for the next one."""
+        if usage.limiter:
+            self.usage = usage
+            self.usage_at = now
+
     def drop_bucket(self, now: float) -> None:
         """Drops the bucket, so that a full one is not found again later."""
         if self.bucket is not None:
--- a/bronzehold/version/rate_shares.py
+++ b/bronzehold/version/rate_shares.py
@@ -6,17 +6,15 @@
 """
 
 import dataclasses
+import math
 
 # The parts of the slack. A handover needs one part for the new limiter. A limit
 # in force in three regions uses at most six parts for their capacities and two
 # for handovers; the allowances of proxies that reach no limiter use half of it
 # when the others are not in use.
 SLACK_PARTS = 12
-# The part of a burst that a limiter grants at once. The rest is spread over the
-# window: the limit is a number of operations in a window, and a workspace that
-# is over its rate for long would otherwise have the burst in the first window
-# only.
-BURST_AT_ONCE = 0.25
+# All proxies together are back no sooner than this after they have ended.
+MIN_RESTART_S = 0.5
 # A share below one token would never let an operation through.
 MIN_CAPACITY = 1.0
 
@@ -44,11 +42,13 @@
         rate_per_s: Tokens that are added in a second.
         capacity: Highest number of tokens.
         initial: Tokens of a new bucket.
+        in_window: Highest number of operations in a window.
     """
 
     rate_per_s: float
     capacity: float
     initial: float
+    in_window: float = math.inf
 
 
 def slack(tolerance: Tolerance, rate_per_s: float, burst: float) -> float:
@@ -70,19 +70,25 @@
 ) -> Share:
     """Returns the share of the proxy that holds a region's part of a limit.
 
+    A workspace may use its limit in every window, so the rate is that of the
+    window with the burst. What is granted at once is bounded further: after a
+    restart of all proxies nobody knows what was granted before, and the new
+    limiters begin with the rate at once.
+
     Args:
         tolerance: How far the limit may be exceeded.
         rate_per_s: Rate of the limit.
         burst: Burst of the limit.
         regions: Number of regions, each with an equal part.
     """
+    in_window = (rate_per_s * tolerance.window_s + burst) / regions
+    rate_in_window_per_s = in_window / tolerance.window_s
     initial = _handover(tolerance, rate_per_s, burst)
-    at_once = burst * BURST_AT_ONCE
-    spread_per_s = (burst - at_once) / tolerance.window_s
     return Share(
-        rate_per_s=(rate_per_s + spread_per_s) / regions,
-        capacity=max(at_once / regions, 2 * initial),
+        rate_per_s=rate_in_window_per_s,
+        capacity=3 * initial + rate_in_window_per_s * MIN_RESTART_S,
         initial=initial,
+        in_window=in_window + initial,
     )
 
 
