Stand-in store: returns from an older copy in a new era

In a drill the platform's store may come back from a copy that is some seconds old; nothing in the repository could play that, so what proxies do then was untested.

Without an era there is no header. The deployment for tests numbers the listings that it writes and can write the latest entries of operator and endpoints again.

--- a/bronzehold/platform/local.py
+++ b/bronzehold/platform/local.py
@@ -143,7 +143,9 @@
         proxies: The running proxies.
     """
 
-    def __init__(self, *, proxies: int = 2, **fields):
+    def __init__(
+        self, *, proxies: int = 2, store_era: int | None = None, **fields
+    ):
         zones = {f"e{n}": f"z{n}" for n in (1, 2, 3)}
         self.group = standin_group.Group(
             settings=standin_group.GroupSettings(
@@ -151,6 +153,11 @@
             )
         )
         self.store = standin_store.Store(groups={SERVICE: self.group})
+        self.store.era = store_era
+        # Value of each entry of an operator or an endpoint, by key, for a store
+        # that has lost some of them.
+        self._entries: dict[str, bytes] = {}
+        self._sequence = 0
         self.group.on_role_change = self.publish_listings
         self.group.start()
         self.store.start()
@@ -234,7 +241,7 @@
             "services": [{"name": SERVICE, "max_connections": max_connections}],
             "limits": {"tx_idle_ms": 3000},
         }
-        self.store.put("op/config", json.dumps(table).encode())
+        self._write("op/config", table)
 
     def address(self, name: str) -> str:
         """Returns the address at which proxies connect to an endpoint."""
@@ -246,6 +253,7 @@
         Args:
             draining: Ids of the endpoints that are listed as draining.
         """
+        self._sequence += 1
         for name, endpoint in self.group.endpoints.items():
             entry = {
                 "service": SERVICE,
@@ -256,10 +264,23 @@
                 "state": "draining" if name in draining else "ready",
                 "cold_remaining_ms": 0,
                 "db_role": "primary" if endpoint.is_primary else "replica",
-                "sequence": 1,
+                "sequence": self._sequence,
                 "born": 1,
             }
-            self.store.put(f"servers/{name}", json.dumps(entry).encode())
+            self._write(f"servers/{name}", entry)
+
+    def _write(self, key: str, fields: dict) -> None:
+        self._entries[key] = json.dumps(fields).encode()
+        self.store.put(key, self._entries[key])
+
+    def write_entries_again(self) -> None:
+        """Writes the latest configuration and listings again.
+
+        The operator and the endpoints do so after the store has returned from
+        an older copy.
+        """
+        for key, value in self._entries.items():
+            self.store.put(key, value)
 
     def connect(self, database: str, proxy: int = 0) -> Session:
         """Opens a caller's session at the proxy with the given index."""
--- a/bronzehold/platform/standin_store.py
+++ b/bronzehold/platform/standin_store.py
@@ -15,16 +15,20 @@
 import urllib.parse
 
 from bronzehold.platform import standin_group
+from bronzehold.platform import standin_journal
 
 # Longest wait of a watch, and of a call while unresponsive, between checks.
 WATCH_POLL_INTERVAL_S = 0.01
 LEASE_CHECK_INTERVAL_S = 0.05
+FIRST_REVISION = 1
+ERA_HEADER = "Store-Era"
 
 
 class Store:
     """The store and the failover call, with injectable faults.
 
     Attributes:
+        era: Number in the header of each answer, None for no header.
         unresponsive: Whether calls stay unanswered until this is reset or the
             store closes.
         error_status: HTTP status that answers every call in place of its
@@ -38,6 +42,7 @@
     """
 
     def __init__(self, *, groups: dict[str, standin_group.Group]):
+        self.era: int | None = None
         self.unresponsive = False
         self.error_status = 0
         self.lose_answers = 0
@@ -49,10 +54,11 @@
         # Changes since the last compaction, in order of their revisions.
         self._history: list[dict] = []
         self._compacted_revision = 0
-        self._revision = 1
+        self._revision = FIRST_REVISION
         # TTL in seconds and expiry in seconds of time.monotonic(), by lease id.
         self._leases: dict[int, tuple[float, float]] = {}
         self._lease_ids = itertools.count(1)
+        self._journal = standin_journal.Journal()
         # Highest fencing token of any failover call, by service.
         self._highest_tokens: dict[str, int] = {}
         self._server = http.server.ThreadingHTTPServer(
@@ -113,6 +119,39 @@
             self._compacted_revision = self._revision
             self._lock.notify_all()
 
+    def return_from_copy(
+        self, age_s: float, *, leases_lost: bool = False
+    ) -> None:
+        """Replaces the content by that of some time ago, in a new era.
+
+        Later revisions and lease ids are issued again. The leases of the copy
+        are valid for their whole TTL from now.
+
+        Args:
+            age_s: Age of the copy in seconds.
+            leases_lost: Whether the leases of the copy are lost too. Their keys
+                then stay until somebody writes them.
+        """
+        with self._lock:
+            copy = self._journal.restore(age_s, FIRST_REVISION)
+            self._items = copy.items
+            self._history = copy.history
+            self._revision = copy.revision
+            self._compacted_revision = min(
+                self._compacted_revision, copy.revision
+            )
+            now = time.monotonic()
+            self._leases = {}
+            if not leases_lost:
+                self._leases = {
+                    lease_id: (ttl_s, now + ttl_s)
+                    for lease_id, ttl_s in copy.leases.items()
+                }
+            self._lease_ids = itertools.count(copy.last_lease + 1)
+            if self.era is not None:
+                self.era += 1
+            self._lock.notify_all()
+
     def _put(self, key: str, value: str, lease: int) -> None:
         self._revision += 1
         created = self._items.get(key, {}).get("created", self._revision)
@@ -125,6 +164,7 @@
         }
         self._items[key] = item
         self._history.append(item)
+        self._journal.note_change(item)
         self._lock.notify_all()
 
     def _remove(self, key: str) -> None:
@@ -133,6 +173,7 @@
         self._revision += 1
         event = {"key": key, "revision": self._revision, "tombstone": True}
         self._history.append(event)
+        self._journal.note_change(event)
         self._lock.notify_all()
 
     def _expire_leases(self) -> None:
@@ -145,6 +186,7 @@
 
     def _revoke_lease(self, lease_id: int) -> bool:
         found = self._leases.pop(lease_id, None) is not None
+        self._journal.note_lease_end(lease_id)
         for key, item in list(self._items.items()):
             if item["lease"] == lease_id:
                 self._remove(key)
@@ -152,6 +194,16 @@
 
     # HTTP calls.
 
+    def handle_in_era(
+        self, method: str, path: str, *args: typing.Any
+    ) -> tuple[int, dict, int | None]:
+        """Executes a call and returns its result and the era it ran in."""
+        if path == "/failover":
+            # It calls back into the store, and belongs to no era.
+            return *self.handle_call(method, path, *args), None
+        with self._lock:
+            return *self.handle_call(method, path, *args), self.era
+
     def handle_call(
         self,
         method: str,
@@ -202,6 +254,7 @@
                     lease_id = next(self._lease_ids)
                     ttl_s = body["ttl_ms"] / 1000
                     self._leases[lease_id] = (ttl_s, time.monotonic() + ttl_s)
+                    self._journal.note_lease(lease_id, ttl_s)
                     return 200, {"lease": lease_id, "ttl_ms": body["ttl_ms"]}
                 case "kv-keep":
                     return self._keep_alive(int(lease_id))
@@ -215,7 +268,7 @@
         after = int(query["after"])
         end = time.monotonic() + int(query["wait_ms"]) / 1000
         while True:
-            if after < self._compacted_revision:
+            if not self._compacted_revision <= after <= self._revision:
                 return 410, {}
             events = [
                 event
@@ -300,9 +353,9 @@
                     WATCH_POLL_INTERVAL_S
                 ):
                     continue
-                status, fields = store.error_status, {}
+                status, fields, era = store.error_status, {}, store.era
                 if not status:
-                    status, fields = store.handle_call(
+                    status, fields, era = store.handle_in_era(
                         self.command,
                         path,
                         dict(
@@ -319,6 +372,8 @@
                 out = json.dumps(fields).encode()
                 self.send_response(status)
                 self.send_header("Content-Length", str(len(out)))
+                if era is not None:
+                    self.send_header(ERA_HEADER, str(era))
                 self.end_headers()
                 self.wfile.write(out)
 
