--- a/bronzehold/core/ports.py
+++ b/bronzehold/core/ports.py
@@ -56,6 +56,10 @@
     """The store has compacted the requested revisions."""
 
 
+class StaleEraError(StoreError):
+    """A call or its answer belongs to an older era of the store."""
+
+
 class CallerConn(typing.Protocol):
     """One caller's connection."""
 
@@ -148,6 +152,33 @@
         """Closes the connection; the endpoint rolls back its transaction."""
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True, order=True)
+class Position:
+    """A revision of the store. Positions are in the order of their issue.
+
+    Attributes:
+        era: Era that the revision belongs to. The era rises when the store
+            returns from an older copy, and revisions are then issued again.
+        revision: The revision.
+    """
+
+    era: int
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Lease:
+    """A lease of the store.
+
+    Attributes:
+        id: Its number, which another process may get in a later era.
+        era: Era in which it was granted.
+    """
+
+    id: int
+    era: int
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Item:
     """A key of the store and its value.
@@ -157,11 +188,18 @@
         value: Value of the key, None if it was removed.
         revision: Revision of the store at the key's last change, 0 if the key
             does not exist.
+        era: Era in which it was read.
     """
 
     key: str
     value: bytes | None
     revision: int
+    era: int = 0
+
+    @property
+    def position(self) -> Position:
+        """The position of the key's last change."""
+        return Position(era=self.era, revision=self.revision)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -171,15 +209,22 @@
     Attributes:
         items: The items.
         revision: Revision of the store after which a watch continues.
+        era: Era in which all items were read.
     """
 
     items: tuple[Item, ...]
     revision: int
+    era: int = 0
+
+    @property
+    def position(self) -> Position:
+        """The position after which a watch continues."""
+        return Position(era=self.era, revision=self.revision)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Swapped:
-    """The change was written.
+    """The change was written, in the era in which the item was read.
 
     Attributes:
         revision: Revision of the store that contains the change.
@@ -194,7 +239,11 @@
 
 
 class Store(typing.Protocol):
-    """The key-value service that holds persistent state."""
+    """The key-value service that holds persistent state.
+
+    Each call that is based on an earlier answer raises StaleEraError if its own
+    answer is of another era. It may then have been executed.
+    """
 
     def list(self, prefix: str) -> Snapshot:
         """Reads all keys with a prefix; raises StoreError."""
@@ -202,27 +251,27 @@
     def get(self, key: str) -> Item:
         """Reads one key; raises StoreError."""
 
-    def watch(self, prefix: str, after: int, wait_s: float) -> Snapshot:
+    def watch(self, prefix: str, after: Position, wait_s: float) -> Snapshot:
         """Waits for changes after a revision; raises StoreError."""
 
     def swap(
-        self, old: Item, value: bytes, lease: int = 0
+        self, old: Item, value: bytes, lease: Lease | None = None
     ) -> Swapped | Conflict:
         """Replaces a value unless it has changed since; raises StoreError.
 
         Args:
             old: The key as it was last read.
             value: New value.
-            lease: Lease that the key is bound to, 0 for none.
+            lease: Lease that the key is bound to, None for none.
         """
 
-    def grant_lease(self, ttl_s: float) -> int:
-        """Creates a lease and returns its id; raises StoreError."""
+    def grant_lease(self, ttl_s: float) -> Lease:
+        """Creates a lease; raises StoreError."""
 
-    def renew_lease(self, lease: int) -> bool:
-        """Renews a lease; False if it has expired. Raises StoreError."""
+    def renew_lease(self, lease: Lease) -> bool:
+        """Renews a lease; False if it is not valid. Raises StoreError."""
 
-    def revoke_lease(self, lease: int) -> None:
+    def revoke_lease(self, lease: Lease) -> None:
         """Revokes a lease and removes its keys; raises StoreError."""
 
 
--- a/bronzehold/core/routes.py
+++ b/bronzehold/core/routes.py
@@ -112,6 +112,8 @@
         leaving: Whether it is being drained and gets no new work.
         leads: Whether it considers itself the primary.
         started_ms: Start time in milliseconds of Unix time, 0 if unknown.
+        sequence: Number that the endpoint increases with each writing. It says
+            nothing of the endpoint, so listings are compared without it.
     """
 
     id: str
@@ -123,3 +125,4 @@
     leaving: bool
     leads: bool
     started_ms: int = 0
+    sequence: int = dataclasses.field(default=0, compare=False)
--- a/bronzehold/platform/directory.py
+++ b/bronzehold/platform/directory.py
@@ -83,7 +83,6 @@
         host, port = _ip_address(fields)
         # These fields are validated but otherwise unused.
         fields.text("version")
-        fields.integer("sequence")
         fields.number("cold_remaining_ms")
         return routes.Listing(
             id=name,
@@ -95,6 +94,7 @@
             leaving=fields.one_of("state", ("ready", "draining")) == "draining",
             leads=fields.one_of("db_role", ("primary", "replica")) == "primary",
             started_ms=fields.integer("born", 0),
+            sequence=fields.integer("sequence"),
         )
 
 
--- a/bronzehold/platform/instance.py
+++ b/bronzehold/platform/instance.py
@@ -24,9 +24,11 @@
 from bronzehold.process import promotions as promotions_lib
 from bronzehold.process import registration as registration_lib
 from bronzehold.process import serving as serving_lib
+from bronzehold.process import store_era
 from bronzehold.process import store_mirror as mirror_lib
 from bronzehold.process import store_news as news_lib
 from bronzehold.process import timeline as timeline_lib
+from bronzehold.process import token_records
 from bronzehold.process import tokens as tokens_lib
 from bronzehold.version import members as members_lib
 
@@ -45,6 +47,7 @@
         registration: Entry of this proxy in the store.
         tokens: Fencing tokens of the groups.
         promotions: Failover of the primaries.
+        era: Era of the store.
         mirror: Local copy of the entries in the store.
         news: Reports of the proxies that watch the store.
     """
@@ -93,7 +96,8 @@
             is_watcher=self.serving.watches_store,
             on_newer_revision=self.gossip.send_soon,
         )
-        store_client = store.Client(address=cfg.store)
+        self.era = store_era.StoreEra(timeline=self.timeline)
+        store_client = store.Client(address=cfg.store, era=self.era)
         self.registration = registration_lib.Registration(
             process=self.process,
             store=store_client,
@@ -122,6 +126,17 @@
             records_prefix=tokens_lib.RECORDS_PREFIX,
             on_record=self.tokens.apply_record,
             news=self.news,
+            era=self.era,
+        )
+        for component in (
+            self.mirror,
+            self.news,
+            self.registration,
+            self.tokens,
+        ):
+            self.era.on_rise(component.forget_before)
+        self._token_records = token_records.TokenRecords(
+            process=self.process, tokens=self.tokens
         )
         exchange_lib.DigestExchange(
             process=self.process,
@@ -161,6 +176,7 @@
     def _render_metrics(self) -> bytes:
         extra = {
             "peers": float(len(self.gossip.live_peers())),
+            "store_era": float(self.era.current()),
             "store_away": float(self.mirror.store_unreachable()),
             "store_watched": float(self.serving.watches_store()),
             "forward_suspects": float(self.serving.suspect_count()),
@@ -190,6 +206,7 @@
         tasks.spawn_lasting("mirror", self.mirror.run)
         tasks.spawn_lasting("registration", self.registration.run)
         tasks.spawn_lasting("promotions", self.promotions.run)
+        tasks.spawn_lasting("token records", self._token_records.run)
         tasks.spawn_lasting("sweep", self._sweep)
         tasks.spawn_lasting("forwarded", self._serve_forwarded)
         tasks.spawn_lasting("front", lambda: self._listen(host, port))
--- a/bronzehold/platform/store.py
+++ b/bronzehold/platform/store.py
@@ -6,11 +6,14 @@
 import base64
 import http.client
 import json
+import re
 import threading
 import urllib.parse
 
+from bronzehold.core import integers
 from bronzehold.core import json_text
 from bronzehold.core import ports
+from bronzehold.process import store_era
 
 # The service usually answers within a few milliseconds, and within a few
 # hundred milliseconds when it is slow.
@@ -21,14 +24,26 @@
 HTTP_NOT_FOUND = 404
 HTTP_GONE = 410
 HTTP_PRECONDITION_FAILED = 412
+# Every answer of a store that has eras carries its era.
+ERA_HEADER = "Store-Era"
 
 
 class _Response:
-    """The status and body of an HTTP response."""
+    """The status, body and era of an HTTP response."""
 
-    def __init__(self, *, status: int, body: bytes):
+    def __init__(self, *, status: int, body: bytes, era_text: str | None):
         self.status = status
         self._body = body
+        self._era_text = era_text
+
+    def era(self) -> int:
+        """Returns the era of the store, 0 if it has none."""
+        if self._era_text is None:
+            return 0
+        try:
+            return integers.parse(self._era_text.strip())
+        except ValueError as exc:
+            raise ports.StoreError("an era that is no number") from exc
 
     def text(self) -> str:
         return self._body.decode("utf8", "replace")
@@ -87,7 +102,11 @@
         try:
             conn.request(method, path, body=payload, headers=request_headers)
             response = conn.getresponse()
-            return _Response(status=response.status, body=response.read())
+            return _Response(
+                status=response.status,
+                body=response.read(),
+                era_text=response.getheader(ERA_HEADER),
+            )
         except (OSError, http.client.HTTPException) as exc:
             # After a lost response, the connection cannot be reused.
             conn.close()
@@ -96,10 +115,16 @@
 
 
 class Client:
-    """Implements ports.Store; safe for concurrent use by several threads."""
+    """Implements ports.Store; safe for concurrent use by several threads.
 
-    def __init__(self, *, address: str):
+    Args:
+        address: Host and port of the store.
+        era: The era of the store, which each answer is compared with.
+    """
+
+    def __init__(self, *, address: str, era: store_era.StoreEra):
         self._http = HttpClient(address=address)
+        self._era = era
 
     def _call(
         self,
@@ -113,32 +138,50 @@
         response = self._http.call(
             method, f"/bronzehold/{path}", body, timeout_s=timeout_s
         )
+        era = response.era()
+        is_current = self._era.observe(era)
+        if response.status not in (*expected, HTTP_GONE):
+            raise ports.StoreError(f"status {response.status}")
+        if not is_current:
+            raise self._era.discard(
+                _call_name(path), answered=era, expected=self._era.current()
+            )
         if response.status == HTTP_GONE:
             raise ports.CompactedError("history is gone")
-        if response.status not in expected:
-            raise ports.StoreError(f"status {response.status}")
         return response
 
+    def _require_era(self, call: str, expected: int, answered: int) -> None:
+        """Raises StaleEraError if a call does not belong to an era."""
+        if answered != expected:
+            raise self._era.discard(call, answered=answered, expected=expected)
+
     def list(self, prefix: str) -> ports.Snapshot:
         """Reads all keys with a prefix; raises StoreError."""
         items: list[ports.Item] = []
-        revision = 0
+        first: ports.Position | None = None
         after = ""
         while True:
             query = {"prefix": prefix}
             if after:
                 query["after"] = after
             path = f"kv-range?{urllib.parse.urlencode(query)}"
-            fields = self._call("GET", path).json_object()
+            response = self._call("GET", path)
+            fields, era = response.json_object(), response.era()
             page = [
-                _decode_item(entry) for entry in _list_field(fields, "items")
+                _decode_item(entry, era)
+                for entry in _list_field(fields, "items")
             ]
             items += page
             # Pages are read at different revisions. Watching from the revision
             # of the first page delivers every change made in between.
-            revision = revision or _integer_field(fields, "store_revision")
+            first = first or ports.Position(
+                era=era, revision=_integer_field(fields, "store_revision")
+            )
+            self._require_era("kv-range", first.era, era)
             if not fields.get("has_more") or not page:
-                return ports.Snapshot(items=tuple(items), revision=revision)
+                return ports.Snapshot(
+                    items=tuple(items), revision=first.revision, era=era
+                )
             after = page[-1].key
 
     def get(self, key: str) -> ports.Item:
@@ -146,46 +189,67 @@
         path = f"kv-key?{urllib.parse.urlencode({'key': key})}"
         response = self._call("GET", path, expected=(HTTP_OK, HTTP_NOT_FOUND))
         if response.status == HTTP_NOT_FOUND:
-            return ports.Item(key=key, value=None, revision=0)
-        return _decode_item(response.json_object())
-
-    def watch(self, prefix: str, after: int, wait_s: float) -> ports.Snapshot:
+            return ports.Item(
+                key=key, value=None, revision=0, era=response.era()
+            )
+        return _decode_item(response.json_object(), response.era())
+
+    def watch(
+        self, prefix: str, after: ports.Position, wait_s: float
+    ) -> ports.Snapshot:
         """Waits for changes after a revision.
 
         Args:
             prefix: Prefix of the keys to watch.
-            after: Last revision that is already known.
+            after: Position up to which all is known.
             wait_s: Maximum wait in seconds.
 
         Raises:
             ports.CompactedError: The changes after this revision are no longer
                 stored.
+            ports.StaleEraError: The position is of an older era. The store may
+                have the same revision again, after other changes.
             ports.StoreError: The request failed.
         """
         query = {
             "prefix": prefix,
-            "after": after,
+            "after": after.revision,
             "wait_ms": int(wait_s * 1000),
         }
         path = f"kv-watch?{urllib.parse.urlencode(query)}"
-        fields = self._call(
+        self._require_era("kv-watch", after.era, self._era.current())
+        response = self._call(
             "GET", path, timeout_s=wait_s + WATCH_TIMEOUT_MARGIN_S
-        ).json_object()
+        )
+        fields, era = response.json_object(), response.era()
+        self._require_era("kv-watch", after.era, era)
         items = tuple(
-            _decode_item(entry) for entry in _list_field(fields, "events")
+            _decode_item(entry, era) for entry in _list_field(fields, "events")
         )
         return ports.Snapshot(
-            items=items, revision=_integer_field(fields, "store_revision")
+            items=items,
+            revision=_integer_field(fields, "store_revision"),
+            era=era,
         )
 
     def swap(
-        self, old: ports.Item, value: bytes, lease: int = 0
+        self, old: ports.Item, value: bytes, lease: ports.Lease | None = None
     ) -> ports.Swapped | ports.Conflict:
-        """Replaces a value unless it has changed since; raises StoreError."""
+        """Replaces a value unless it has changed since.
+
+        Raises:
+            ports.StaleEraError: The item or the lease is of an older era. The
+                store may have issued the revision again for another value, so
+                the outcome says nothing of the item.
+            ports.StoreError: The request failed; it may have taken effect.
+        """
+        self._require_era("kv-txn", old.era, self._era.current())
+        if lease is not None:
+            self._require_era("kv-txn", lease.era, old.era)
         put = {
             "key": old.key,
             "value": base64.b64encode(value).decode(),
-            "lease": lease,
+            "lease": lease.id if lease is not None else 0,
         }
         body = {
             "precondition": [{"key": old.key, "revision": old.revision}],
@@ -198,31 +262,49 @@
             body,
             expected=(HTTP_OK, HTTP_PRECONDITION_FAILED, HTTP_NOT_FOUND),
         )
+        self._require_era("kv-txn", old.era, response.era())
         if response.status != HTTP_OK:
             return ports.Conflict()
         return ports.Swapped(
             revision=_integer_field(response.json_object(), "revision")
         )
 
-    def grant_lease(self, ttl_s: float) -> int:
-        """Creates a lease and returns its id; raises StoreError."""
+    def grant_lease(self, ttl_s: float) -> ports.Lease:
+        """Creates a lease; raises StoreError."""
         body = {"ttl_ms": int(ttl_s * 1000)}
-        return _integer_field(
-            self._call("POST", "kv-lease", body).json_object(), "lease"
+        response = self._call("POST", "kv-lease", body)
+        return ports.Lease(
+            id=_integer_field(response.json_object(), "lease"),
+            era=response.era(),
         )
 
-    def renew_lease(self, lease: int) -> bool:
-        """Renews a lease; False if it has expired. Raises StoreError."""
+    def renew_lease(self, lease: ports.Lease) -> bool:
+        """Renews a lease.
+
+        Returns:
+            False if it has expired, or is of an older era: the lease of this
+            number may then be another process's.
+
+        Raises:
+            ports.StoreError: The request failed.
+        """
+        if lease.era != self._era.current():
+            return False
         response = self._call(
-            "POST", f"kv-keep/{lease}", expected=(HTTP_OK, HTTP_NOT_FOUND)
+            "POST", f"kv-keep/{lease.id}", expected=(HTTP_OK, HTTP_NOT_FOUND)
         )
-        return response.status == HTTP_OK
+        return response.status == HTTP_OK and response.era() == lease.era
+
+    def revoke_lease(self, lease: ports.Lease) -> None:
+        """Revokes a lease and removes its keys; raises StoreError.
 
-    def revoke_lease(self, lease: int) -> None:
-        """Revokes a lease and removes its keys; raises StoreError."""
+        A lease of an older era is left to expire.
+        """
+        if lease.era != self._era.current():
+            return
         self._call(
             "DELETE",
-            f"kv-lease-end/{lease}",
+            f"kv-lease-end/{lease.id}",
             expected=(HTTP_OK, HTTP_NOT_FOUND),
         )
 
@@ -241,7 +323,11 @@
     return value
 
 
-def _decode_item(fields: object) -> ports.Item:
+def _call_name(path: str) -> str:
+    return re.split("[/?]", path, maxsplit=1)[0]
+
+
+def _decode_item(fields: object, era: int) -> ports.Item:
     if not isinstance(fields, dict) or not isinstance(fields.get("key"), str):
         raise ports.StoreError("an item without a key")
     value = None
@@ -254,4 +340,5 @@
         key=fields["key"],
         value=value,
         revision=_integer_field(fields, "revision"),
+        era=era,
     )
--- a/bronzehold/platform/store_test.py
+++ b/bronzehold/platform/store_test.py
@@ -7,7 +7,9 @@
 
 from bronzehold.core import ports
 from bronzehold.platform import store
+from bronzehold.process import store_era
 from bronzehold.process import store_news
+from bronzehold.process import timeline as timeline_lib
 
 # After this time without disturbance a proxy counts as in touch, and has to
 # know every change that the store confirmed: the shortest time of the users'
@@ -31,6 +33,12 @@
         pass
 
 
+def _client(server):
+    era = store_era.StoreEra(timeline=timeline_lib.Timeline(proxy="", zone=""))
+    address = f"127.0.0.1:{server.server_port}"
+    return store.Client(address=address, era=era)
+
+
 @pytest.fixture(name="answer")
 def _answer():
     """Runs a store that answers every call with one body."""
@@ -40,7 +48,7 @@
 
     server = http.server.HTTPServer(("127.0.0.1", 0), Handler)
     threading.Thread(target=server.serve_forever, daemon=True).start()
-    client = store.Client(address=f"127.0.0.1:{server.server_port}")
+    client = _client(server)
 
     def answer(body):
         Handler.body = body if isinstance(body, bytes) else json.dumps(body)
@@ -70,10 +78,10 @@
 def test_watch_on_a_silent_connection_fails_in_time():
     with http.server.HTTPServer(("127.0.0.1", 0), _Handler) as server:
         # The server accepts the connection and never reads from it.
-        client = store.Client(address=f"127.0.0.1:{server.server_port}")
+        client = _client(server)
         started_at = time.monotonic()
         with pytest.raises(ports.StoreError):
-            client.watch("", 1, 0.2)
+            client.watch("", ports.Position(era=0, revision=1), 0.2)
     waited_s = time.monotonic() - started_at
     assert waited_s < 0.2 + store.WATCH_TIMEOUT_MARGIN_S + 1.0
 
--- a/bronzehold/process/digest_exchange.py
+++ b/bronzehold/process/digest_exchange.py
@@ -6,6 +6,7 @@
 """
 
 from bronzehold.core import clock
+from bronzehold.core import ports
 from bronzehold.core import statements
 from bronzehold.process import gossip as gossip_lib
 from bronzehold.process import group_views
@@ -118,8 +119,9 @@
 
     def _fill_store_report(self, digest: pb.Digest, echoed_at: float) -> None:
         report = self._news.report()
-        if report is not None:
-            digest.store_revision = report.revision
+        digest.store_era = self._news.era()
+        if report is not None and report.position.era == digest.store_era:
+            digest.store_revision = report.position.revision
             digest.store_report_after_us = int(
                 (report.at - echoed_at) * gossip_lib.MICROSECONDS_PER_S
             )
@@ -178,6 +180,7 @@
 
     def _note_store_report(self, received: gossip_lib.ReceivedDigest) -> None:
         digest = received.digest
+        self._news.note_peer_era(digest.store_era)
         if not digest.store_revision or received.time_base is None:
             return
         at = (
@@ -186,7 +189,10 @@
         )
         self._news.note_report(
             news_lib.Report(
-                revision=digest.store_revision, at=min(at, clock.now())
+                position=ports.Position(
+                    era=digest.store_era, revision=digest.store_revision
+                ),
+                at=min(at, clock.now()),
             )
         )
 
@@ -197,6 +203,7 @@
         received: gossip_lib.ReceivedDigest,
     ) -> None:
         group = service.group
+        self._tokens.note_peer_number(service.limits.name, view.token)
         if view.leader and view.reach == pb.HEARD:
             group.apply_peer_leader(view.leader, view.term)
             group.note_peer_reached(view.leader)
--- a/bronzehold/process/digest_exchange_test.py
+++ b/bronzehold/process/digest_exchange_test.py
@@ -4,6 +4,7 @@
 import pytest
 
 from bronzehold.core import clock
+from bronzehold.core import ports
 from bronzehold.core import routes
 from bronzehold.process import digest_exchange as exchange_lib
 from bronzehold.process import gossip as gossip_lib
@@ -48,6 +49,10 @@
 class FakeTokens:
     def __init__(self):
         self.holds_group = True
+        self.peer_numbers = []
+
+    def note_peer_number(self, service, number):
+        self.peer_numbers.append((service, number))
 
     def known(self, service):
         del service
@@ -113,6 +118,10 @@
         del name
 
 
+def _at(revision):
+    return ports.Position(era=0, revision=revision)
+
+
 @pytest.fixture(name="harness")
 def _harness(monkeypatch):
     return Harness(monkeypatch)
@@ -180,11 +189,11 @@
     """The age is counted on the clock of each proxy, without their offset."""
     sender_clock_at = 7.0
     sent = pb.Digest(proxy="p")
-    sender_news = news_lib.Report(revision=9, at=sender_clock_at - 0.5)
+    sender_news = news_lib.Report(position=_at(9), at=sender_clock_at - 0.5)
     harness.news.note_report(sender_news)
     # The sender received the echoed digest 0.2 s ago.
     harness.exchange.fill_digest(sent, sender_clock_at - 0.2)
-    harness.news.note_report(news_lib.Report(revision=10, at=0.0))
+    harness.news.note_report(news_lib.Report(position=_at(10), at=0.0))
     sent.store_revision = 11
     harness.exchange.receive(
         gossip_lib.ReceivedDigest(
@@ -192,7 +201,7 @@
         )
     )
     assert harness.news.report() == news_lib.Report(
-        revision=11, at=pytest.approx(harness.at - 0.6)
+        position=_at(11), at=pytest.approx(harness.at - 0.6)
     )
 
 
@@ -323,6 +332,7 @@
     entries=strategies.binary(max_size=40),
     crowded=strategies.lists(_TEXTS, max_size=3),
     store_revision=_NUMBERS,
+    store_era=_NUMBERS,
     store_report_after_us=_NUMBERS,
     uptime_ms=_NUMBERS,
 )
--- a/bronzehold/process/platform_process.py
+++ b/bronzehold/process/platform_process.py
@@ -108,22 +108,26 @@
         """Returns all services."""
         return list(self._services.values())
 
-    def adopt_table(self, table: routes.Table, source: str) -> None:
+    def adopt_table(self, table: routes.Table, source: str) -> bool:
         """Puts a configuration in force if it is newer than the present one.
 
         Args:
             table: The configuration.
             source: The origin of the configuration, for the event log.
+
+        Returns:
+            False if it is older than the one in force.
         """
         with self._lock:
             if table.version <= self._table.version:
-                return
+                return table.version == self._table.version
             self._table = table
             self._apply()
         self.config_received.set()
         self.timeline.add(
             events.ConfigAdopted(revision=table.version, source=source)
         )
+        return True
 
     def set_listings(self, listings: dict[str, routes.Listing]) -> None:
         """Replaces the listed endpoints of all services and logs changes.
--- a/bronzehold/process/promotions_test.py
+++ b/bronzehold/process/promotions_test.py
@@ -139,7 +139,7 @@
             key=tokens_lib.RECORDS_PREFIX + "g", value=value, revision=99
         )
         self.store.items[item.key] = item
-        self.tokens.apply_record("g", value, item.revision)
+        self.tokens.apply_record("g", value, item.era)
 
 
 @pytest.fixture(name="harness")
@@ -323,7 +323,7 @@
 )
 def test_record_that_is_no_token_is_ignored(harness, value):
     """Guards against CONFIG: the task that follows the store ended."""
-    harness.tokens.apply_record("g", value, 4)
+    harness.tokens.apply_record("g", value, 0)
     assert harness.tokens.known("g") is tokens_lib.NO_TOKEN
 
 
--- a/bronzehold/process/registration.py
+++ b/bronzehold/process/registration.py
@@ -2,6 +2,9 @@
 
 The registration is a key under a lease. It disappears when the proxy stops
 renewing the lease, so peers do not need to remove a proxy that has crashed.
+
+The store may return from an older copy. A lease of before is then not used
+again, since its number may have been given to another process.
 """
 
 import json
@@ -43,7 +46,7 @@
         self._store = store
         self._key = key
         self._value = encode(own)
-        self._lease_id = 0
+        self._lease: ports.Lease | None = None
         self._registered_at: float | None = None
         self._is_missing = False
         self._wake = threading.Event()
@@ -62,18 +65,37 @@
             self._wake.clear()
 
     def _renew_or_register(self) -> None:
-        if not (self._lease_id and self._store.renew_lease(self._lease_id)):
-            self._lease_id = self._store.grant_lease(LEASE_TTL_S)
+        if self._lease is None or not self._store.renew_lease(self._lease):
+            self._lease = self._store.grant_lease(LEASE_TTL_S)
             self._is_missing = True
         if self._is_missing:
             self._is_missing = False
-            self._write_key()
-
-    def _write_key(self) -> None:
+            try:
+                self._write_key(self._lease)
+            except ports.StaleEraError:
+                # The key may be bound to another process's lease by now.
+                self._lease = None
+                raise
+            except ports.StoreError:
+                self._is_missing = True
+                raise
+
+    def _write_key(self, lease: ports.Lease) -> None:
         item = self._store.get(self._key)
-        self._store.swap(item, self._value, self._lease_id)
+        self._store.swap(item, self._value, lease)
         self._registered_at = time.monotonic()
 
+    def forget_before(self, era: int) -> str:
+        """Describes a lease of an older era, which is not used again.
+
+        Args:
+            era: The era of the store.
+        """
+        lease = self._lease
+        if lease is None or lease.era >= era:
+            return ""
+        return f"lease {lease.id}"
+
     def register_again(self) -> None:
         """Writes the key again after it was removed from the store.
 
@@ -92,11 +114,11 @@
         """Removes the registration and stops renewing it."""
         self._is_removed = True
         self._wake.set()
-        lease_id = self._lease_id
-        if not lease_id:
+        lease = self._lease
+        if lease is None:
             return
         try:
-            self._store.revoke_lease(lease_id)
+            self._store.revoke_lease(lease)
         except ports.StoreError as exc:
             self._process.timeline.count(f"registration: {exc}")
 
--- a/bronzehold/process/registration_test.py
+++ b/bronzehold/process/registration_test.py
@@ -26,7 +26,7 @@
     def grant_lease(self, ttl_s):
         del ttl_s
         self.calls.append("grant")
-        return len(self.calls)
+        return ports.Lease(id=len(self.calls), era=0)
 
     def renew_lease(self, lease):
         del lease
@@ -39,6 +39,7 @@
     def swap(self, old, value, lease):
         del old, value, lease
         self.calls.append("swap")
+        return ports.Swapped(revision=1)
 
 
 @pytest.fixture(name="store")
--- a/bronzehold/process/store_mirror.py
+++ b/bronzehold/process/store_mirror.py
@@ -4,6 +4,10 @@
 times out is resumed at its last revision. If the store has compacted that
 revision, the mirror starts again from a new snapshot. A proxy that need not
 watch reads the changes when its peers report some (see store_news.py).
+
+If the store has returned from an older copy (see store_era.py), the mirror also
+starts again from a snapshot. What it acted on before stays in force if the copy
+is older.
 """
 
 import collections.abc
@@ -17,7 +21,9 @@
 from bronzehold.core import ports
 from bronzehold.core import routes
 from bronzehold.core import validation
+from bronzehold.process import listing_order
 from bronzehold.process import platform_process
+from bronzehold.process import store_era
 from bronzehold.process import store_news as news_lib
 
 _EncodedT = typing.TypeVar("_EncodedT")
@@ -31,6 +37,9 @@
 LAPSE_GRACE_S = 2.5
 # Time for which peers are told that an endpoint was removed.
 REMOVED_REPORT_S = 20.0
+# Time after a return for which peers' reports of leaving endpoints count also
+# while the store answers: the endpoints need some seconds to write again.
+RETURN_REPORTS_S = 10.0
 
 
 class StoreMirror:
@@ -47,8 +56,10 @@
         records_prefix: str,
         on_record: collections.abc.Callable[[str, bytes, int], None],
         news: news_lib.StoreNews,
+        era: store_era.StoreEra,
     ):
         self._news = news
+        self._era = era
         self._process = process
         self._store = store
         self._directory = directory
@@ -57,8 +68,10 @@
         self._records_prefix = records_prefix
         self._on_record = on_record
         self._raw_items: dict[str, ports.Item] = {}
-        # Removed endpoints by id and start time, with the time of removal.
-        self._removed: dict[str, float] = {}
+        # Endpoints removed lately by id and start time.
+        self._removed: dict[str, _Removed] = {}
+        # The end of the time for which RETURN_REPORTS_S gives the reason.
+        self._reports_count_until = 0.0
         # Endpoints by id and start time that peers report as leaving.
         self._reported_leaving: set[str] = set()
         self._lock = threading.Lock()
@@ -66,13 +79,13 @@
         # Endpoints whose entry has disappeared, with the time of that.
         self._missing: dict[str, float] = {}
         self._members: dict[str, bytes] = {}
-        # The revision up to which all changes are known.
-        self._revision = 0
-        # The newest revision of an entry that is no member's. Peers exchange
+        # The position up to which all changes are known.
+        self._position: ports.Position | None = None
+        # The newest position of an entry that is no member's. Peers exchange
         # digests, so they need not read the store when a member registers.
-        self._newest_relevant = 0
-        # Revisions of invalid entries by key; each is recorded only once.
-        self._refused_revisions: dict[str, int] = {}
+        self._newest_relevant = news_lib.START
+        # Positions of unused entries by key; each is recorded only once.
+        self._unused_positions: dict[str, ports.Position] = {}
         self._unreachable = False
 
     def run(self) -> None:
@@ -82,46 +95,58 @@
             try:
                 self._follow()
             except ports.CompactedError:
-                self._revision = 0
+                self._position = None
+            except ports.StaleEraError:
+                self._discard_position()
             except ports.StoreError as exc:
                 self._record_unreachable(str(exc))
                 interval_s = self._news.retry_interval_s()
                 stop.wait(interval_s * random.uniform(0.5, 1.5))  # noqa: S311
             self._expire()
 
+    def _discard_position(self) -> None:
+        """Lets a snapshot be read, at once if the store has returned."""
+        position, self._position = self._position, None
+        if position is None or position.era == self._era.current():
+            # The answer was older than the era. The pause keeps a store whose
+            # answers are of several eras from being asked without end.
+            self._process.tasks.stop.wait(self._news.retry_interval_s())
+
     def _follow(self) -> None:
         """Reads the changes, or waits until there may be some."""
-        if not self._revision:
+        position = self._position
+        if position is None or position.era != self._era.current():
             started_at = clock.now()
-            self._revision = self._newest_relevant = self._load_snapshot()
-            self._news.note_read(self._revision, started_at)
-        match self._news.next_step(self._revision):
+            position = self._load_snapshot()
+            self._position = self._newest_relevant = position
+            self._news.note_read(position, started_at)
+        match self._news.next_step(position):
             case news_lib.Read(wait_s=wait_s):
-                self._read_changes(wait_s)
+                self._read_changes(position, wait_s)
             case news_lib.Wait(timeout_s=timeout_s):
                 self._news.wait(timeout_s)
 
-    def _read_changes(self, wait_s: float) -> None:
+    def _read_changes(self, position: ports.Position, wait_s: float) -> None:
         if wait_s and not self._unreachable:
             self._news.set_watched(self._newest_relevant)
         started_at = clock.now()
         try:
-            snapshot = self._store.watch("", self._revision, wait_s)
+            snapshot = self._store.watch("", position, wait_s)
         finally:
             self._news.set_watched(None)
         self._record_reachable()
-        self._news.note_read(snapshot.revision, started_at)
+        self._news.note_read(snapshot.position, started_at)
         self._apply(snapshot.items)
-        self._revision = snapshot.revision
+        self._position = snapshot.position
         relevant = [
-            item.revision
+            item.position
             for item in snapshot.items
             if not item.key.startswith(self._members_prefix)
         ]
         self._newest_relevant = max([self._newest_relevant, *relevant])
         if relevant and wait_s:
             self._news.note_report(
-                news_lib.Report(revision=self._newest_relevant, at=started_at)
+                news_lib.Report(position=self._newest_relevant, at=started_at)
             )
         if snapshot.items or not wait_s:
             self._wait_for_more_changes()
@@ -130,9 +155,27 @@
         """Waits, so that changes which come together are read in one call."""
         self._process.tasks.stop.wait(BATCH_S)
 
-    def _load_snapshot(self) -> int:
+    def forget_before(self, era: int) -> str:
+        """Lets everything be read afresh, since positions are no longer valid.
+
+        Args:
+            era: The era of the store.
+
+        Returns:
+            A description of what is forgotten.
+        """
+        self._reports_count_until = clock.now() + RETURN_REPORTS_S
+        position = self._position
+        if position is None or position.era >= era:
+            return ""
+        return f"watch position {position.revision}"
+
+    def _load_snapshot(self) -> ports.Position:
         snapshot = self._store.list("")
         self._record_reachable()
+        if snapshot.era != self._newest_relevant.era:
+            # Entries that are missing get the full time to be written again.
+            self._missing = {}
         listed_keys = {
             item.key
             for item in snapshot.items
@@ -147,7 +190,7 @@
             self._raw_items.pop(self._members_prefix + name, None)
         self._members = {}
         self._apply(snapshot.items, is_snapshot=True)
-        return snapshot.revision
+        return snapshot.position
 
     def _record_unreachable(self, why: str) -> None:
         if not self._unreachable:
@@ -183,14 +226,14 @@
             if item.key == self._directory.config_key:
                 configs.append(item)
             elif item.key.startswith(self._directory.listings_prefix):
-                self._apply_listing(item)
+                self._apply_listing(item, is_snapshot=is_snapshot)
                 listings_changed = True
             elif item.key.startswith(self._members_prefix):
                 self._apply_member(item)
                 members_changed = True
             elif item.key.startswith(self._records_prefix) and item.value:
                 service = item.key.removeprefix(self._records_prefix)
-                self._on_record(service, item.value, item.revision)
+                self._on_record(service, item.value, item.era)
         # The proxies come first: they determine which endpoints this one uses.
         if members_changed:
             self._on_members(dict(self._members))
@@ -208,13 +251,33 @@
                 events.ConfigRefused(source="store", problems=table.why)
             )
             return
-        self._raw_items[item.key] = item
-        self._process.adopt_table(table, "store")
+        if self._process.adopt_table(table, "store"):
+            # Peers that lack the configuration get the one in force.
+            self._raw_items[item.key] = item
+        else:
+            self._record_older(
+                item,
+                found=str(table.version),
+                known=str(self._process.table().version),
+            )
 
-    def _apply_listing(self, item: ports.Item) -> None:
+    def _record_older(
+        self, item: ports.Item, *, found: str, known: str
+    ) -> None:
+        """Records an entry that is older than what is in force, once."""
+        if self._unused_positions.get(item.key) == item.position:
+            return
+        self._unused_positions[item.key] = item.position
+        self._process.timeline.add(
+            events.StoreEntryDiscarded(
+                key=item.key, era=item.era, found=found, known=known
+            )
+        )
+
+    def _apply_listing(self, item: ports.Item, *, is_snapshot: bool) -> None:
         name = item.key.removeprefix(self._directory.listings_prefix)
         if item.value is None:
-            self._refused_revisions.pop(item.key, None)
+            self._unused_positions.pop(item.key, None)
             if name in self._listings:
                 self._missing.setdefault(name, clock.now())
             return
@@ -225,16 +288,44 @@
             if name in self._listings:
                 self._missing.setdefault(name, clock.now())
             self._raw_items.pop(item.key, None)
-            if self._refused_revisions.get(item.key) != item.revision:
-                self._refused_revisions[item.key] = item.revision
+            if self._unused_positions.get(item.key) != item.position:
+                self._unused_positions[item.key] = item.position
                 self._process.timeline.add(
                     events.ListingRefused(key=item.key, why=listing.why)
                 )
             return
+        if self._era.current():
+            latest = self._latest_listing(item, listing, is_copy=is_snapshot)
+            if latest is None:
+                return
+            listing = latest
         self._missing.pop(name, None)
         self._raw_items[item.key] = item
         self._listings[name] = listing
 
+    def _latest_listing(
+        self, item: ports.Item, found: routes.Listing, *, is_copy: bool
+    ) -> routes.Listing | None:
+        """Returns the listing to act on, None if the one found is older."""
+        known = self._listings.get(found.id)
+        removed = self._removed.get(_incarnation(found))
+        latest = listing_order.latest(
+            known,
+            found,
+            removed=removed.listing if removed else None,
+            is_copy=is_copy,
+        )
+        if latest is None:
+            before = known or (removed.listing if removed else found)
+            self._record_older(
+                item,
+                found=f"born {found.started_ms}, sequence {found.sequence}",
+                known=f"born {before.started_ms}, sequence {before.sequence}",
+            )
+        else:
+            self._removed.pop(_incarnation(found), None)
+        return latest
+
     def _apply_member(self, item: ports.Item) -> None:
         name = item.key.removeprefix(self._members_prefix)
         if item.value is None:
@@ -255,19 +346,31 @@
             del self._missing[name]
             listing = self._listings.pop(name, None)
             if listing is not None:
-                self._removed[_incarnation(listing)] = now
+                self._removed[_incarnation(listing)] = _Removed(
+                    listing=listing, at=now
+                )
             self._raw_items.pop(self._directory.listings_prefix + name, None)
         self._removed = {
-            incarnation: at
-            for incarnation, at in self._removed.items()
-            if now - at < REMOVED_REPORT_S
+            incarnation: removed
+            for incarnation, removed in self._removed.items()
+            if now - removed.at < REMOVED_REPORT_S
         }
-        if expired:
+        have_reports_ended = 0 < self._reports_count_until <= now
+        if have_reports_ended:
+            self._reports_count_until = 0.0
+        if expired or have_reports_ended:
             self._publish()
 
+    def _use_reports(self) -> bool:
+        """Returns whether peers' reports of leaving endpoints count.
+
+        Otherwise the store is more up to date.
+        """
+        return self._unreachable or clock.now() < self._reports_count_until
+
     def _publish(self) -> None:
         listings = dict(self._listings)
-        if self._unreachable:
+        if self._use_reports():
             for name, listing in listings.items():
                 if _incarnation(listing) in self._reported_leaving:
                     listings[name] = dataclasses.replace(listing, leaving=True)
@@ -296,13 +399,13 @@
     def mark_leaving(self, incarnations: collections.abc.Iterable[str]) -> None:
         """Marks endpoints as leaving that a peer reports as leaving.
 
-        The report is used only while the store is unreachable; otherwise the
-        store is more up to date.
+        The report is used only while the store is unreachable, or has just
+        returned from an older copy; otherwise the store is more up to date.
 
         Args:
             incarnations: The endpoints as leaving() of the peer returns them.
         """
-        if not self._unreachable:
+        if not self._use_reports():
             return
         new = set(incarnations) - self._reported_leaving
         if new:
@@ -342,6 +445,14 @@
         self._apply(items)
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class _Removed:
+    """An endpoint that was removed, with its last listing."""
+
+    listing: routes.Listing
+    at: float
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class _Undecodable:
     why: str
--- a/bronzehold/process/store_mirror_test.py
+++ b/bronzehold/process/store_mirror_test.py
@@ -5,6 +5,7 @@
 from bronzehold.core import clock
 from bronzehold.core import ports
 from bronzehold.core import validation
+from bronzehold.process import store_era
 from bronzehold.process import store_mirror as mirror_lib
 from bronzehold.process import store_news as news_lib
 from bronzehold.process import tasks as tasks_lib
@@ -45,6 +46,7 @@
     def adopt_table(self, table, source):
         del source
         self.applied.append(table)
+        return True
 
 
 class FakeStore:
@@ -66,11 +68,11 @@
 
     def watch(self, prefix, after, wait_s):
         del prefix
-        self.watched.append(after)
+        self.watched.append(after.revision)
         self.waits.append(wait_s)
         if not self._responses:
             self._process.tasks.stop.set()
-            return dataclasses.replace(SNAPSHOT, revision=after)
+            return dataclasses.replace(SNAPSHOT, revision=after.revision)
         response = self._responses.pop(0)
         if isinstance(response, Exception):
             raise response
@@ -97,7 +99,10 @@
         )
         if reported_revision is not None:
             store.on_list = lambda: news.note_report(
-                news_lib.Report(revision=reported_revision, at=clock.now())
+                news_lib.Report(
+                    position=ports.Position(era=0, revision=reported_revision),
+                    at=clock.now(),
+                )
             )
         mirror = mirror_lib.StoreMirror(
             process=process,
@@ -108,6 +113,7 @@
             records_prefix="records/",
             on_record=lambda *_: None,
             news=news,
+            era=store_era.StoreEra(timeline=process.timeline),
         )
         mirror.run()
         store.mirror = mirror
@@ -175,7 +181,7 @@
     assert store.last_report is None
     record = dataclasses.replace(MEMBER, key="records/grp", value=None)
     store = run_mirror(ports.Snapshot(items=(record, MEMBER), revision=8))
-    assert store.last_report.revision == record.revision
+    assert store.last_report.position == record.position
 
 
 def test_proxies_are_known_before_the_endpoints(run_mirror):
--- a/bronzehold/process/store_news.py
+++ b/bronzehold/process/store_news.py
@@ -4,6 +4,9 @@
 with the time at which it was the newest, and all proxies pass the latest report
 on. A proxy that does not watch reads the store when a report names a revision
 that it lacks. If no recent report reaches it, it watches the store itself.
+
+Revisions are compared within an era of the store only. A report of a later era
+makes a proxy ask the store, whose answer alone raises the era here.
 """
 
 import collections.abc
@@ -12,6 +15,7 @@
 import threading
 
 from bronzehold.core import clock
+from bronzehold.core import ports
 
 # A watch without changes is answered after this time. If its connection has
 # gone silent, it fails a margin later; by then, a proxy must not yet count as
@@ -28,6 +32,7 @@
 MAX_WAIT_S = 0.5
 WATCHER_RETRY_INTERVAL_S = 0.25
 RETRY_INTERVAL_S = 1.0
+START = ports.Position(era=0, revision=0)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -35,11 +40,12 @@
     """A statement about the newest revision of the store.
 
     Attributes:
-        revision: No relevant entry had a newer revision.
+        position: No relevant entry had a newer revision. Revision 0 says only
+            that the store was in this era.
         at: The time at which that was so, in seconds of clock.now().
     """
 
-    revision: int
+    position: ports.Position
     at: float
 
 
@@ -85,33 +91,39 @@
         self._on_newer_revision = on_newer_revision
         self._lock = threading.Lock()
         self._arrived = threading.Event()
-        self._report = Report(revision=0, at=-MAX_REPORT_AGE_S)
-        # The time at which the report's revision was heard of.
+        self._report = Report(position=START, at=-MAX_REPORT_AGE_S)
+        # The time at which the report's position was heard of.
         self._report_arrived = 0.0
         self._read_at = 0.0
         self._reread_at = 0.0
-        # The revision up to which all changes are known here.
-        self._known_revision = 0
-        # The newest revision of a relevant entry, while a watch waits.
-        self._watched: int | None = None
+        # The position up to which all changes are known here.
+        self._known = START
+        # The position of the newest relevant entry, while a watch waits.
+        self._watched: ports.Position | None = None
+        # The highest era that the store has answered with. What peers say of a
+        # later one is not passed on, so that no wrong number spreads.
+        self._era = 0
 
     # Own reads.
 
-    def next_step(self, revision: int) -> Read | Wait:
+    def next_step(self, known: ports.Position) -> Read | Wait:
         """Returns what to do next.
 
         Args:
-            revision: The revision up to which this proxy knows all changes.
+            known: The position up to which this proxy knows all changes.
         """
         now = clock.now()
         with self._lock:
-            self._known_revision = revision
+            self._known = known
             self._arrived.clear()
+            newest = self._report.position
+            if newest.era > known.era:
+                return Read(wait_s=0.0)
             if self._is_watcher():
                 return Read(wait_s=WATCH_TIMEOUT_S)
             if now - self._report.at > MAX_REPORT_AGE_S:
                 return Read(wait_s=WATCH_TIMEOUT_S)
-            if self._report.revision > revision or now >= self._reread_at:
+            if newest > known or now >= self._reread_at:
                 return Read(wait_s=0.0)
             return Wait(timeout_s=min(self._reread_at - now, MAX_WAIT_S))
 
@@ -119,20 +131,20 @@
         """Waits for a report of a newer revision."""
         self._arrived.wait(timeout_s)
 
-    def note_read(self, revision: int, at: float) -> None:
+    def note_read(self, position: ports.Position, at: float) -> None:
         """Records that this proxy has read the changes.
 
         Args:
-            revision: The store's revision in the answer.
+            position: The store's revision in the answer.
             at: The time of the request, in seconds of clock.now().
         """
         jitter = random.uniform(1 - REREAD_JITTER, 1 + REREAD_JITTER)  # noqa: S311
         with self._lock:
             self._read_at = clock.now()
             self._reread_at = self._read_at + REREAD_INTERVAL_S * jitter
-            if self._report.revision > revision and self._report_arrived < at:
+            if self._report.position > position and self._report_arrived < at:
                 # The store had no such revision after the report arrived.
-                self._report = Report(revision=revision, at=self._report.at)
+                self._report = Report(position=position, at=self._report.at)
 
     def request_read(self) -> None:
         """Lets the changes be read soon, if the last read is not recent.
@@ -147,32 +159,78 @@
         if is_due:
             self._arrived.set()
 
-    def set_watched(self, revision: int | None) -> None:
-        """Sets the newest relevant revision, while a watch waits for changes.
+    def set_watched(self, position: ports.Position | None) -> None:
+        """Sets the newest relevant position, while a watch waits for changes.
+
+        Args:
+            position: The position; None while no watch waits.
+        """
+        with self._lock:
+            self._watched = position
+
+    def forget_before(self, era: int) -> str:
+        """Forgets the reports of older eras, and lets the store be read.
 
         Args:
-            revision: The revision; None while no watch waits.
+            era: The era of the store.
+
+        Returns:
+            A description of what is forgotten.
         """
+        forgotten = ""
         with self._lock:
-            self._watched = revision
+            self._era = era
+            old = self._report.position
+            if old.era < era:
+                self._expect_era(era)
+                if old.revision:
+                    forgotten = f"report of revision {old.revision}"
+        self._arrived.set()
+        self._on_newer_revision()
+        return forgotten
+
+    def _expect_era(self, era: int) -> None:
+        """Replaces the report by one that says nothing but the era."""
+        position = ports.Position(era=era, revision=0)
+        self._report = Report(position=position, at=-MAX_REPORT_AGE_S)
+        self._report_arrived = clock.now()
 
     # Reports.
 
     def note_report(self, report: Report) -> None:
         """Records a report of this proxy's own watch or of a peer."""
         with self._lock:
-            if report.revision < self._report.revision:
+            old = self._report.position
+            if report.position < old:
                 # Its sender has not learned of the newest change yet.
                 return
-            is_new = report.revision > self._report.revision
+            is_new = report.position > old
             if is_new:
                 self._report_arrived = clock.now()
+            if report.position.era > old.era:
+                self._expect_era(report.position.era)
             at = max(report.at, self._report.at)
-            self._report = Report(revision=report.revision, at=at)
+            self._report = Report(position=report.position, at=at)
         if is_new:
             self._arrived.set()
             self._on_newer_revision()
 
+    def note_peer_era(self, era: int) -> None:
+        """Records the highest era that a peer has seen.
+
+        Only an answer of the store raises the era of this process: a wrong
+        number would make it discard all answers.
+        """
+        with self._lock:
+            if era <= self._report.position.era:
+                return
+            self._expect_era(era)
+        self._arrived.set()
+
+    def era(self) -> int:
+        """Returns the era of the store, to send to the peers."""
+        return self._era
+
     def report(self) -> Report | None:
         """Returns the report to send to the peers, None if there is none.
 
@@ -180,11 +238,13 @@
         otherwise the latest from a peer.
         """
         with self._lock:
-            newest = self._report.revision
-            if self._watched is not None and newest <= self._known_revision:
-                revision = max(self._watched, newest)
-                return Report(revision=revision, at=clock.now())
-            return self._report if newest else None
+            newest = self._report.position
+            if self._watched is not None and newest <= self._known:
+                position = max(self._watched, newest)
+                return Report(position=position, at=clock.now())
+            if not newest.revision or newest.era > self._era:
+                return None
+            return self._report
 
     def retry_interval_s(self) -> float:
         """Returns the mean pause after a failed call to the store.
--- a/bronzehold/process/tokens.py
+++ b/bronzehold/process/tokens.py
@@ -5,10 +5,15 @@
 can order a change at once even while the store is unavailable. Every later
 holder has a higher token, and a proxy whose token was taken over never uses the
 old one again.
+
+After the store has returned from an older copy, the record of a token may be
+lost. Its holder goes on using it and writes the record again; a token that is
+acquired in the new era has a higher number (see version/fencing.py).
 """
 
 import dataclasses
 import json
+import threading
 
 from bronzehold.core import clock
 from bronzehold.core import events
@@ -16,6 +21,7 @@
 from bronzehold.core import json_text
 from bronzehold.core import ports
 from bronzehold.process import timeline as timeline_lib
+from bronzehold.version import fencing
 
 RECORDS_PREFIX = "bronzehold/groups/"
 
@@ -27,19 +33,17 @@
     Attributes:
         holder: The proxy that holds it, as "name/incarnation".
         number: The fencing token; it increases with each acquisition.
-        revision: The revision of the group's record in the store.
     """
 
     holder: str
     number: int
-    revision: int
 
 
-NO_TOKEN = Token(holder="", number=0, revision=0)
+NO_TOKEN = Token(holder="", number=0)
 
 
 class Tokens:
-    """The tokens as this proxy knows them.
+    """The tokens as this proxy knows them; safe to use from any thread.
 
     Args:
         proxy: The name of this proxy.
@@ -62,11 +66,19 @@
         self.holder_id = f"{proxy}/{incarnation}"
         self._store = store
         self._timeline = timeline
+        self._lock = threading.Lock()
         self._tokens: dict[str, Token] = {}
+        # The highest number that was written for this process in the era for
+        # which it was computed, by service.
+        self._proven: dict[str, int] = {}
+        # The highest number that a peer has reported, by service.
+        self._peer_numbers: dict[str, int] = {}
+        # Services whose record may be older than this process's token.
+        self._lost_records: set[str] = set()
         self._learned_at: dict[str, float] = {}
         self._outranked: dict[str, int] = {}
 
-    def apply_record(self, service: str, value: bytes, revision: int) -> None:
+    def apply_record(self, service: str, value: bytes, era: int) -> None:
         """Applies a group's record from the store.
 
         A record with a lower token than the known one is ignored.
@@ -74,23 +86,44 @@
         Args:
             service: The name of the group's service.
             value: The record as stored.
-            revision: The record's revision in the store.
+            era: The era in which the record was read.
         """
-        token = _read_record(value, revision)
+        token = _read_record(value)
         if token is None:
             return
-        old = self._tokens.get(service, NO_TOKEN)
-        if token.number < old.number:
-            return
-        self._tokens[service] = token
-        if token.holder != old.holder:
-            self._learned_at[service] = clock.now()
+        with self._lock:
+            old = self._tokens.get(service, NO_TOKEN)
+            is_own = token.holder == self.holder_id
+            if is_own and token.number >= fencing.first_number(era):
+                self._proven[service] = max(
+                    token.number, self._proven.get(service, 0)
+                )
+            # A swap that crossed a return may have written a number that this
+            # process already holds.
+            is_older = token.number < old.number or (
+                token.number == old.number
+                and not is_own
+                and era > 0
+                and self.can_use(service, old)
+            )
+            if is_older:
+                if era and self.can_use(service, old):
+                    self._lost_records.add(service)
+                return
+            self._tokens[service] = token
+            if token.holder != old.holder:
+                self._learned_at[service] = clock.now()
         was_holder = old.holder == self.holder_id
-        if was_holder and token.holder != self.holder_id:
+        if was_holder and not is_own:
             self._timeline.add(
                 events.TokenLost(group=service, token=token.number)
             )
 
+    def note_peer_number(self, service: str, number: int) -> None:
+        """Records a group's token number as a peer knows it."""
+        if number > self._peer_numbers.get(service, 0):
+            self._peer_numbers[service] = number
+
     def known(self, service: str) -> Token:
         """Returns the latest known token of a group, NO_TOKEN if none."""
         return self._tokens.get(service, NO_TOKEN)
@@ -128,9 +161,16 @@
         return self.can_use(service, self.known(service))
 
     def can_use(self, service: str, token: Token) -> bool:
-        """Returns whether this proxy holds a token that is still valid."""
+        """Returns whether this proxy holds a token that is still valid.
+
+        A record that names this proxy is no proof by itself: a swap that
+        crossed a return may have written a number that another proxy got in the
+        lost seconds.
+        """
         is_holder = token.holder == self.holder_id
-        return is_holder and self._outranked.get(service, 0) < token.number
+        is_proven = self._proven.get(service, 0) == token.number
+        is_outranked = self._outranked.get(service, 0) >= token.number
+        return is_holder and is_proven and not is_outranked
 
     def acquire(self, service: str, *, renew: bool = False) -> None:
         """Takes a group's token over, with the next higher number.
@@ -146,30 +186,101 @@
         expected = self.known(service)
         try:
             item = self._store.get(key)
-            if item.value is not None:
-                self.apply_record(service, item.value, item.revision)
+            record = self._apply_item(service, item)
             token = self.known(service)
-            is_holder = self.holds(service) and token.revision == item.revision
-            if is_holder and not renew:
+            if self.holds(service) and record == token and not renew:
                 # The answer to an earlier swap was lost; the record shows that
                 # it succeeded.
                 return
             is_own = token.holder == self.holder_id
             if token.number != expected.number and not is_own:
                 return
-            number = token.number + 1
-            value = json.dumps(
-                {"holder": self.holder_id, "token": number}
-            ).encode()
+            number = self._next_number(service, item, token.number)
+            if number is None:
+                self._timeline.count("claim: no number is left")
+                return
+            value = _encode(Token(holder=self.holder_id, number=number))
             outcome = self._store.swap(item, value)
         except ports.StoreError as exc:
             self._timeline.count(f"claim: {exc}")
             return
         match outcome:
-            case ports.Swapped(revision=revision):
-                self.apply_record(service, value, revision)
+            case ports.Swapped():
+                self.apply_record(service, value, item.era)
                 self._timeline.add(events.TokenWon(group=service, token=number))
 
+    def _apply_item(self, service: str, item: ports.Item) -> Token | None:
+        """Applies a record that was read and returns its token."""
+        if item.value is None:
+            return None
+        self.apply_record(service, item.value, item.era)
+        return _read_record(item.value)
+
+    def _next_number(
+        self, service: str, item: ports.Item, known: int
+    ) -> int | None:
+        """Returns the number for a record that replaces the one read."""
+        peer_number = max(known, self._peer_numbers.get(service, 0))
+        for highest in (peer_number, known):
+            number = fencing.next_number(
+                era=item.era,
+                revision=item.revision,
+                # Without eras, the record holds the highest number.
+                known=highest if item.era else known,
+            )
+            # A number of a peer that leaves none was not issued by this rule.
+            if number is not None:
+                return number
+        return None
+
+    # Records that the store has lost.
+
+    def forget_before(self, era: int) -> str:
+        """Marks the records of this proxy's tokens as possibly lost.
+
+        Args:
+            era: The era of the store.
+
+        Returns:
+            A description of the records.
+        """
+        del era
+        held = self.held()
+        with self._lock:
+            self._lost_records.update(held)
+        return f"records of {len(held)} tokens" if held else ""
+
+    def lost_records(self) -> list[str]:
+        """Returns the services whose record may have to be restored."""
+        with self._lock:
+            return sorted(self._lost_records)
+
+    def restore_record(self, service: str) -> None:
+        """Writes the record of a held token again if the store has an older.
+
+        Raises:
+            ports.StoreError: A call failed; the record is still to be restored.
+        """
+        item = self._store.get(RECORDS_PREFIX + service)
+        record = self._apply_item(service, item)
+        token = self.known(service)
+        is_restored = not self.can_use(service, token) or record == token
+        if not is_restored:
+            outcome = self._store.swap(item, _encode(token))
+            is_restored = isinstance(outcome, ports.Swapped)
+            if is_restored:
+                self._timeline.add(
+                    events.TokenRecordRestored(
+                        group=service,
+                        token=token.number,
+                        found=record.number if record else 0,
+                        era=item.era,
+                    )
+                )
+        if is_restored:
+            with self._lock:
+                self._lost_records.discard(service)
+
     def note_outranked(self, service: str, token: Token) -> None:
         """Records that the platform has seen a higher token than this one.
 
@@ -178,7 +289,12 @@
         self._outranked[service] = token.number
 
 
-def _read_record(value: bytes, revision: int) -> Token | None:
+def _encode(token: Token) -> bytes:
+    fields = {"holder": token.holder, "token": token.number}
+    return json.dumps(fields).encode()
+
+
+def _read_record(value: bytes) -> Token | None:
     try:
         fields = json_text.parse(value)
     except ValueError:
@@ -187,6 +303,6 @@
         case {"holder": str(holder), "token": int(number)} if (
             integers.is_valid(number) and number > 0 and holder.isprintable()
         ):
-            return Token(holder=holder, number=number, revision=revision)
+            return Token(holder=holder, number=number)
         case _:
             return None
