--- a/bronzehold/process/registration_test.py
+++ b/bronzehold/process/registration_test.py
@@ -110,3 +110,49 @@
 def test_registration_that_is_nested_deeply_is_ignored():
     """Guards against CONFIG: the task that follows the store ended."""
     assert registration_lib.decode("me", b"[" * 4000) is None
+
+
+def test_swap_that_crosses_a_return_is_repeated_with_a_new_lease(
+    store, registration, monkeypatch
+):
+    """Guards against a registration under another process's lease.
+
+    The swap may have been executed, and the number of the lease been given to
+    another process.
+    """
+    swap = store.swap
+
+    def swap_in_another_era(*args):
+        swap(*args)
+        raise ports.StaleEraError("another era")
+
+    monkeypatch.setattr(store, "swap", swap_in_another_era)
+    with pytest.raises(ports.StaleEraError):
+        registration._renew_or_register()
+    monkeypatch.setattr(store, "swap", swap)
+    registration._renew_or_register()
+    assert store.calls == ["grant", "swap", "grant", "swap"]
+
+
+def test_failed_writing_of_the_key_is_repeated(
+    store, registration, monkeypatch
+):
+    """Guards against a proxy that holds a lease and is not registered."""
+    swap = store.swap
+
+    def fail(*args):
+        del args
+        raise ports.StoreError("away")
+
+    monkeypatch.setattr(store, "swap", fail)
+    with pytest.raises(ports.StoreError):
+        registration._renew_or_register()
+    monkeypatch.setattr(store, "swap", swap)
+    registration._renew_or_register()
+    assert store.calls == ["grant", "renew", "swap"]
+
+
+def test_lease_of_an_older_era_is_told(registration):
+    assert not registration.forget_before(1)
+    registration._renew_or_register()
+    assert registration.forget_before(1) == "lease 1"
