--- a/bronzehold/process/digest_exchange_test.py
+++ b/bronzehold/process/digest_exchange_test.py
@@ -205,6 +205,47 @@
     )
 
 
+def test_digests_carry_the_era_that_the_store_has_answered_with(harness):
+    digest = pb.Digest()
+    harness.news.forget_before(3)
+    harness.exchange.fill_digest(digest, harness.at)
+    assert (digest.store_era, digest.store_revision) == (3, 0)
+    position = ports.Position(era=3, revision=4)
+    harness.news.note_report(news_lib.Report(position=position, at=harness.at))
+    harness.exchange.fill_digest(digest, harness.at)
+    assert (digest.store_era, digest.store_revision) == (3, 4)
+
+
+@pytest.mark.parametrize(
+    ("era", "expected"),
+    [(2, news_lib.Wait(timeout_s=0.1)), (4, news_lib.Read(wait_s=0.0))],
+)
+def test_reports_of_two_eras_are_not_compared(harness, era, expected):
+    """Guards against CONFIG: a higher revision of an older era hid a change.
+
+    The peer of the older era has not learned of the return. That of the later
+    era has, and this proxy must then ask the store at once.
+    """
+    known = ports.Position(era=3, revision=4)
+    harness.news.forget_before(3)
+    harness.news.note_read(known, harness.at)
+    harness.news.note_report(news_lib.Report(position=known, at=harness.at))
+    digest = pb.Digest(proxy="p", store_era=era, store_revision=900)
+    harness.exchange.receive(
+        gossip_lib.ReceivedDigest(
+            digest=digest, received_at=harness.at, time_base=harness.at
+        )
+    )
+    assert type(harness.news.next_step(known)) is type(expected)
+    assert harness.news.era() == 3
+
+
+def test_numbers_of_tokens_at_peers_are_known(harness):
+    """Guards against a number below the one that a peer knows."""
+    harness.receive(3, pb.GroupView(service="g", token=7))
+    assert harness.tokens.peer_numbers == [("g", 7)]
+
+
 def test_report_without_an_echo_is_ignored(harness):
     harness.receive(3)
     digest = pb.Digest(proxy="p", store_revision=9)
--- a/bronzehold/process/store_mirror.py
+++ b/bronzehold/process/store_mirror.py
@@ -173,7 +173,8 @@
     def _load_snapshot(self) -> ports.Position:
         snapshot = self._store.list("")
         self._record_reachable()
-        if snapshot.era != self._newest_relevant.era:
+        is_copy = snapshot.era != self._newest_relevant.era
+        if is_copy:
             # Entries that are missing get the full time to be written again.
             self._missing = {}
         listed_keys = {
@@ -189,7 +190,7 @@
         for name in self._members:
             self._raw_items.pop(self._members_prefix + name, None)
         self._members = {}
-        self._apply(snapshot.items, is_snapshot=True)
+        self._apply(snapshot.items, is_snapshot=True, is_copy=is_copy)
         return snapshot.position
 
     def _record_unreachable(self, why: str) -> None:
@@ -212,12 +213,17 @@
         items: collections.abc.Iterable[ports.Item],
         *,
         is_snapshot: bool = False,
+        is_copy: bool = False,
     ) -> None:
         with self._lock:
-            self._apply_locked(items, is_snapshot=is_snapshot)
+            self._apply_locked(items, is_snapshot=is_snapshot, is_copy=is_copy)
 
     def _apply_locked(
-        self, items: collections.abc.Iterable[ports.Item], *, is_snapshot: bool
+        self,
+        items: collections.abc.Iterable[ports.Item],
+        *,
+        is_snapshot: bool,
+        is_copy: bool,
     ) -> None:
         members_changed = is_snapshot
         listings_changed = is_snapshot
@@ -226,7 +232,7 @@
             if item.key == self._directory.config_key:
                 configs.append(item)
             elif item.key.startswith(self._directory.listings_prefix):
-                self._apply_listing(item, is_snapshot=is_snapshot)
+                self._apply_listing(item, is_copy=is_copy)
                 listings_changed = True
             elif item.key.startswith(self._members_prefix):
                 self._apply_member(item)
@@ -274,7 +280,7 @@
             )
         )
 
-    def _apply_listing(self, item: ports.Item, *, is_snapshot: bool) -> None:
+    def _apply_listing(self, item: ports.Item, *, is_copy: bool) -> None:
         name = item.key.removeprefix(self._directory.listings_prefix)
         if item.value is None:
             self._unused_positions.pop(item.key, None)
@@ -295,7 +301,7 @@
                 )
             return
         if self._era.current():
-            latest = self._latest_listing(item, listing, is_copy=is_snapshot)
+            latest = self._latest_listing(item, listing, is_copy=is_copy)
             if latest is None:
                 return
             listing = latest
@@ -316,6 +322,8 @@
             is_copy=is_copy,
         )
         if latest is None:
+            if known is None and removed is not None:
+                removed.was_found = True
             before = known or (removed.listing if removed else found)
             self._record_older(
                 item,
@@ -350,11 +358,13 @@
                     listing=listing, at=now
                 )
             self._raw_items.pop(self._directory.listings_prefix + name, None)
-        self._removed = {
-            incarnation: removed
-            for incarnation, removed in self._removed.items()
-            if now - removed.at < REMOVED_REPORT_S
-        }
+        for incarnation, removed in list(self._removed.items()):
+            if now - removed.at >= REMOVED_REPORT_S:
+                del self._removed[incarnation]
+                if removed.was_found:
+                    # It may have been written after the return and before the
+                    # snapshot was read.
+                    self._position = None
         have_reports_ended = 0 < self._reports_count_until <= now
         if have_reports_ended:
             self._reports_count_until = 0.0
@@ -445,12 +455,20 @@
         self._apply(items)
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@dataclasses.dataclass(kw_only=True, slots=True)
 class _Removed:
-    """An endpoint that was removed, with its last listing."""
+    """An endpoint that was removed.
+
+    Attributes:
+        listing: Its last listing.
+        at: The time of the removal, in seconds of clock.now().
+        was_found: Whether the store held it again after a return, and it was
+            not used.
+    """
 
     listing: routes.Listing
     at: float
+    was_found: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/bronzehold/process/store_mirror_era_test.py
+++ b/bronzehold/process/store_mirror_era_test.py
@@ -274,6 +274,25 @@
     assert harness.mirror.leaving() == []
 
 
+def test_endpoint_that_writes_again_before_the_snapshot_is_used_later(harness):
+    """Guards against LOST: an endpoint that runs is not used for ever.
+
+    Its entry looks like that of one that ended in the lost seconds.
+    """
+    harness.store.put("listings/e1", b"1 4")
+    harness.step()
+    harness.store.put("listings/e1", None)
+    harness.step(1)
+    harness.at += mirror_lib.LAPSE_GRACE_S + 0.1
+    harness.step(1)
+    harness.store.return_with(listings_e1=b"1 4")
+    harness.step(3)
+    assert not harness.process.listings
+    harness.at += mirror_lib.REMOVED_REPORT_S
+    harness.step(2)
+    assert set(harness.process.listings) == {"e1"}
+
+
 def test_reports_of_leaving_endpoints_count_for_a_while(harness):
     """Guards against work for a draining endpoint by a proxy that starts.
 
--- a/tests/store_era_test.py
+++ b/tests/store_era_test.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from bronzehold.core import events
 from bronzehold.platform import local as platform_local
 from bronzehold.process import tokens as tokens_lib
 from tests import helpers
@@ -41,6 +42,10 @@
     return proxy.tokens.held().get(platform_local.SERVICE)
 
 
+def _holders(deployment):
+    return [proxy for proxy in deployment.proxies if _number_of(proxy)]
+
+
 def test_number_is_not_issued_again_after_a_return(run):
     """Guards against two holders of one fencing number.
 
@@ -165,6 +170,46 @@
         assert deployment.store.value(f"bronzehold/proxies/{name}")
 
 
+def test_numbers_have_one_holder_over_several_returns(run):
+    """Guards against two holders of a number in the whole history.
+
+    The holder is lost each time the store returns, and comes back without any
+    memory.
+    """
+    deployment = run(proxies=3)
+    seen = list(deployment.proxies)
+    for _ in range(3):
+        helpers.wait_for(lambda: len(_holders(deployment)) == 1)
+        (old,) = _holders(deployment)
+        since = time.monotonic()
+        time.sleep(0.3)
+        index = deployment.proxies.index(old)
+        old.close()
+        helpers.wait_for(
+            lambda old=old: any(
+                _number_of(p) for p in deployment.proxies if p is not old
+            )
+        )
+        _return(deployment, since)
+        deployment.write_entries_again()
+        deployment.proxies[index] = deployment.start_proxy(index)
+        seen.append(deployment.proxies[index])
+        time.sleep(SETTLE_S)
+    won = [
+        entry.event.token
+        for proxy in seen
+        for entry in proxy.timeline._entries
+        if isinstance(entry.event, events.TokenWon)
+    ]
+    assert len(won) >= 4
+    assert len(set(won)) == len(won)
+    deployment.connect("own").rows("WRITE a 1")
+    deployment.group.primary().kill()
+    helpers.wait_for(lambda: deployment.store.promotion_orders)
+    (holder,) = _holders(deployment)
+    assert deployment.store.promotion_orders[-1][3] == _number_of(holder)
+
+
 class _Freeze:
     """Holds back the calls of a proxy to the store."""
 
