Soak: a store that returns from older copies

The soak could not play a drill of the platform's store. The scenario "returns" has the random faults, and a fifth of them are returns from a copy of up to 5 s ago, with or without its leases; entries of operator and endpoints are written again within a second. Where the store has eras, an endpoint of the deployment for tests that has drained is ready again only with a later start, and its listings are numbered in the order of their writing.

--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -20,6 +20,9 @@
 MAX_INTERVAL_S = 2.0
 # Share of the odd entries that stand in place of a working endpoint's.
 OVERWRITE_SHARE = 0.2
+# Returns of the store are a fifth of the faults in their scenario.
+RETURN_WEIGHT = 5
+MAX_COPY_AGE_S = 5.0
 
 
 class FaultInjector:
@@ -64,7 +67,11 @@
             thread.join()
 
     def _fault_types(self) -> tuple[collections.abc.Callable, ...]:
+        returns: tuple[collections.abc.Callable, ...] = ()
+        if self._deployment.store.era is not None:
+            returns = (self._return_store,) * RETURN_WEIGHT
         return (
+            *returns,
             self._processes.pause,
             self._processes.kill,
             self._processes.stop,
@@ -136,6 +143,18 @@
         self._journal.record("the store forgets its history")
         self._deployment.store.compact()
 
+    def _return_store(self, rng: random.Random) -> None:
+        age_s = rng.uniform(0.2, MAX_COPY_AGE_S)
+        self._journal.record(f"return from a copy of {age_s:.1f} s ago")
+        self._deployment.store.unresponsive = True
+        time.sleep(rng.uniform(0.0, 0.5))
+        self._deployment.store.return_from_copy(
+            age_s, leases_lost=rng.random() < 0.5
+        )
+        self._deployment.store.unresponsive = False
+        time.sleep(rng.uniform(0.0, 1.0))
+        self._deployment.write_entries_again()
+
     def _lose_store_answers(self, rng: random.Random) -> None:
         self._deployment.store.lose_answers = rng.randint(1, 3)
         self._journal.record("answers of the store lost")
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -172,7 +172,8 @@
         proxies: Number of proxy processes.
         seeds: Number of consecutive seeds, one run each.
         scenario: The kind of the runs: "faults" for random faults, "stops" for
-            planned stops of several proxies, "all" for both.
+            planned stops of several proxies, "all" for both, "returns" for
+            random faults and a store that returns from older copies.
         verbose: Whether to print the unanswered statements that did not run.
     """
     failed = 0
--- a/bench/soak/scenarios.py
+++ b/bench/soak/scenarios.py
@@ -31,12 +31,14 @@
         distributed: The number of callers that a load balancer distributes.
         faults: Whether random faults occur.
         stops: Whether proxies are stopped in groups.
+        returns: Whether the store has eras and returns from older copies.
     """
 
     kinds: tuple[tuple[callers_lib.Kind, int], ...] = ()
     distributed: int = 0
     faults: bool = False
     stops: bool = False
+    returns: bool = False
 
 
 _STAYING = (
@@ -49,11 +51,14 @@
 ALL = Scenario(
     kinds=_STAYING, distributed=DISTRIBUTED_CALLERS, faults=True, stops=True
 )
-BY_NAME = {"faults": FAULTS, "stops": STOPS, "all": ALL}
+RETURNS = Scenario(distributed=DISTRIBUTED_CALLERS, faults=True, returns=True)
+BY_NAME = {"faults": FAULTS, "stops": STOPS, "all": ALL, "returns": RETURNS}
 
 
 def deployment_fields(scenario: Scenario, seed: int) -> dict:
     """Returns the settings of a deployment, drawn from the seed."""
+    if scenario.returns:
+        return {"store_era": 1}
     if not scenario.stops:
         return {}
     rng = random.Random(f"{seed}/deployment")
--- a/bronzehold/platform/local.py
+++ b/bronzehold/platform/local.py
@@ -9,6 +9,7 @@
 import contextlib
 import json
 import socket
+import threading
 import time
 
 from bronzehold.core import addresses
@@ -158,6 +159,9 @@
         # that has lost some of them.
         self._entries: dict[str, bytes] = {}
         self._sequence = 0
+        self._born = dict.fromkeys(zones, 1)
+        self._draining: frozenset[str] = frozenset()
+        self._publish_lock = threading.Lock()
         self.group.on_role_change = self.publish_listings
         self.group.start()
         self.store.start()
@@ -253,9 +257,9 @@
         Args:
             draining: Ids of the endpoints that are listed as draining.
         """
-        self._sequence += 1
+        entries = {}
         for name, endpoint in self.group.endpoints.items():
-            entry = {
+            entries[name] = {
                 "service": SERVICE,
                 "address": self.address(name),
                 "zone": endpoint.zone,
@@ -264,10 +268,20 @@
                 "state": "draining" if name in draining else "ready",
                 "cold_remaining_ms": 0,
                 "db_role": "primary" if endpoint.is_primary else "replica",
-                "sequence": self._sequence,
-                "born": 1,
             }
-            self._write(f"servers/{name}", entry)
+        # Two threads must not write a lower number after a higher one.
+        with self._publish_lock:
+            self._sequence += 1
+            if self.store.era is not None:
+                # With eras, an endpoint that has drained is ready again only
+                # after a restart.
+                for name in self._draining - draining:
+                    self._born[name] += 1
+            self._draining = draining
+            for name, entry in entries.items():
+                entry["sequence"] = self._sequence
+                entry["born"] = self._born[name]
+                self._write(f"servers/{name}", entry)
 
     def _write(self, key: str, fields: dict) -> None:
         self._entries[key] = json.dumps(fields).encode()
@@ -279,8 +293,9 @@
         The operator and the endpoints do so after the store has returned from
         an older copy.
         """
-        for key, value in self._entries.items():
-            self.store.put(key, value)
+        with self._publish_lock:
+            for key, value in list(self._entries.items()):
+                self.store.put(key, value)
 
     def connect(self, database: str, proxy: int = 0) -> Session:
         """Opens a caller's session at the proxy with the given index."""
