--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -23,8 +23,11 @@
 import bisect
 import collections
 import collections.abc
+import contextlib
+import json
 
 from bench.soak import records as records_lib
+from bronzehold.core import events
 from bronzehold.core import statements
 from bronzehold.platform import standin_group
 
@@ -320,6 +323,29 @@
     ]
 
 
+def check_won_tokens(
+    log_lines: collections.abc.Iterable[str],
+) -> list[str]:
+    """Checks that no token number was acquired twice.
+
+    Args:
+        log_lines: The log lines of all processes of all proxies.
+    """
+    winners = collections.defaultdict(list)
+    for line in log_lines:
+        # Lines of a process that was killed may be incomplete.
+        with contextlib.suppress(ValueError):
+            fields = json.loads(line)
+            if fields.get("event") == events.TokenWon.__name__:
+                key = fields["group"], fields["token"]
+                winners[key].append(fields["instance"])
+    return [
+        f"token {token} of {group} was acquired by each of {names}"
+        for (group, token), names in winners.items()
+        if len(names) > 1
+    ]
+
+
 def check_tokens(
     orders: collections.abc.Iterable[tuple[str, str, str, int]],
 ) -> list[str]:
--- a/bench/soak/checks_test.py
+++ b/bench/soak/checks_test.py
@@ -244,3 +244,12 @@
     # Only the statement itself is refused, or another transaction.
     assert not promises("READ l", "BUSY")
     assert not promises("COMMIT", "ABORTED", began=9.5)
+
+
+def test_token_that_two_processes_acquired_is_found():
+    """Guards against a checker that sees only the tokens of orders."""
+    line = '{"event": "TokenWon", "group": "g", "token": %d, "instance": "p%d"}'
+    once = [line % (1, 0), line % (2, 1), '{"event": "Token', "TokenWon"]
+    assert not checks.check_won_tokens(once)
+    (violation,) = checks.check_won_tokens([*once, line % (1, 1)])
+    assert violation == "token 1 of g was acquired by each of ['p0', 'p1']"
--- a/bench/soak/deployment.py
+++ b/bench/soak/deployment.py
@@ -83,6 +83,10 @@
                 stderr=log,
             )
 
+    def log_lines(self) -> list[str]:
+        """Returns the log lines of all its processes."""
+        return self._log.read_text(errors="replace").splitlines()
+
     def signal(self, number: signal.Signals) -> None:
         """Sends a signal to the process if it is running."""
         if self.is_running():
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -24,6 +24,7 @@
 from bench.soak import recovery
 from bench.soak import scenarios
 from bench.soak import stop_series
+from bronzehold.core import events
 from bronzehold.platform import local
 
 # Time without faults after the callers start.
@@ -139,6 +140,12 @@
                 promoted=group.term > 1,
             ),
             *checks.check_exits(journal.exits, limit_s),
+            *checks.check_won_tokens(
+                line
+                for proxy in deployment.processes
+                for line in proxy.log_lines()
+                if events.TokenWon.__name__ in line
+            ),
         ]
 
 
