Mirror: peers' entries may take up a removed endpoint meanwhile

A removed endpoint that a peer's entries brought back, on the gossip's thread, could be gone from the dictionary that the mirror's thread was clearing; the mirror's task would have ended with KeyError.

--- a/bronzehold/process/store_mirror.py
+++ b/bronzehold/process/store_mirror.py
@@ -360,7 +360,8 @@
             self._raw_items.pop(self._directory.listings_prefix + name, None)
         for incarnation, removed in list(self._removed.items()):
             if now - removed.at >= REMOVED_REPORT_S:
-                del self._removed[incarnation]
+                # A peer's entries may have removed it meanwhile.
+                self._removed.pop(incarnation, None)
                 if removed.was_found:
                     # It may have been written after the return and before the
                     # snapshot was read.
