Tokens: a record that no proxy can have written does not end all claims

In a store with eras, a record with a number of a later era or above left no number for the next holder: its group would have had no failover. Such a record is now ignored like one that cannot be read, and the next claim replaces it.

--- a/bronzehold/process/tokens.py
+++ b/bronzehold/process/tokens.py
@@ -91,6 +91,9 @@
         token = _read_record(value)
         if token is None:
             return
+        if era and token.number >= fencing.first_number(era + 1):
+            # No process has issued this number, and none is left above it.
+            return
         with self._lock:
             old = self._tokens.get(service, NO_TOKEN)
             is_own = token.holder == self.holder_id
--- a/bronzehold/process/tokens_test.py
+++ b/bronzehold/process/tokens_test.py
@@ -212,6 +212,14 @@
     assert proxy.held()
 
 
+def test_odd_record_does_not_end_all_claims(store):
+    """Guards against CONFIG: a record that no proxy has written."""
+    store.put(KEY, b'{"holder": "x/1", "token": %d}' % ((1 << 63) - 1))
+    proxy = _proxy(store, "a")
+    _claim(proxy)
+    assert proxy.held()
+
+
 _NAMES = strategies.sampled_from("abc")
 _STEPS = strategies.lists(
     strategies.one_of(
