--- a/bronzehold/platform/local.py
+++ b/bronzehold/platform/local.py
@@ -9,6 +9,7 @@
 import contextlib
 import json
 import socket
+import threading
 import time
 
 from bronzehold.core import addresses
@@ -146,7 +147,9 @@
         proxies: The running proxies.
     """
 
-    def __init__(self, *, proxies: int = 2, **fields):
+    def __init__(
+        self, *, proxies: int = 2, store_era: int | None = None, **fields
+    ):
         zones = {f"e{n}": f"z{n}" for n in (1, 2, 3)}
         self.group = standin_group.Group(
             settings=standin_group.GroupSettings(
@@ -154,6 +157,14 @@
             )
         )
         self.store = standin_store.Store(groups={SERVICE: self.group})
+        self.store.era = store_era
+        # Value of each entry of an operator or an endpoint, by key, for a store
+        # that has lost some of them.
+        self._entries: dict[str, bytes] = {}
+        self._sequence = 0
+        self._born = dict.fromkeys(zones, 1)
+        self._draining: frozenset[str] = frozenset()
+        self._publish_lock = threading.Lock()
         self.group.on_role_change = self.publish_listings
         self.group.start()
         self.store.start()
@@ -245,7 +256,7 @@
         }
         if workspaces is not None:
             table["tenants"] = workspaces
-        self.store.put("op/config", json.dumps(table).encode())
+        self._write("op/config", table)
 
     def address(self, name: str) -> str:
         """Returns the address at which proxies connect to an endpoint."""
@@ -257,8 +268,9 @@
         Args:
             draining: Ids of the endpoints that are listed as draining.
         """
+        entries = {}
         for name, endpoint in self.group.endpoints.items():
-            entry = {
+            entries[name] = {
                 "service": SERVICE,
                 "address": self.address(name),
                 "zone": endpoint.zone,
@@ -267,10 +279,34 @@
                 "state": "draining" if name in draining else "ready",
                 "cold_remaining_ms": 0,
                 "db_role": "primary" if endpoint.is_primary else "replica",
-                "sequence": 1,
-                "born": 1,
             }
-            self.store.put(f"servers/{name}", json.dumps(entry).encode())
+        # Two threads must not write a lower number after a higher one.
+        with self._publish_lock:
+            self._sequence += 1
+            if self.store.era is not None:
+                # With eras, an endpoint that has drained is ready again only
+                # after a restart.
+                for name in self._draining - draining:
+                    self._born[name] += 1
+            self._draining = draining
+            for name, entry in entries.items():
+                entry["sequence"] = self._sequence
+                entry["born"] = self._born[name]
+                self._write(f"servers/{name}", entry)
+
+    def _write(self, key: str, fields: dict) -> None:
+        self._entries[key] = json.dumps(fields).encode()
+        self.store.put(key, self._entries[key])
+
+    def write_entries_again(self) -> None:
+        """Writes the latest configuration and listings again.
+
+        The operator and the endpoints do so after the store has returned from
+        an older copy.
+        """
+        with self._publish_lock:
+            for key, value in list(self._entries.items()):
+                self.store.put(key, value)
 
     def connect(
         self, database: str, proxy: int = 0, key: str = "test"
--- a/bronzehold/process/digest_exchange_test.py
+++ b/bronzehold/process/digest_exchange_test.py
@@ -4,6 +4,7 @@
 import pytest
 
 from bronzehold.core import clock
+from bronzehold.core import ports
 from bronzehold.core import routes
 from bronzehold.process import digest_exchange as exchange_lib
 from bronzehold.process import gossip as gossip_lib
@@ -48,6 +49,10 @@
 class FakeTokens:
     def __init__(self):
         self.holds_group = True
+        self.peer_numbers = []
+
+    def note_peer_number(self, service, number):
+        self.peer_numbers.append((service, number))
 
     def known(self, service):
         del service
@@ -113,6 +118,10 @@
         del name
 
 
+def _at(revision):
+    return ports.Position(era=0, revision=revision)
+
+
 @pytest.fixture(name="harness")
 def _harness(monkeypatch):
     return Harness(monkeypatch)
@@ -180,11 +189,11 @@
     """The age is counted on the clock of each proxy, without their offset."""
     sender_clock_at = 7.0
     sent = pb.Digest(proxy="p")
-    sender_news = news_lib.Report(revision=9, at=sender_clock_at - 0.5)
+    sender_news = news_lib.Report(position=_at(9), at=sender_clock_at - 0.5)
     harness.news.note_report(sender_news)
     # The sender received the echoed digest 0.2 s ago.
     harness.exchange.fill_digest(sent, sender_clock_at - 0.2)
-    harness.news.note_report(news_lib.Report(revision=10, at=0.0))
+    harness.news.note_report(news_lib.Report(position=_at(10), at=0.0))
     sent.store_revision = 11
     harness.exchange.receive(
         gossip_lib.ReceivedDigest(
@@ -192,10 +201,51 @@
         )
     )
     assert harness.news.report() == news_lib.Report(
-        revision=11, at=pytest.approx(harness.at - 0.6)
+        position=_at(11), at=pytest.approx(harness.at - 0.6)
     )
 
 
+def test_digests_carry_the_era_that_the_store_has_answered_with(harness):
+    digest = pb.Digest()
+    harness.news.forget_before(3)
+    harness.exchange.fill_digest(digest, harness.at)
+    assert (digest.store_era, digest.store_revision) == (3, 0)
+    position = ports.Position(era=3, revision=4)
+    harness.news.note_report(news_lib.Report(position=position, at=harness.at))
+    harness.exchange.fill_digest(digest, harness.at)
+    assert (digest.store_era, digest.store_revision) == (3, 4)
+
+
+@pytest.mark.parametrize(
+    ("era", "expected"),
+    [(2, news_lib.Wait(timeout_s=0.1)), (4, news_lib.Read(wait_s=0.0))],
+)
+def test_reports_of_two_eras_are_not_compared(harness, era, expected):
+    """Guards against CONFIG: a higher revision of an older era hid a change.
+
+    The peer of the older era has not learned of the return. That of the later
+    era has, and this proxy must then ask the store at once.
+    """
+    known = ports.Position(era=3, revision=4)
+    harness.news.forget_before(3)
+    harness.news.note_read(known, harness.at)
+    harness.news.note_report(news_lib.Report(position=known, at=harness.at))
+    digest = pb.Digest(proxy="p", store_era=era, store_revision=900)
+    harness.exchange.receive(
+        gossip_lib.ReceivedDigest(
+            digest=digest, received_at=harness.at, time_base=harness.at
+        )
+    )
+    assert type(harness.news.next_step(known)) is type(expected)
+    assert harness.news.era() == 3
+
+
+def test_numbers_of_tokens_at_peers_are_known(harness):
+    """Guards against a number below the one that a peer knows."""
+    harness.receive(3, pb.GroupView(service="g", token=7))
+    assert harness.tokens.peer_numbers == [("g", 7)]
+
+
 def test_report_without_an_echo_is_ignored(harness):
     harness.receive(3)
     digest = pb.Digest(proxy="p", store_revision=9)
@@ -323,6 +373,7 @@
     entries=strategies.binary(max_size=40),
     crowded=strategies.lists(_TEXTS, max_size=3),
     store_revision=_NUMBERS,
+    store_era=_NUMBERS,
     store_report_after_us=_NUMBERS,
     uptime_ms=_NUMBERS,
 )
