Learned capacity of endpoints, and reads placed by it

Cause: a proxy judged an endpoint by one moving average over all kinds of statement, forgotten after 2 s, and cut its window whenever that average passed twice the lowest one ever seen. With service times that spread, the window was cut without a queue; a replica 7 times slower kept reads of 6 ms, and one that failed 0.46 of its statements was never left, as failures look quick.

Callers saw retries, and waits at a replica that others could have served.

Change: process/capacity.py replaces process/window.py: usual durations by kind, slowness against them net of the least round trip, failed share, and a limit that returns to the share of the slots when cuts have no effect. request/comparison.py compares siblings; process/capacities.py marks, tries and records EndpointSlow and EndpointRecovered. Only completed statements count as durations. Digests tell peers of limited or slow endpoints.

The five tests of the old window go with it; their cases return in the tests of the capacity. A limit below the configured slots now grows without waiters too, as a cut that no queue confirms is to wear off; above them only with waiters.

--- a/bronzehold/connection/platform_exchange.py
+++ b/bronzehold/connection/platform_exchange.py
@@ -31,6 +31,17 @@
 # statement that would wait longer is refused at once, since its caller may
 # retry elsewhere.
 MAX_QUEUE_SHARE = 0.5
+# Answers by which an endpoint fails a statement that others may run. A refusal
+# for a full queue is recorded apart. A statement that is malformed fails
+# everywhere.
+FAILED_REASONS = frozenset(
+    {
+        statements.RefusalReason.FAILED,
+        statements.RefusalReason.IN_DOUBT,
+        statements.RefusalReason.OTHER,
+        statements.RefusalReason.TIMED_OUT,
+    }
+)
 
 
 class Lease:
@@ -64,6 +75,8 @@
             wait until the deadline.
         queued_s: The total time that the statement has waited for connections,
             in seconds.
+        kind: The kind of the last statement: its route and type. Durations are
+            compared within a kind.
     """
 
     def __init__(self, *, session: platform_session.PlatformSession):
@@ -72,9 +85,10 @@
         self.attempts: list[blocks.Attempt] = []
         self.connection_wait_s: float | None = None
         self.queued_s = 0.0
-        # Whether the last statement was refused before it ran. Its time is not
-        # counted as a running time of statements.
-        self._not_run = False
+        self.kind = ""
+        # Whether the last statement was completed. The time of a refusal is not
+        # counted as a duration: an endpoint that refuses quickly is not fast.
+        self._completed = False
 
     def reset(self) -> None:
         """Resets the state for the next statement."""
@@ -110,7 +124,7 @@
             errors.FailureError: The connection was lost and the outcome is
                 unknown.
         """
-        self._not_run = False
+        self._completed = False
         pool, conn = self._acquire(context, target)
         lease = Lease(pool=pool, conn=conn)
         try:
@@ -128,8 +142,10 @@
             pool.end_statement(None)
             pool.release(conn, reusable=True)
             raise
-        ran = lease.sent_at and not self._not_run
-        pool.end_statement(clock.now() - lease.sent_at if ran else None)
+        ran = lease.sent_at and self._completed
+        pool.end_statement(
+            clock.now() - lease.sent_at if ran else None, kind=self.kind
+        )
         if not lease.retained:
             pool.release(conn, reusable=True)
 
@@ -177,8 +193,10 @@
             contact is None
             or clock.now() - contact.answered_at > PROBE_AFTER_SILENCE_S
         )
-        if is_silent and not context.ended_by_stop():
-            context.service.note_connection_lost(target)
+        if not context.ended_by_stop():
+            context.service.note_failed(target)
+            if is_silent:
+                context.service.note_connection_lost(target)
         if clock.now() >= context.timeout_at:
             return blocks.TryOtherEndpointError(
                 errors.TimedOut(
@@ -285,6 +303,8 @@
 
         Prepares the statement first if the connection does not have it yet.
         """
+        statement = type(forward.request.statement).__name__
+        self.kind = f"{context.route.name}/{statement}"
         name = forward.prepared_name
         if not name or name in conn.prepared:
             conn.send((forward,))
@@ -308,12 +328,23 @@
                 conn.prepared.discard(name)
             case statements.Refused(reason=statements.RefusalReason.BUSY):
                 context.service.note_busy(self.endpoint)
+        self._completed = isinstance(answer, statements.Completed)
+        self._record_failure(context, forward.request, answer)
+        return answer
+
+    def _record_failure(
+        self,
+        context: blocks.StatementContext,
+        request: statements.Request,
+        answer: statements.Answer,
+    ) -> None:
         match answer:
             case statements.Refused(reason=reason):
-                self._not_run = reason in statements.NOT_RUN_REASONS
-            case _:
-                self._not_run = False
-        return answer
+                # A write may be aborted by another caller's.
+                aborted = reason is statements.RefusalReason.ABORTED
+                is_read = isinstance(request.statement, statements.Read)
+                if reason in FAILED_REASONS or (aborted and is_read):
+                    context.service.note_failed(self.endpoint)
 
 
 def send_rollback(conn: ports.EndpointConn) -> None:
--- a/bronzehold/connection/platform_runner.py
+++ b/bronzehold/connection/platform_runner.py
@@ -169,7 +169,9 @@
                 # No proof is recent enough, but the primary is always fresh.
                 return self._run_on_primary(context, run_guarded)
             ranked = placement.order(
-                context.service.candidates(requirement.min_position)
+                context.service.candidates(
+                    requirement.min_position, context.route.target_latency_s
+                )
             )
             remaining = [
                 candidate.endpoint
@@ -641,9 +643,11 @@
                 answer = self.exchange.execute(
                     pinned.conn, forward, context, probe_check
                 )
-            elapsed_s = clock.now() - sent_at
+            if isinstance(answer, statements.Completed):
+                elapsed_s = clock.now() - sent_at
         except ports.TransportError as exc:
             if not context.ended_by_stop():
+                pinned.service.note_failed(pinned.endpoint)
                 pinned.service.note_connection_lost(pinned.endpoint)
             self._drop_block(blocks.Idle() if commits else blocks.Failed())
             if commits and pinned.has_written:
@@ -657,7 +661,7 @@
             self.end_block(blocks.Failed())
             raise errors.FailureError(exc.failure) from exc
         finally:
-            pinned.pool.end_statement(elapsed_s)
+            pinned.pool.end_statement(elapsed_s, kind=self.exchange.kind)
         if isinstance(answer, statements.Refused):
             raise self._refused_pinned(pinned, answer, commits=commits)
         if pinned.guarded and not commits:
--- a/bronzehold/process/digest_exchange.py
+++ b/bronzehold/process/digest_exchange.py
@@ -7,6 +7,7 @@
 
 from bronzehold.core import clock
 from bronzehold.core import statements
+from bronzehold.process import capacity_reports
 from bronzehold.process import gossip as gossip_lib
 from bronzehold.process import group_views
 from bronzehold.process import platform_process
@@ -115,6 +116,7 @@
             if _has_news(service):
                 digest.groups.append(self._group_view(service, echoed_at))
             digest.crowded.extend(service.crowded())
+        capacity_reports.fill(digest, self._process.services())
 
     def _fill_store_report(self, digest: pb.Digest, echoed_at: float) -> None:
         report = self._news.report()
@@ -171,6 +173,7 @@
         for endpoint in digest.crowded:
             for service in self._process.services():
                 service.recall(endpoint)
+        capacity_reports.apply(digest, self._process.services())
         for view in digest.groups:
             service = self._process.service(view.service)
             if service is not None:
--- a/bronzehold/process/digest_exchange_test.py
+++ b/bronzehold/process/digest_exchange_test.py
@@ -5,6 +5,7 @@
 
 from bronzehold.core import clock
 from bronzehold.core import routes
+from bronzehold.process import capacities as capacities_lib
 from bronzehold.process import digest_exchange as exchange_lib
 from bronzehold.process import gossip as gossip_lib
 from bronzehold.process import platform_group
@@ -241,6 +242,9 @@
             name="g", connections=4, synchronous=False
         )
         self._serves = serves
+        self.capacities = capacities_lib.Capacities(
+            group="g", timeline=timeline_lib.Timeline(proxy="me", zone="z")
+        )
         listing = helpers.listing("e", leads=True)
         self.group.set_listings({"e": listing})
 
@@ -250,6 +254,9 @@
     def crowded(self):
         return []
 
+    def pools(self):
+        return {}
+
 
 def _views(harness, service):
     harness.process.services = lambda: [service]
--- a/bronzehold/process/exposition.py
+++ b/bronzehold/process/exposition.py
@@ -96,6 +96,36 @@
     connections = gauge(
         "connections", "Open connections", "service", "endpoint"
     )
+    capacity = gauge(
+        "capacity",
+        "Learned limit on statements in flight",
+        "service",
+        "endpoint",
+    )
+    service_time = gauge(
+        "service_ms",
+        "Usual service time without the network's part",
+        "service",
+        "endpoint",
+    )
+    slowness = gauge(
+        "slowness",
+        "Recent durations relative to the usual ones",
+        "service",
+        "endpoint",
+    )
+    failed_share = gauge(
+        "failed_share",
+        "Fraction of the recent statements that failed",
+        "service",
+        "endpoint",
+    )
+    slow = gauge(
+        "slow_s",
+        "Time since the endpoint was found slow or failing, 0 if it is not",
+        "service",
+        "endpoint",
+    )
     config_version = gauge("config_version", "The configuration in force")
     config_version.set(process.table().version)
     now = clock.now()
@@ -120,6 +150,15 @@
             )
             slot_wait.labels(name, endpoint).set(int(load.wait_s * 1000))
             connections.labels(name, endpoint).set(load.open)
+            slow.labels(name, endpoint).set(service.capacities.slow_s(endpoint))
+            measured = pool.measurement()
+            if measured is not None:
+                capacity.labels(name, endpoint).set(measured.size)
+                service_time.labels(name, endpoint).set(
+                    measured.service_s * 1000
+                )
+                slowness.labels(name, endpoint).set(measured.slowness)
+                failed_share.labels(name, endpoint).set(measured.failed_share)
 
 
 def create_server(
--- a/bronzehold/process/platform_service.py
+++ b/bronzehold/process/platform_service.py
@@ -13,13 +13,15 @@
 from bronzehold.core import routes
 from bronzehold.core import statements
 from bronzehold.process import budget
+from bronzehold.process import capacities as capacities_lib
+from bronzehold.process import capacity as capacity_lib
 from bronzehold.process import platform_group
 from bronzehold.process import pool as pool_lib
 from bronzehold.process import probes as probes_lib
 from bronzehold.process import serving as serving_lib
 from bronzehold.process import shutdown as shutdown_lib
 from bronzehold.process import timeline as timeline_lib
-from bronzehold.process import window as window_lib
+from bronzehold.request import comparison
 from bronzehold.request import placement
 
 # An endpoint queues statements beyond its slots, so a proxy may have more in
@@ -83,6 +85,9 @@
             limit_deadline=env.shutdown.limit,
         )
         self.budget = budget.RetryBudget()
+        self.capacities = capacities_lib.Capacities(
+            group=limits.name, timeline=env.timeline
+        )
         self._pools: dict[str, pool_lib.Pool] = {}
         self.probes = probes_lib.Probes(service=self)
         self._forwarded_at = -FORWARDED_S
@@ -122,7 +127,7 @@
             limits=self._caps(listing),
             queue_timeout_s=POOL_QUEUE_S,
             idle_timeout_s=MAX_IDLE_S,
-            window=window_lib.Window(size=listing.slots),
+            capacity=capacity_lib.Capacity(slots=listing.slots),
         )
         self.probes.add(listing.id)
 
@@ -197,6 +202,7 @@
     def sweep(self) -> None:
         """Closes idle connections, and starts probes that have become due."""
         self.resize()
+        self._update_capacities()
         for pool in list(self._pools.values()):
             pool.close_excess_idle()
         self.probes.refresh()
@@ -208,16 +214,37 @@
 
     # Candidates for placement.
 
+    def _update_capacities(self) -> None:
+        """Compares the endpoints that accept new work."""
+        leader = self.group.leader()
+        self.capacities.update(
+            {
+                name: self._pools[name]
+                for name, listing in self.group.listings().items()
+                if not listing.leaving and name in self._pools
+            },
+            leader=None if leader is None else leader.endpoint,
+        )
+
+    def pools(self) -> dict[str, pool_lib.Pool]:
+        """Returns the pools by endpoint id."""
+        return dict(self._pools)
+
     def candidates(
-        self, required: statements.LogPosition
+        self,
+        required: statements.LogPosition,
+        target_s: float | None = None,
     ) -> list[placement.Candidate]:
         """Returns the endpoints that accept new work.
 
         Args:
             required: The log position that the work requires; it enters each
                 candidate's catch-up estimate.
+            target_s: The target time of the read's route in seconds; a read
+                whose target it fits may try a slow endpoint.
         """
         env = self.env
+        self._update_capacities()
         leader = self.group.leader()
         found = []
         for name, listing in self.group.listings().items():
@@ -227,19 +254,26 @@
                 continue
             load = pool.load()
             region = env.regions.get(listing.zone, listing.zone)
-            found.append(
-                placement.Candidate(
-                    endpoint=name,
-                    same_zone=listing.zone == env.zone,
-                    same_region=region == env.regions.get(env.zone, env.zone),
-                    is_primary=leader is not None and leader.endpoint == name,
-                    failing=contact.failing_since > 0,
-                    recent_duration_s=load.service_s if load.measured else 0.0,
-                    expected_wait_s=load.wait_s,
-                    connections_exhausted=load.full,
-                    lag_s=self.group.catch_up_s(name, required),
-                )
+            cause = self.capacities.cause(name)
+            candidate = placement.Candidate(
+                endpoint=name,
+                same_zone=listing.zone == env.zone,
+                same_region=region == env.regions.get(env.zone, env.zone),
+                is_primary=leader is not None and leader.endpoint == name,
+                failing=contact.failing_since > 0,
+                recent_duration_s=load.service_s if load.measured else 0.0,
+                expected_wait_s=load.wait_s,
+                connections_exhausted=load.full,
+                lag_s=self.group.catch_up_s(name, required),
+                slow=cause is comparison.Cause.SLOW,
+                unreliable=cause is comparison.Cause.FAILING,
             )
+            if cause is not None and placement.may_try(candidate):
+                trial = self.capacities.try_trial(
+                    name, expected_s=load.service_s, target_s=target_s
+                )
+                candidate = dataclasses.replace(candidate, trial=trial)
+            found.append(candidate)
         return found
 
     # Failures.
@@ -270,6 +304,18 @@
         if pool is not None:
             pool.record_queue_full()
 
+    def note_round_trip(self, name: str, duration_s: float) -> None:
+        """Records how long an endpoint took for a status command."""
+        pool = self._pools.get(name)
+        if pool is not None:
+            pool.record_round_trip(duration_s)
+
+    def note_failed(self, name: str) -> None:
+        """Records that a statement failed or that its answer was lost."""
+        pool = self._pools.get(name)
+        if pool is not None:
+            pool.record_failure()
+
     def note_not_leading(self, name: str) -> None:
         """Records that an endpoint does not lead and probes for the primary."""
         self.group.note_not_leading(name)
--- a/bronzehold/process/pool.py
+++ b/bronzehold/process/pool.py
@@ -15,7 +15,7 @@
 connection within its share reports this to its peers, and peers with overflow
 connections then close them.
 
-An optional congestion window (see window.py) limits the statements in flight
+An optional learned capacity (see capacity.py) limits the statements in flight
 when the endpoint's latency rises. Waiting in this queue is better than waiting
 at the endpoint, because this queue has priorities and is fair.
 """
@@ -30,7 +30,7 @@
 from bronzehold.core import data
 from bronzehold.core import errors
 from bronzehold.core import ports
-from bronzehold.process import window as window_lib
+from bronzehold.process import capacity as capacity_lib
 
 # Weights of a new sample in the moving averages of the service time and of the
 # interval between grants.
@@ -175,14 +175,14 @@
         limits: Limits,
         queue_timeout_s: float,
         idle_timeout_s: float = IDLE_TIMEOUT_S,
-        window: window_lib.Window | None = None,
+        capacity: capacity_lib.Capacity | None = None,
     ):
         self.endpoint = endpoint
         self._dial = dial
         self._limits = limits
         self._queue_timeout_s = queue_timeout_s
         self._idle_timeout_s = idle_timeout_s
-        self._window = window
+        self._capacity = capacity
         self._full_until = 0.0
         self._full_count = 0
         self._no_overflow_until = 0.0
@@ -472,9 +472,9 @@
 
     def _slots(self) -> int:
         """Returns the maximum number of short statements in flight."""
-        if self._window is None:
+        if self._capacity is None:
             return self._limits.slots
-        return min(self._limits.slots, self._window.size())
+        return min(self._limits.slots, self._capacity.size())
 
     def _open_count(self) -> int:
         return self._leased - self._unassigned + len(self._idle)
@@ -568,13 +568,15 @@
         self,
         duration_s: float | None,
         length: data.RequestLength = data.RequestLength.SHORT,
+        kind: str = "",
     ) -> None:
         """Releases the slot; the caller keeps the connection.
 
         Args:
             duration_s: Duration of the statement in seconds; None if it did
-                not run.
+                not run or failed.
             length: The length that the statement is counted as.
+            kind: Kind of the statement; durations are compared within it.
         """
         with self._lock:
             if length is data.RequestLength.LONG:
@@ -582,20 +584,52 @@
             else:
                 self._running -= 1
                 if duration_s is not None:
-                    self._record_duration(duration_s)
+                    self._record_duration(duration_s, kind)
             self._dispatch()
 
     def record_queue_full(self) -> None:
         """Records that the endpoint refused a statement: its queue is full."""
         with self._lock:
-            if self._window is not None:
-                self._window.record_queue_full()
-
-    def _record_duration(self, duration_s: float) -> None:
-        if self._window is not None:
-            has_waiters = bool(self._waiters)
-            self._window.record_response(
-                duration_s, max_size=self._limits.slots, has_waiters=has_waiters
+            if self._capacity is not None:
+                self._capacity.record_queue_full()
+
+    def record_failure(self) -> None:
+        """Records that a statement failed or that its answer was lost."""
+        with self._lock:
+            if self._capacity is not None:
+                self._capacity.record_failure()
+
+    def record_round_trip(self, duration_s: float) -> None:
+        """Records a round trip without a caller's statement."""
+        with self._lock:
+            if self._capacity is not None:
+                self._capacity.record_round_trip(duration_s)
+
+    def measurement(self) -> capacity_lib.Measurement | None:
+        """Returns what was learned of the endpoint, None without capacity."""
+        with self._lock:
+            if self._capacity is None:
+                return None
+            return self._capacity.measurement()
+
+    def adjust_capacity(
+        self, adjust: collections.abc.Callable[[capacity_lib.Capacity], None]
+    ) -> None:
+        """Changes the learned capacity under the lock of the pool."""
+        with self._lock:
+            if self._capacity is not None:
+                adjust(self._capacity)
+                self._dispatch()
+
+    def _record_duration(self, duration_s: float, kind: str) -> None:
+        if self._capacity is not None:
+            self._capacity.record_response(
+                kind,
+                duration_s,
+                # The slot of the statement itself is released already.
+                in_flight=self._running + 1,
+                max_size=self._limits.slots,
+                has_waiters=bool(self._waiters),
             )
         self._measured_at = time.monotonic()
         self._service_s += SERVICE_TIME_WEIGHT * (duration_s - self._service_s)
--- a/bronzehold/process/probes.py
+++ b/bronzehold/process/probes.py
@@ -275,4 +275,5 @@
             self._service.note_connection_lost(name)
             return False, None
         self._service.group.note_status(name, status, sent)
+        self._service.note_round_trip(name, clock.now() - sent)
         return True, status
--- a/bronzehold/process/probes_test.py
+++ b/bronzehold/process/probes_test.py
@@ -69,6 +69,9 @@
     def note_connection_lost(self, name):
         self.group.note_failing(name, refused=False)
 
+    def note_round_trip(self, name, duration_s):
+        del name, duration_s
+
     def run_tasks(self):
         tasks, self.tasks = self.tasks, []
         for _, task in tasks:
--- a/bronzehold/request/placement.py
+++ b/bronzehold/request/placement.py
@@ -2,7 +2,8 @@
 
 The order is a pure function of an endpoint's distance, recent latency, expected
 wait, replication lag and role. Replicas are preferred, because the primary also
-serves the writes.
+serves the writes. An endpoint that is slow or failing among its siblings comes
+later, except for the few reads by which its recovery is noticed.
 """
 
 import collections.abc
@@ -26,6 +27,15 @@
 NO_CONNECTION_PENALTY_S = 0.1
 # Cost that sorts endpoints whose last contact failed after all others.
 FAILING_PENALTY_S = 10.0
+# Cost that sorts a slow replica after the others, in whichever region they are.
+# It stays under PRIMARY_PENALTY_S, so that only a read that would take clearly
+# longer leaves all replicas for the primary.
+SLOW_PENALTY_S = 0.1
+# Cost of a replica that fails a large share of its statements, each of which
+# costs its caller another attempt; the primary comes before it.
+UNRELIABLE_PENALTY_S = 0.25
+# Cost that sorts an endpoint first.
+TRIAL_BONUS_S = 100.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -45,6 +55,10 @@
             statement would wait for a connection as well.
         lag_s: Expected time in seconds until its log contains the position
             that the read needs; 0 if it is expected to contain it.
+        slow: Whether it is slow compared to its siblings.
+        unreliable: Whether it fails more statements than its siblings.
+        trial: Whether this read is to try it, although it is slow or
+            unreliable, to notice its recovery.
     """
 
     endpoint: str
@@ -56,6 +70,9 @@
     expected_wait_s: float
     connections_exhausted: bool
     lag_s: float
+    slow: bool = False
+    unreliable: bool = False
+    trial: bool = False
 
     @property
     def is_eligible(self) -> bool:
@@ -75,6 +92,19 @@
     return sorted(candidates, key=lambda c: (_cost(c), c.endpoint))
 
 
+def may_try(candidate: Candidate) -> bool:
+    """Returns whether a read may try a slow or unreliable endpoint.
+
+    The primary needs no trials, since it gets the writes in any case.
+    """
+    return (
+        candidate.is_eligible
+        and not candidate.is_primary
+        and not candidate.connections_exhausted
+        and not candidate.expected_wait_s
+    )
+
+
 def _cost(candidate: Candidate) -> float:
     cost = candidate.recent_duration_s or _distance(candidate) + DEFAULT_READ_S
     cost += candidate.expected_wait_s
@@ -88,6 +118,12 @@
         cost += PRIMARY_PENALTY_S + LAG_PENALTY_S + candidate.lag_s
     if candidate.failing:
         cost += FAILING_PENALTY_S
+    if candidate.trial:
+        return cost - TRIAL_BONUS_S
+    if candidate.slow:
+        cost += SLOW_PENALTY_S
+    if candidate.unreliable:
+        cost += UNRELIABLE_PENALTY_S
     return cost
 
 
