Trials of a slow endpoint go by its recent durations

Cause: whether a trial fits the target of a route was judged by the pool's mean duration, which follows seven trials too slowly, and where it did not fit, the next one came after 10 s.

Change: the expected duration is the slowness times the usual service time, and a trial that would take too much of the target comes once a second.

--- a/bronzehold/process/capacities.py
+++ b/bronzehold/process/capacities.py
@@ -31,8 +31,10 @@
 DEMAND_WEIGHT = 0.1
 # A failed share from this value on is told to the peers.
 REPORTED_FAILED_SHARE = 0.1
-# A statement may take this part of its route's target for a trial.
+# A trial may be expected to take this part of its route's target. Where it
+# takes more, there is one in this interval, so that a recovery is noticed.
 TRIAL_TARGET_SHARE = 0.5
+LATE_TRIAL_INTERVAL_S = 1.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -285,23 +287,27 @@
         return clock.now() - mark.since
 
     def try_trial(
-        self, endpoint: str, *, expected_s: float, target_s: float | None
+        self,
+        endpoint: str,
+        measured: capacity_lib.Measurement,
+        *,
+        target_s: float | None,
     ) -> bool:
         """Returns whether a read is to try a marked endpoint.
 
         Args:
             endpoint: Id of the endpoint.
-            expected_s: Recent duration of its statements in seconds.
-            target_s: Target of the read's route, None if it has none. A read
-                whose target the trial would use up is not taken.
+            measured: What was learned of it.
+            target_s: Target of the read's route, None if it has none.
         """
         now = clock.now()
-        mark = self._marks.get(endpoint)
-        too_slow = (
+        expected_s = measured.round_trip_s + (
+            measured.slowness * measured.service_s
+        )
+        is_late = (
             target_s is not None and expected_s > TRIAL_TARGET_SHARE * target_s
         )
-        # Without any trial its recovery would not be noticed.
-        if mark is None or (too_slow and now - mark.measured_at < OWN_TTL_S):
+        if is_late and now - measured.measured_at < LATE_TRIAL_INTERVAL_S:
             return False
         with self._lock:
             return self._trials.take(endpoint, now)
--- a/bronzehold/process/capacities_test.py
+++ b/bronzehold/process/capacities_test.py
@@ -150,7 +150,7 @@
             )
             if cause is not None and placement.may_try(candidate):
                 trial = capacities.try_trial(
-                    name, expected_s=load.service_s, target_s=TARGET_S
+                    name, pools[name].measurement(), target_s=TARGET_S
                 )
                 candidate = dataclasses.replace(candidate, trial=trial)
             candidates.append(candidate)
@@ -309,3 +309,107 @@
     for proxy, near in ((1, "replica1"), (2, "replica2")):
         assert model.share_sent(near, 10, 120, proxy=proxy) > 0.97
     assert model.share_on_time(10, 120) > 0.999
+
+
+def test_all_endpoints_are_slow(make):
+    """Names the load: all three become 7 times slower at 30 s.
+
+    A group whose endpoints are all slow keeps its reads where they were, with
+    fewer in flight, and none is left out.
+    """
+    model = make(rate_per_s=10.0)
+    for server in model.servers.values():
+        server.slow = _slow_from(30)
+    model.run(60)
+    sizes = [
+        pools[near].capacity.size()
+        for pools, near in (
+            (model.pools[1], "replica1"),
+            (model.pools[2], "replica2"),
+        )
+    ]
+    assert min(sizes) >= 1
+    assert model.share_sent("replica1", 40, 60) > 0.2
+    assert model.share_sent("replica2", 40, 60) > 0.2
+    assert model.share_on_time(40, 60, target_s=1.203) > 0.9
+
+
+def test_endpoint_slows_down_long_before_it_is_full(make):
+    """Names the load: from its third statement on, a replica takes 5 times."""
+    model = make(rate_per_s=30.0)
+    model.servers["replica1"].slow = lambda _now, busy: 5.0 if busy > 2 else 1.0
+    model.run(60)
+    sizes = []
+    for second in range(61, 90):
+        model.run(second)
+        sizes.append(model.pools[1]["replica1"].capacity.size())
+    assert sum(sizes) / len(sizes) < SLOTS
+    assert model.share_on_time(20, 90) > 0.99
+
+
+def test_flapping_endpoint_gets_few_reads(make):
+    """Names the load: a replica is 7 times slower for 3 s of every 6 s.
+
+    Each time that it is found slow again, it stays marked for longer, so it
+    does not get all reads in each of its good phases.
+    """
+    model = make()
+    model.servers["replica1"].slow = lambda now, _busy: (
+        7.0 if now >= 30 and int(now / 3) % 2 == 0 else 1.0
+    )
+    model.run(90)
+    assert model.share_on_time(33, 90) > 0.98
+    assert len(model.events(events.EndpointSlow, "replica1")) < 20
+    assert model.share_sent("replica1", 60, 90) < 0.2
+
+
+def test_endpoint_that_refuses_quickly_does_not_look_fast(make):
+    """Names the load: a replica refuses nearly all, within 1 ms, from 30 s."""
+    model = make()
+    model.servers["replica1"].failed = lambda now: 0.97 if now >= 30 else 0.0
+    model.run(60)
+    assert _falls_under_a_tenth(model, "replica1", 30, proxy=1) <= 2.0
+    assert model.share_sent("replica1", 33, 60) < 0.1
+    assert model.share_on_time(33, 60) > 0.99
+
+
+def test_endpoint_that_fails_some_statements_is_not_preferred(make):
+    """Names the load: a replica fails 0.46 of its statements from 30 s on."""
+    model = make(rate_per_s=20.0)
+    model.servers["replica1"].failed = lambda now: 0.46 if now >= 30 else 0.0
+    model.run(60)
+    assert _falls_under_a_tenth(model, "replica1", 30, proxy=1) <= 2.0
+    assert model.share_sent("replica1", 33, 60) < 0.1
+    first = model.events(events.EndpointSlow)[0]
+    assert (first.endpoint, first.cause) == ("replica1", "failing")
+
+
+def test_recovery_is_noticed_by_the_trials(make):
+    """Names the load: a replica is 7 times slower from 30 s to 50 s."""
+    model = make()
+    model.servers["replica1"].slow = _slow_from(30, end=50)
+    model.run(80)
+    assert model.share_sent("replica1", 33, 50, proxy=1) < 0.1
+    assert model.share_sent("replica1", 60, 80, proxy=1) > 0.9
+    assert model.events(events.EndpointRecovered, "replica1")
+
+
+def test_new_primary_does_not_inherit_its_history(make):
+    """Names the load: the slow replica is promoted at 40 s.
+
+    What it was as a replica under reads says nothing of it as the primary.
+    """
+    model = make()
+    model.servers["replica1"].slow = _slow_from(30, end=40)
+    model.run(40)
+    learned = model.pools[1]["replica1"].measurement()
+    assert learned.slowness > 1.5
+    model.leader = "replica1"
+    model.run(40.5)
+    for proxy in range(3):
+        measured = model.pools[proxy]["replica1"].measurement()
+        assert measured.slowness < 1.5
+        assert measured.size >= SLOTS
+        assert model.capacities[proxy].cause("replica1") is None
+    recovered = model.events(events.EndpointRecovered, "replica1")
+    assert any(e.why == "role changed" for e in recovered)
--- a/bronzehold/process/platform_service.py
+++ b/bronzehold/process/platform_service.py
@@ -268,9 +268,10 @@
                 slow=cause is comparison.Cause.SLOW,
                 unreliable=cause is comparison.Cause.FAILING,
             )
-            if cause is not None and placement.may_try(candidate):
+            measured = pool.measurement() if cause is not None else None
+            if measured is not None and placement.may_try(candidate):
                 trial = self.capacities.try_trial(
-                    name, expected_s=load.service_s, target_s=target_s
+                    name, measured, target_s=target_s
                 )
                 candidate = dataclasses.replace(candidate, trial=trial)
             found.append(candidate)
