Slow endpoints are told from chance and from slow groups

With a weight of 0.1 a mark came by chance about once a minute at 40 reads a second. A sibling that got its first reads while the whole group was slow took that for usual, so one replica kept nearly all reads of a slow group. A limit was cut while it was not in use.

Change: the slowness has a weight of 0.05, and 0.2 for a marked endpoint. Usual durations net of the least round trip are compared with those of siblings for the same kinds. The limit is cut only if more than half of it is in use.

--- a/bronzehold/process/capacity.py
+++ b/bronzehold/process/capacity.py
@@ -26,24 +26,29 @@
 # Growth of the limit per round, which is as many responses as its size.
 GROWTH_PER_ROUND = 0.1
 # After this many responses since the last cut, the slowness shows its effect:
-# a queue that the cut has removed would have left less than a third of it.
-SETTLE_RESPONSES = 12
+# a queue that the cut has removed would have left about a third of it.
+SETTLE_RESPONSES = 20
 # The cuts had no effect if the slowness is still this fraction of its peak.
 NO_EFFECT_FRACTION = 0.75
 # After this time the effect of fewer statements in flight is tested again.
 EFFECT_TTL_S = 10.0
-# Weight of a response in the slowness. Ten responses keep the spread of the
-# mean at a quarter for exponential durations, far from the bounds.
-SLOWNESS_WEIGHT = 0.1
+# Weight of a response in the slowness. An endpoint that becomes 7 times slower
+# passes the bounds after six responses; with exponential durations, 0.1 passed
+# them by chance once in some thousand.
+SLOWNESS_WEIGHT = 0.05
 # Weight while the endpoint counts as slow and gets only few statements, so that
-# its recovery shows within about seven of them.
-SLOW_ENDPOINT_WEIGHT = 0.3
+# its recovery shows within about ten of them.
+SLOW_ENDPOINT_WEIGHT = 0.2
+SERVICE_WEIGHT = 0.1
 FAILURE_WEIGHT = 0.1
-# A single response changes the slowness by less than CUT_SLOWNESS allows.
-MAX_RATIO = 8.0
-# Responses of a kind before its usual duration is used, and the weight of a
-# later one. Ratios are limited there, so that a slow phase moves it slowly.
+# Limits what a single response adds to the slowness to less than 0.8.
+MAX_RATIO = 16.0
+# Responses of a kind before its usual duration is used. It has a spread of a
+# fifth by then, so it is improved at any load for some more.
 WARM_UP_RESPONSES = 20
+STEADY_RESPONSES = 60
+# Weight of a later response. Ratios are limited, so that a slow phase moves the
+# usual duration slowly.
 BASELINE_WEIGHT = 0.02
 MAX_BASELINE_RATIO = 4.0
 # Relative growth of the usual duration with each response while the endpoint
@@ -208,7 +213,12 @@
             known = self._kinds.setdefault(kind, _Kind())
         if known.count >= WARM_UP_RESPONSES:
             self._record_slowness(known, duration_s)
-            self._adapt(now, max_size=max_size, has_waiters=has_waiters)
+            self._adapt(
+                now,
+                in_flight=in_flight,
+                max_size=max_size,
+                has_waiters=has_waiters,
+            )
         elif has_waiters:
             self._grow(float(max_size))
         self._update_usual(known, duration_s, in_flight=in_flight)
@@ -222,7 +232,7 @@
         self._slowness += weight * (ratio - self._slowness)
         if not self._service_s:
             self._service_s = usual_s
-        self._service_s += SLOWNESS_WEIGHT * (usual_s - self._service_s)
+        self._service_s += SERVICE_WEIGHT * (usual_s - self._service_s)
 
     def _network_s(self, usual_s: float) -> float:
         return min(self._round_trip.seconds(), MAX_NETWORK_PART * usual_s)
@@ -237,8 +247,10 @@
         elif self._slowness > CUT_SLOWNESS:
             known.usual_s *= 1 + BASELINE_GROWTH
         elif (
+            known.count < STEADY_RESPONSES
             # With more in flight, the duration may hold a wait at the endpoint.
-            2 * in_flight <= self._slots or self._slowness < FASTER_SLOWNESS
+            or 2 * in_flight <= self._slots
+            or self._slowness < FASTER_SLOWNESS
         ):
             known.add(duration_s)
 
@@ -257,7 +269,9 @@
         self._outcomes += 1
         self._failed_share += FAILURE_WEIGHT * (failed - self._failed_share)
 
-    def _adapt(self, now: float, *, max_size: int, has_waiters: bool) -> None:
+    def _adapt(
+        self, now: float, *, in_flight: int, max_size: int, has_waiters: bool
+    ) -> None:
         self._since_cut += 1
         if self._slowness <= CUT_SLOWNESS:
             self._peak_slowness = 0.0
@@ -266,6 +280,9 @@
             self._grow(float(max_size if has_waiters else self._slots))
             return
         self._peak_slowness = max(self._peak_slowness, self._slowness)
+        if 2 * in_flight <= self._size:
+            # The limit is not in use, so a lower one would change nothing.
+            return
         if now < self._no_effect_until:
             if has_waiters:
                 self._grow(self._fair_size)
--- a/bronzehold/request/comparison.py
+++ b/bronzehold/request/comparison.py
@@ -33,9 +33,12 @@
 MIN_MARKED_S = 1.0
 MAX_MARKED_S = 16.0
 FLAP_S = 30.0
-# Usual durations at two endpoints may differ by this much, or by the least
-# round trip if that is longer, because of the distance alone.
-DISTANCE_S = 0.1
+# Usual durations without the network's part that are this many times those of a
+# sibling show that they were learned in a slow time. Less is the spread of
+# means over some twenty responses.
+LEARNED_SLOW_RATIO = 1.5
+# At most this part of a sibling's usual duration is taken for the network's.
+MAX_NETWORK_PART = 0.5
 # A marked endpoint gets one read of this many, so less than a tenth of the
 # traffic, and not more often than in this interval.
 READS_PER_TRIAL = 12
@@ -116,10 +119,26 @@
         The marks by id; none for an endpoint that was never marked or whose
         mark is forgotten.
     """
+    slowness = {name: _slowness(name, observations) for name in observations}
     found = {}
     for name, own in observations.items():
-        siblings = [o for key, o in observations.items() if key != name]
-        mark = _assess_one(own, siblings, marks.get(name), now)
+        others = [key for key in observations if key != name]
+        if not others or now - own.measured_at > FORGET_S:
+            continue
+        best_slowness = min(
+            _as_reference(observations[key], slowness[key], now)
+            for key in others
+        )
+        best_failed = min(
+            _failed_share(observations[key], now) for key in others
+        )
+        inputs = {
+            "ratio": slowness[name] / max(1.0, best_slowness),
+            "failed_share": own.failed_share,
+            "best_failed_share": best_failed,
+            "measured_at": own.measured_at,
+        }
+        mark = _assess_one(own, inputs, marks.get(name), now)
         if mark is not None:
             found[name] = mark
     return found
@@ -127,24 +146,12 @@
 
 def _assess_one(
     own: Observation,
-    siblings: list[Observation],
+    inputs: dict[str, float],
     mark: Mark | None,
     now: float,
 ) -> Mark | None:
-    age_s = now - own.measured_at
-    if not siblings or age_s > FORGET_S:
-        return None
-    best_failed = min(_failed_share(s, now) for s in siblings)
-    ratio = _slowness(own, siblings) / max(
-        1.0, min(_sibling_slowness(s, now) for s in siblings)
-    )
-    excess = own.failed_share - best_failed
-    inputs = {
-        "ratio": ratio,
-        "failed_share": own.failed_share,
-        "best_failed_share": best_failed,
-        "measured_at": own.measured_at,
-    }
+    ratio = inputs["ratio"]
+    excess = own.failed_share - inputs["best_failed_share"]
     if mark is not None and mark.cause is not None:
         held = now - mark.since >= mark.hold_s
         works = excess < WORKING_EXCESS and ratio < RECOVERED_RATIO
@@ -161,7 +168,7 @@
         and added_s >= MIN_ADDED_S
     ):
         cause = Cause.SLOW
-    if cause is None or age_s > KEEP_S:
+    if cause is None or now - own.measured_at > KEEP_S:
         return mark
     hold_s = MIN_MARKED_S
     if mark is not None and now - mark.until < FLAP_S:
@@ -169,35 +176,44 @@
     return Mark(cause=cause, since=now, hold_s=hold_s, **inputs)
 
 
-def _slowness(own: Observation, siblings: list[Observation]) -> float:
-    """Returns an endpoint's slowness.
+def _slowness(
+    name: str, observations: collections.abc.Mapping[str, Observation]
+) -> float:
+    """Returns an endpoint's slowness by the usual durations of the group.
 
-    Where its usual durations are known from slow times only, they are high
-    above those of a sibling for the same kinds, and count as slowness.
+    An endpoint without traffic before a slow time has learned its usual
+    durations in it. Those of a sibling for the same kinds show that.
     """
-    distance_s = max(DISTANCE_S, own.round_trip_s)
-    factor = 1.0
-    for sibling in siblings:
-        for kind, usual_s in own.usual_s.items():
-            other_s = sibling.usual_s.get(kind)
-            if other_s and usual_s - other_s > distance_s:
-                factor = max(factor, (usual_s - distance_s) / other_s)
-    return own.slowness * factor
+    own = observations[name]
+    ratios = [
+        (usual_s - own.round_trip_s) / _service_s(sibling, kind)
+        for key, sibling in observations.items()
+        if key != name
+        for kind, usual_s in own.usual_s.items()
+        if kind in sibling.usual_s
+    ]
+    factor = max(ratios, default=1.0)
+    return own.slowness * (factor if factor >= LEARNED_SLOW_RATIO else 1.0)
 
 
-def _sibling_slowness(sibling: Observation, now: float) -> float:
+def _service_s(sibling: Observation, kind: str) -> float:
+    usual_s = sibling.usual_s[kind]
+    network_s = min(sibling.round_trip_s, MAX_NETWORK_PART * usual_s)
+    return max(usual_s - network_s, 1e-6)
+
+
+def _as_reference(sibling: Observation, slowness: float, now: float) -> float:
     """Returns a sibling's slowness, 1 if it is unknown.
 
     One that fails or refuses statements does not set the pace, however quick
     its answers are.
     """
-    if (
-        sibling.responses < MIN_RESPONSES or now - sibling.measured_at > KEEP_S
-    ) and sibling.failed_share < FAILING_EXCESS:
-        return 1.0
     if sibling.failed_share >= FAILING_EXCESS:
-        return max(sibling.slowness, SLOW_RATIO)
-    return sibling.slowness
+        return max(slowness, SLOW_RATIO)
+    is_old = now - sibling.measured_at > KEEP_S
+    if is_old or sibling.responses < MIN_RESPONSES:
+        return 1.0
+    return slowness
 
 
 def _failed_share(sibling: Observation, now: float) -> float:
