--- a/bronzehold/platform/standin_group.py
+++ b/bronzehold/platform/standin_group.py
@@ -514,7 +514,8 @@
         endpoint.waiting += 1
         with endpoint.slots:
             endpoint.waiting -= 1
-            time.sleep(self._group.settings.work_s)
+            added_s = endpoint.faults.current.added_s
+            time.sleep(self._group.settings.work_s + added_s)
             self._execute(request_id, rest, text, is_write=is_write)
 
     def _execute(
--- a/bronzehold/process/capacity.py
+++ b/bronzehold/process/capacity.py
@@ -284,8 +284,7 @@
             # The limit is not in use, so a lower one would change nothing.
             return
         if now < self._no_effect_until:
-            if has_waiters:
-                self._grow(self._fair_size)
+            self._grow(self._fair_size)
             return
         if (
             self._size <= 1
--- a/bronzehold/standin/faults.py
+++ b/bronzehold/standin/faults.py
@@ -27,6 +27,8 @@
             with the connection, after the write has taken effect.
         truncate_answers: Number of next write answers of which only the first
             half is sent before the connection closes.
+        added_s: Time by which each read or write takes longer in its slot, in
+            seconds; only on the platform path.
     """
 
     frozen: bool = False
@@ -35,6 +37,7 @@
     lag_s: float = 0.0
     lose_answers: int = 0
     truncate_answers: int = 0
+    added_s: float = 0.0
 
 
 def conditions_from_json(fields: dict) -> Conditions:
