Usual durations of siblings are compared from the safe side

Cause: an endpoint's usual duration net of its least round trip was compared with a sibling's. With nearly constant durations and no probe, half of the sibling's counted as the network's, so an endpoint that had been probed looked twice as slow and stayed marked.

Change: only a probed round trip is taken off a sibling's duration. Probed round trips are kept for 10 to 20 minutes, since replicas are seldom probed.

--- a/bronzehold/process/capacities.py
+++ b/bronzehold/process/capacities.py
@@ -186,6 +186,7 @@
                 outcomes=own.outcomes,
                 service_s=own.service_s,
                 round_trip_s=own.round_trip_s,
+                probed_s=own.probed_s,
                 usual_s=own.usual_s,
                 measured_at=own.measured_at,
             )
@@ -201,6 +202,7 @@
             outcomes=comparison.MIN_RESPONSES,
             service_s=service_s,
             round_trip_s=own.round_trip_s,
+            probed_s=own.probed_s,
             usual_s={},
             measured_at=max(r.measured_at for r in reports),
         )
--- a/bronzehold/process/capacity.py
+++ b/bronzehold/process/capacity.py
@@ -59,8 +59,10 @@
 # At most this part of a duration is taken for the network's. With nearly
 # constant durations the least one holds the service time as well.
 MAX_NETWORK_PART = 0.5
-# The least round trip is that of the last one to two periods of this length.
-ROUND_TRIP_PERIOD_S = 30.0
+# The least duration is that of the last one to two periods of this length.
+LEAST_PERIOD_S = 30.0
+# Replicas are seldom probed, and the way to them seldom changes.
+PROBED_PERIOD_S = 600.0
 # Further kinds share one entry, which bounds the memory.
 MAX_KINDS = 16
 OTHER_KINDS = "other"
@@ -80,7 +82,9 @@
         failed_share: Fraction of the recent statements that failed or were
             refused.
         outcomes: Number of statements that failed_share rests on.
-        round_trip_s: Least round trip seen lately, in seconds.
+        round_trip_s: Least round trip seen lately, in seconds. It may hold a
+            service time, so the network takes no longer.
+        probed_s: Least round trip of a status command, 0 if there was none.
         usual_s: Usual duration by kind of statement, in seconds.
         measured_at: Time of the last outcome, in seconds of clock.now().
     """
@@ -93,6 +97,7 @@
     failed_share: float
     outcomes: int
     round_trip_s: float
+    probed_s: float
     usual_s: dict[str, float]
     measured_at: float
 
@@ -117,22 +122,23 @@
 class _LeastRoundTrip:
     """The least round trip of the last one to two periods."""
 
-    __slots__ = ("_current_s", "_previous_s", "_started_at")
+    __slots__ = ("_current_s", "_period_s", "_previous_s", "_started_at")
 
-    def __init__(self):
+    def __init__(self, *, period_s: float):
+        self._period_s = period_s
         self._started_at = -math.inf
         self._current_s = math.inf
         self._previous_s = math.inf
 
     def add(self, duration_s: float, now: float) -> None:
-        if now - self._started_at > ROUND_TRIP_PERIOD_S:
+        if now - self._started_at > self._period_s:
             self._started_at = now
             self._previous_s, self._current_s = self._current_s, math.inf
         self._current_s = min(self._current_s, duration_s)
 
     def seconds(self) -> float:
-        least_s = min(self._current_s, self._previous_s)
-        return least_s if math.isfinite(least_s) else 0.0
+        """Returns the least round trip, infinity if there was none."""
+        return min(self._current_s, self._previous_s)
 
 
 class Capacity:
@@ -141,7 +147,8 @@
     def __init__(self, *, slots: int):
         self._slots = slots
         self._fair_size = 1.0
-        self._round_trip = _LeastRoundTrip()
+        self._least = _LeastRoundTrip(period_s=LEAST_PERIOD_S)
+        self._least_probed = _LeastRoundTrip(period_s=PROBED_PERIOD_S)
         self._is_slow = False
         self._measured_at = -math.inf
         self.reset()
@@ -182,7 +189,7 @@
 
     def record_round_trip(self, duration_s: float) -> None:
         """Records a round trip without a caller's statement."""
-        self._round_trip.add(duration_s, clock.now())
+        self._least_probed.add(duration_s, clock.now())
 
     def record_response(
         self,
@@ -204,7 +211,7 @@
                 the configured slots only then.
         """
         now = clock.now()
-        self._round_trip.add(duration_s, now)
+        self._least.add(duration_s, now)
         self._record_outcome(now, failed=False)
         known = self._kinds.get(kind)
         if known is None:
@@ -235,7 +242,11 @@
         self._service_s += SERVICE_WEIGHT * (usual_s - self._service_s)
 
     def _network_s(self, usual_s: float) -> float:
-        return min(self._round_trip.seconds(), MAX_NETWORK_PART * usual_s)
+        return min(self._round_trip_s(), MAX_NETWORK_PART * usual_s)
+
+    def _round_trip_s(self) -> float:
+        least_s = min(self._least.seconds(), self._least_probed.seconds())
+        return least_s if math.isfinite(least_s) else 0.0
 
     def _update_usual(
         self, known: _Kind, duration_s: float, *, in_flight: int
@@ -311,6 +322,7 @@
 
     def measurement(self) -> Measurement:
         """Returns a snapshot."""
+        probed_s = self._least_probed.seconds()
         return Measurement(
             size=self.size(),
             slots=self._slots,
@@ -319,7 +331,8 @@
             responses=self._responses,
             failed_share=self._failed_share,
             outcomes=self._outcomes,
-            round_trip_s=self._round_trip.seconds(),
+            round_trip_s=self._round_trip_s(),
+            probed_s=probed_s if math.isfinite(probed_s) else 0.0,
             usual_s={
                 name: kind.usual_s
                 for name, kind in self._kinds.items()
--- a/bronzehold/request/comparison.py
+++ b/bronzehold/request/comparison.py
@@ -62,7 +62,9 @@
         failed_share: Fraction of the recent statements that failed.
         outcomes: Number of statements that it rests on.
         service_s: Usual duration without the network's part, in seconds.
-        round_trip_s: Least round trip seen lately, in seconds.
+        round_trip_s: Least round trip seen lately, in seconds. It may hold a
+            service time, so the network takes no longer.
+        probed_s: Least round trip of a status command, 0 if there was none.
         usual_s: Usual durations by kind of statement, in seconds, with the
             network's part.
         measured_at: Time of the last outcome.
@@ -74,6 +76,7 @@
     outcomes: int
     service_s: float
     round_trip_s: float
+    probed_s: float
     usual_s: collections.abc.Mapping[str, float]
     measured_at: float
 
@@ -197,9 +200,13 @@
 
 
 def _service_s(sibling: Observation, kind: str) -> float:
+    """Returns a sibling's usual service time, rather too high than too low.
+
+    With nearly constant durations, the least one would be taken for the network
+    and leave a service time far below that of an endpoint with a probe.
+    """
     usual_s = sibling.usual_s[kind]
-    network_s = min(sibling.round_trip_s, MAX_NETWORK_PART * usual_s)
-    return max(usual_s - network_s, 1e-6)
+    return usual_s - min(sibling.probed_s, MAX_NETWORK_PART * usual_s)
 
 
 def _as_reference(sibling: Observation, slowness: float, now: float) -> float:
--- a/bronzehold/request/comparison_test.py
+++ b/bronzehold/request/comparison_test.py
@@ -11,6 +11,7 @@
         "outcomes": 100,
         "service_s": 0.018,
         "round_trip_s": 0.001,
+        "probed_s": 0.001,
         "usual_s": {},
         "measured_at": NOW,
     }
@@ -85,6 +86,15 @@
     assert not _marked(far=constant, near=near), "the least round trip is long"
 
 
+def test_constant_durations_are_not_the_network_of_one_endpoint_only():
+    """Guards against a mark that never ended: one was probed, one was not."""
+    probed = _observed(usual_s={"k": 0.0114})
+    other = _observed(usual_s={"k": 0.011}, round_trip_s=0.0105, probed_s=0.0)
+    marks = comparison.assess({"a": _observed(7.0), "b": other}, {}, NOW - 10)
+    marks = comparison.assess({"a": probed, "b": other}, marks, NOW)
+    assert marks["a"].cause is None
+
+
 def test_mark_is_held_and_ends_with_the_recovery():
     marks = comparison.assess({"a": _observed(7.0), "b": _observed()}, {}, NOW)
     good = {"a": _observed(1.1), "b": _observed()}
