--- a/bronzehold/process/capacities_test.py
+++ b/bronzehold/process/capacities_test.py
@@ -329,6 +329,7 @@
         )
     ]
     assert min(sizes) >= 1
+    assert max(sizes) < SLOTS
     assert model.share_sent("replica1", 40, 60) > 0.2
     assert model.share_sent("replica2", 40, 60) > 0.2
     assert model.share_on_time(40, 60, target_s=1.203) > 0.9
--- a/bronzehold/process/platform_service.py
+++ b/bronzehold/process/platform_service.py
@@ -202,7 +202,10 @@
     def sweep(self) -> None:
         """Closes idle connections, and starts probes that have become due."""
         self.resize()
-        self._update_capacities()
+        # Without reads, this is where a change of primary is noticed. Of the
+        # other services, nothing is learned.
+        if self.serves():
+            self._update_capacities()
         for pool in list(self._pools.values()):
             pool.close_excess_idle()
         self.probes.refresh()
