--- a/bronzehold/connection/platform_runner.py
+++ b/bronzehold/connection/platform_runner.py
@@ -256,9 +256,11 @@
                 answer = self.exchange.execute(
                     pinned.conn, forward, context, probe_check
                 )
-            elapsed_s = clock.now() - sent_at
+            if isinstance(answer, statements.Completed):
+                elapsed_s = clock.now() - sent_at
         except ports.TransportError as exc:
             if not context.ended_by_stop():
+                pinned.service.note_failed(pinned.endpoint)
                 pinned.service.note_connection_lost(pinned.endpoint)
             self._drop_block(blocks.Idle() if commits else blocks.Failed())
             if commits and pinned.has_written:
@@ -272,7 +274,7 @@
             self.end_block(blocks.Failed())
             raise errors.FailureError(exc.failure) from exc
         finally:
-            pinned.pool.end_statement(elapsed_s)
+            pinned.pool.end_statement(elapsed_s, kind=self.exchange.kind)
         if isinstance(answer, statements.Refused):
             raise self._refused_pinned(pinned, answer, commits=commits)
         if pinned.guarded and not commits:
--- a/bronzehold/connection/read_runner.py
+++ b/bronzehold/connection/read_runner.py
@@ -126,7 +126,9 @@
                 # No proof is recent enough, but the primary is always fresh.
                 return self._primary.run(context, run_guarded)
             ranked = placement.order(
-                context.service.candidates(requirement.min_position)
+                context.service.candidates(
+                    requirement.min_position, context.route.target_latency_s
+                )
             )
             remaining = [
                 candidate.endpoint
