A pause of the proxy is not counted as a pause of the endpoint

Cause: the expected wait of a request is learned from the intervals between grants of the queue. On a busy machine the proxy itself is not run at times; the whole pause then entered the interval (4.5 ms became 37 ms after one pause of 167 ms), and the time since the last grant. Requests that would have been served at once were refused as "busy for another N ms". The requests that could start by then were also still counted as waiting. Change: each waiting request runs the dispatcher every 50 ms, so a dispatcher that runs over 100 ms late shows that the process was not run; the time before does not count. The dispatcher runs before the expected wait of a new request is computed. Test: tests/platform_load_test.py::test_a_busy_proxy_borrows_connections_of_idle_ proxies also sent its first reads while its configuration was possibly not yet in force, with half of the allowed wait; it waits for that now and asserts the same. The new test in pool_test.py fails without the change; the one beside it shows that an endpoint that stands still is still refused for at once.

--- a/bronzehold/process/pool.py
+++ b/bronzehold/process/pool.py
@@ -51,6 +51,10 @@
 FULL_BACKOFF_S = 0.1
 # Interval at which a waiting request runs the dispatcher again.
 DISPATCH_INTERVAL_S = 0.05
+# A dispatcher that runs this late was not run by the machine. Both intervals
+# between grants and refusals would otherwise count a pause of this process as
+# a pause of the endpoint.
+HELD_UP_S = 2 * DISPATCH_INTERVAL_S
 # The pool opens no overflow connections for this time after the endpoint
 # refused one, or after a peer asked for its share.
 OVERFLOW_PAUSE_S = 0.5
@@ -205,6 +209,9 @@
         self._measured_at = -MEASUREMENT_TTL_S
         self._grant_interval_s = 0.0
         self._granted_at = -MEASUREMENT_TTL_S
+        self._dispatched_at = 0.0
+        # The end of the last time in which this process was not run.
+        self._resumed_at = 0.0
         self._closed = False
 
     def resize(self, limits: Limits) -> None:
@@ -260,7 +267,8 @@
         if not self._waiters:
             return 0.0
         first = min(w.queued_at for w in self._waiters)
-        return time.monotonic() - max(first, self._granted_at)
+        since = max(first, self._granted_at, self._resumed_at)
+        return time.monotonic() - since
 
     def _average_grant_interval(self) -> float:
         """Returns the average interval between grants to queued requests.
@@ -274,7 +282,8 @@
 
     def _record_grant(self, waiter: Waiter) -> None:
         now = time.monotonic()
-        interval_s = now - max(waiter.queued_at, self._granted_at)
+        since = max(waiter.queued_at, self._granted_at, self._resumed_at)
+        interval_s = now - since
         if now - self._granted_at < MEASUREMENT_TTL_S:
             interval_s = self._grant_interval_s + GRANT_INTERVAL_WEIGHT * (
                 interval_s - self._grant_interval_s
@@ -326,6 +335,8 @@
             ports.DialError: A new connection could not be opened.
         """
         with self._lock:
+            # The expected wait must not count requests that can start now.
+            self._dispatch()
             if length is data.RequestLength.LONG:
                 waiter = self._enqueue_long()
             else:
@@ -427,6 +438,7 @@
         raise self._overloaded(expected)
 
     def _dispatch(self) -> None:
+        self._note_dispatch()
         while self._waiters:
             full = self._running >= self._slots()
             ready = [w for w in self._waiters if w.is_long or not full]
@@ -447,6 +459,16 @@
                 self._virtual_time = max(self._virtual_time, waiter.tag - 1)
             waiter.granted.set()
 
+    def _note_dispatch(self) -> None:
+        """Notices that this process was not run for a while."""
+        now = time.monotonic()
+        # Each waiting request runs the dispatcher at short intervals.
+        if now - self._dispatched_at > HELD_UP_S and any(
+            w.queued_at <= self._dispatched_at for w in self._waiters
+        ):
+            self._resumed_at = now
+        self._dispatched_at = now
+
     def _may_overflow(self) -> bool:
         """Returns whether a request has waited long enough for overflow."""
         now = time.monotonic()
--- a/bronzehold/process/pool_test.py
+++ b/bronzehold/process/pool_test.py
@@ -1,4 +1,5 @@
 import contextlib
+import ctypes
 import threading
 import time
 
@@ -306,3 +307,31 @@
     with_overflow.release_overflow()
     with_overflow.close_excess_idle()
     assert not held[1].closed and not acquired.closed
+
+
+def test_pause_of_this_process_is_no_wait_for_the_endpoint():
+    """Guards against refusals after a pause of the proxy, as on a busy machine.
+
+    The queue had not moved since nothing of this process ran; it moves on as
+    soon as the process does.
+    """
+    pool, _ = make_pool(connections=1, slots=1)
+    pool.acquire(session="first", deadline=deadline_in())
+    _acquire_in_thread(pool, [], "waiting")
+    _wait_for_queue(pool, 1)
+    # A C function that keeps the interpreter's lock, so no other thread runs.
+    ctypes.PyDLL(None).usleep(300_000)
+    _acquire_in_thread(pool, [], "late", max_expected_wait_s=0.15)
+    _wait_for_queue(pool, 2)
+
+
+def test_endpoint_that_serves_nothing_is_refused_for():
+    """Shows that the queue of an endpoint that stands still is still seen."""
+    pool, _ = make_pool(connections=1, slots=1)
+    pool.acquire(session="first", deadline=deadline_in())
+    _acquire_in_thread(pool, [], "waiting")
+    time.sleep(0.3)
+    with pytest.raises(errors.FailureError):
+        pool.acquire(
+            session="late", deadline=deadline_in(), max_expected_wait_s=0.15
+        )
--- a/tests/platform_load_test.py
+++ b/tests/platform_load_test.py
@@ -113,10 +113,14 @@
         # The sessions on the share alone already wait for about as long as a
         # route of the usual target allows.
         deployment.configure(max_connections=16, target_latency_ms=600)
-        service = deployment.proxies[0].process.service(platform_local.SERVICE)
+        process = deployment.proxies[0].process
+        service = process.service(platform_local.SERVICE)
         platform_local.wait_until(
             lambda: len(deployment.proxies[0].gossip.live_peers()) == 3
         )
+        platform_local.wait_until(
+            lambda: process.table().version == deployment.version
+        )
         primary = deployment.group.primary()
         peak_open = 0
         readers = _Readers(
