bronzehold check-routes checks a configuration before it is written

What was missing: operators learned from a proxy's log, and only of the first error, that it refuses a configuration. Entries that no caller can use and limits that contradict each other were not told at all. Change: check-routes NEW [--current FILE] reports all errors with their JSON paths, entries that never match, contradicting limits and what differs from the configuration in force. Exit code 1 with errors. platform/config_check.py holds the checks as typed findings, platform/config_diff.py the comparison.

--- a/bronzehold/tools/main.py
+++ b/bronzehold/tools/main.py
@@ -6,6 +6,7 @@
 """
 
 import json
+import pathlib
 import signal
 import sys
 import threading
@@ -16,6 +17,8 @@
 from bronzehold.core import settings
 from bronzehold.core import structure
 from bronzehold.core import validation
+from bronzehold.platform import config_check
+from bronzehold.platform import config_diff
 from bronzehold.platform import demo as platform_demo
 from bronzehold.platform import settings_file as platform_settings
 from bronzehold.process import etcd_store
@@ -29,6 +32,7 @@
 from bronzehold.tools import soak as soak_lib
 
 OK = 0
+BAD_ROUTES = 1
 BAD_INPUT = 2
 NOT_IN_FORCE = 3
 PLATFORM_UNAVAILABLE = 4
@@ -360,6 +364,45 @@
     return OK
 
 
+def check_routes(new: str, *, current: str = "") -> int:
+    """Check a configuration of routes before it is written to the store.
+
+    Args:
+        new: JSON file with the new configuration.
+        current: JSON file with the configuration in force, to compare with.
+    """
+    text = _read_routes(new)
+    findings = config_check.check(text)
+    errors = [f for f in findings if config_check.is_error(f)]
+    for finding in findings:
+        described = config_check.describe(finding)
+        if finding in errors:
+            _print_error(f"{new}: error: {described}")
+        else:
+            _print_line(f"{new}: warning: {described}")
+    if current:
+        current_text = _read_routes(current)
+        try:
+            differences = config_diff.compare_texts(current_text, text)
+        except validation.ProblemsError as exc:
+            _print_error(f"{current}: not compared: {exc}")
+            return BAD_ROUTES
+        for difference in differences:
+            _print_line(f"{new}: {config_diff.describe(difference)}")
+    _print_line(
+        f"{new}: errors: {len(errors)}, warnings: {len(findings) - len(errors)}"
+    )
+    return BAD_ROUTES if errors else OK
+
+
+def _read_routes(path: str) -> bytes:
+    try:
+        return pathlib.Path(path).read_bytes()
+    except OSError as exc:
+        _print_error(f"{path}: {exc}")
+        raise _ExitError(BAD_ROUTES) from exc
+
+
 def main() -> None:
     """Parses the command line, runs the command and exits with its code."""
     commands = {
@@ -372,6 +415,7 @@
         "promote": promote,
         "timeline": timeline,
         "check-hosted": check_hosted,
+        "check-routes": check_routes,
         "demo": demo,
         "explain": explain,
         "soak": soak,
