The release of a lane reaches the proxy that granted it

Cause: the call that gives a lane back was made without keeping its future. gRPC cancels a call that nothing refers to ("Cancelled upon garbage collection"), which on a busy machine was before the call had been sent; nor was a failed call made again. A statement that had become long kept its lane for 120 s then, although it had ended. What callers saw: first statements of transactions whose shape is long waited 5 s for the lane of the primary and were refused: "mail is busy for another 316 ms". tests/mixing_test.py::test_concurrent_transactions_are_atomic failed so. Change: a callback refers to the call until it ends, and makes it again up to 4 times if it fails.

--- a/bronzehold/process/peer_lanes.py
+++ b/bronzehold/process/peer_lanes.py
@@ -7,12 +7,18 @@
 import collections.abc
 import contextlib
 
+import grpc
+
 from bronzehold.core import data
 from bronzehold.core import rendezvous
 from bronzehold.process import lanes as lanes_lib
 from bronzehold.process import peer_channels
 from bronzehold.proto import peer_pb2 as pb
 
+# A lane whose release is lost is held until its lease expires, for up to
+# lanes.MAX_HOLD_S. The attempts cover a peer that is not run for 2 s.
+RELEASE_ATTEMPTS = 5
+
 
 class PeerLanes:
     """Leases lanes here or from a peer.
@@ -76,14 +82,30 @@
     def release(self, group: str, request_id: str) -> None:
         """Releases the lane of a request, without waiting for its owner."""
         self._granted.release(group, request_id)
-        address = self._owner_address(group)
+        release = pb.LaneRelease(request=request_id, group=group)
+        self._send_release(release, RELEASE_ATTEMPTS)
+
+    def _send_release(self, release: pb.LaneRelease, attempts: int) -> None:
+        """Sends a release to the owner, and again if the call fails.
+
+        Args:
+            release: The release.
+            attempts: Maximum number of calls.
+        """
+        address = self._owner_address(release.group)
         if not address:
+            self._granted.release(release.group, release.request)
             return
-        req = pb.LaneRelease(request=request_id, group=group)
+
+        def on_done(call: grpc.Future) -> None:
+            if call.exception() is not None and attempts > 1:
+                self._send_release(release, attempts - 1)
+
         with contextlib.suppress(*peer_channels.CALL_ERRORS):
+            # gRPC cancels a call that nothing refers to; the callback does.
             self._channels.stub(address).GiveLane.future(
-                req, timeout=peer_channels.CALL_TIMEOUT_S
-            )
+                release, timeout=peer_channels.CALL_TIMEOUT_S
+            ).add_done_callback(on_done)
 
     def _owner_address(self, group: str) -> str:
         live_peers = self._live_peers()
