--- a/bronzehold/connection/operation_token.py
+++ b/bronzehold/connection/operation_token.py
@@ -6,6 +6,7 @@
 
 from bronzehold.core import data
 from bronzehold.core import errors
+from bronzehold.process import limit_decisions as decisions
 from bronzehold.process import rate_limiter as rate_limiter_lib
 
 
@@ -18,7 +19,7 @@
 
     def __init__(self, *, limiter: rate_limiter_lib.RateLimiter | None):
         self._limiter = limiter
-        self._spent: rate_limiter_lib.Spent | None = None
+        self._spent: decisions.Spent | None = None
         self._is_used = False
 
     def take(self, workspace: str, deadline: float) -> None:
@@ -34,7 +35,7 @@
         if self._limiter is None or not workspace or self._spent is not None:
             return
         match self._limiter.try_spend(workspace, deadline):
-            case rate_limiter_lib.Limited(retry_after_s=retry_after_s):
+            case decisions.Limited(retry_after_s=retry_after_s):
                 raise errors.FailureError(
                     errors.RateLimited(
                         workspace=workspace,
--- a/bronzehold/process/workspace_share.py
+++ b/bronzehold/process/workspace_share.py
@@ -172,7 +172,10 @@
 
     def take_borrowed(self, count: int, now: float) -> int:
         """Takes tokens of other regions; returns how many there were."""
-        return sum(self.borrowed.take(now) for _ in range(count))
+        taken = 0
+        while taken < count and self.borrowed.take(now) is not None:
+            taken += 1
+        return taken
 
     def take_allowance(self, *, proxies: int, rank: int, now: float) -> bool:
         """Counts an operation that no limiter could be asked for.
