Limits of workspaces: refunds keep the time of their grant

A refunded token lived on with each further refund, so while endpoints refuse, the tokens of many windows added up and could run at once afterwards. A token is now refunded within 0.5 s of its grant.

--- a/bronzehold/process/rate_limiter.py
+++ b/bronzehold/process/rate_limiter.py
@@ -10,14 +10,13 @@
 import collections
 import collections.abc
 import contextlib
-import dataclasses
-import enum
 import math
 import threading
 
 from bronzehold.core import clock
 from bronzehold.core import events
 from bronzehold.core import routes
+from bronzehold.process import limit_decisions as decisions
 from bronzehold.process import limiter_order
 from bronzehold.process import serving as serving_lib
 from bronzehold.process import timeline as timeline_lib
@@ -40,8 +39,9 @@
 # Tokens that were granted in advance expire, so that what one window granted is
 # not used in a later one.
 RESERVE_S = 0.25
-# A token is refunded for an operation that ended within this time. Later, it
-# would count for another window than the one that it was taken from.
+# A token is refunded within this time after its grant. Tokens that come back
+# again and again while endpoints refuse would otherwise add up, and all run
+# when the endpoints accept again.
 MAX_REFUND_AGE_S = 0.5
 # A refusal is remembered until its time, and at most this long: the limit may
 # be raised, or another proxy become the limiter.
@@ -54,41 +54,6 @@
 IDLE_S = 60.0
 
 
-class Origin(enum.Enum):
-    """Where the token of an operation comes from."""
-
-    NO_LIMIT = "no limit"
-    BUCKET = "bucket"
-    PEER = "peer"
-    ALLOWANCE = "allowance"
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Spent:
-    """An operation may run.
-
-    Attributes:
-        workspace: Name of the workspace.
-        at: Time of the decision, in seconds of clock.now().
-        origin: Where its token comes from.
-    """
-
-    workspace: str
-    at: float
-    origin: Origin
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Limited:
-    """An operation is above the limit.
-
-    Attributes:
-        retry_after_s: Time until the next operation may be let through.
-    """
-
-    retry_after_s: float
-
-
 class RateLimiter:
     """The limits of all workspaces in one proxy; safe to use from any thread.
 
@@ -149,7 +114,9 @@
 
     # Operations of this proxy's callers.
 
-    def try_spend(self, workspace: str, deadline: float) -> Spent | Limited:
+    def try_spend(
+        self, workspace: str, deadline: float
+    ) -> decisions.Spent | decisions.Limited:
         """Decides whether an operation may run now.
 
         Args:
@@ -161,14 +128,19 @@
         with self._locked():
             share = self._share(workspace, now)
             if share is None:
-                return Spent(
-                    workspace=workspace, at=now, origin=Origin.NO_LIMIT
+                return decisions.Spent(
+                    workspace=workspace,
+                    granted_at=now,
+                    origin=decisions.Origin.NO_LIMIT,
                 )
             if not share.limit.rate_per_s and not share.limit.burst:
                 share.turn_at = now + MAX_RETRY_AFTER_S
                 return self._limited(share, now)
-            if share.reserve.take(now):
-                return self._spent(share, now, Origin.PEER)
+            granted_at = share.reserve.take(now)
+            if granted_at is not None:
+                return self._spent(
+                    share, now, decisions.Origin.PEER, granted_at
+                )
             if now < share.refused_until:
                 return self._limited(share, now)
             candidates = self._order.candidates(workspace, now)[:MAX_ASKED]
@@ -183,21 +155,24 @@
                 return decision
         return self._spend_allowance(share)
 
-    def refund(self, spent: Spent) -> None:
+    def refund(self, spent: decisions.Spent) -> None:
         """Returns the token of an operation that has reached no endpoint."""
         now = clock.now()
-        if now - spent.at > MAX_REFUND_AGE_S:
+        until = spent.granted_at + MAX_REFUND_AGE_S
+        if until <= now:
             return
         with self._locked():
             share = self._shares.get(spent.workspace)
             if share is None:
                 return
             match spent.origin:
-                case Origin.BUCKET if share.bucket is not None:
+                case decisions.Origin.BUCKET if share.bucket is not None:
                     share.bucket.put_back(now)
-                case Origin.PEER:
-                    share.reserve.add(1, now + RESERVE_S)
-                case Origin.ALLOWANCE:
+                case decisions.Origin.PEER:
+                    share.reserve.add(
+                        1, granted_at=spent.granted_at, expires_at=until
+                    )
+                case decisions.Origin.ALLOWANCE:
                     share.allowance.put_back()
                 case _:
                     return
@@ -206,7 +181,7 @@
 
     def _spend_here(
         self, share: workspace_share.WorkspaceShare
-    ) -> Spent | Limited | None:
+    ) -> decisions.Spent | decisions.Limited | None:
         """Spends from this proxy's own bucket; returns None if it may not.
 
         Without contact to its region it does not act for it, and its callers
@@ -218,7 +193,7 @@
                 return None
             reply = self._take(share, 1, now)
             if reply.granted:
-                return self._spent(share, now, Origin.BUCKET)
+                return self._spent(share, now, decisions.Origin.BUCKET)
             is_limiter = share.role is workspace_share.Role.LIMITER
             return self._refuse(share, reply, now, by_limiter=is_limiter)
 
@@ -229,7 +204,7 @@
         deadline: float,
         *,
         is_first: bool,
-    ) -> Spent | Limited | None:
+    ) -> decisions.Spent | decisions.Limited | None:
         """Asks another proxy; returns None if it does not decide."""
         now = clock.now()
         timeout_s = min(ASK_TIMEOUT_S, deadline - now)
@@ -250,8 +225,12 @@
             share.is_asking_batch &= not is_batch
             self._counts["asked"] += 1
             if reply.granted:
-                share.reserve.add(reply.granted - 1, now + RESERVE_S)
-                return self._spent(share, now, Origin.PEER)
+                share.reserve.add(
+                    reply.granted - 1,
+                    granted_at=now,
+                    expires_at=now + RESERVE_S,
+                )
+                return self._spent(share, now, decisions.Origin.PEER)
             if reply.is_decision:
                 return self._refuse(share, reply, now, by_limiter=is_first)
             self._counts["unanswered"] += 1
@@ -291,7 +270,7 @@
 
     def _spend_allowance(
         self, share: workspace_share.WorkspaceShare
-    ) -> Spent | Limited:
+    ) -> decisions.Spent | decisions.Limited:
         now = clock.now()
         with self._locked():
             # Its part is not known while others may be starting too.
@@ -304,18 +283,26 @@
             )
             if has_spent:
                 self._counts["allowance"] += 1
-                return self._spent(share, now, Origin.ALLOWANCE)
+                return self._spent(share, now, decisions.Origin.ALLOWANCE)
             reply = messages.TokenReply(
                 retry_after_s=share.allowance.wait_s(now)
             )
             return self._refuse(share, reply, now, by_limiter=False)
 
     def _spent(
-        self, share: workspace_share.WorkspaceShare, now: float, origin: Origin
-    ) -> Spent:
+        self,
+        share: workspace_share.WorkspaceShare,
+        now: float,
+        origin: decisions.Origin,
+        granted_at: float | None = None,
+    ) -> decisions.Spent:
         share.meter.add(now)
         self._counts["spent"] += 1
-        return Spent(workspace=share.limit.name, at=now, origin=origin)
+        return decisions.Spent(
+            workspace=share.limit.name,
+            granted_at=now if granted_at is None else granted_at,
+            origin=origin,
+        )
 
     def _refuse(
         self,
@@ -324,7 +311,7 @@
         now: float,
         *,
         by_limiter: bool,
-    ) -> Limited:
+    ) -> decisions.Limited:
         """Refuses an operation and those that follow until its turn."""
         longest_s = MAX_REFUSAL_S if by_limiter else MAX_STANDBY_REFUSAL_S
         retry_after_s = reply.retry_after_s
@@ -337,9 +324,9 @@
 
     def _limited(
         self, share: workspace_share.WorkspaceShare, now: float
-    ) -> Limited:
+    ) -> decisions.Limited:
         self._counts["refused"] += 1
-        return Limited(retry_after_s=max(0.0, share.turn_at - now))
+        return decisions.Limited(retry_after_s=max(0.0, share.turn_at - now))
 
     # Requests of other proxies.
 
--- a/bronzehold/process/rate_limiter_test.py
+++ b/bronzehold/process/rate_limiter_test.py
@@ -4,6 +4,7 @@
 
 from bronzehold.core import clock
 from bronzehold.core import routes
+from bronzehold.process import limit_decisions as decisions
 from bronzehold.process import limiter_order
 from bronzehold.process import rate_limiter
 from tests import limiter_fleet
@@ -33,7 +34,7 @@
     fleet = limiter_fleet.Fleet(at, limiter_fleet.SMALL)
     first, _, third, *_ = fleet.order()
     first.table = limiter_fleet.table(version=0)
-    assert isinstance(fleet.attempt(third), rate_limiter.Spent)
+    assert isinstance(fleet.attempt(third), decisions.Spent)
     assert third.limiter.gauges()["limiter_unanswered"] == 1
 
 
@@ -63,7 +64,7 @@
     fleet.run(5.0, 100.0)
     proxy = next(iter(fleet.proxies.values()))
     decision = proxy.limiter.try_spend("v", clock.now() + 1.0)
-    assert isinstance(decision, rate_limiter.Spent)
+    assert isinstance(decision, decisions.Spent)
 
 
 def test_limiter_that_does_not_answer_is_asked_once_a_second(at):
@@ -80,7 +81,7 @@
     """Guards against a request between proxies for each refused operation."""
     fleet = limiter_fleet.Fleet(at, limiter_fleet.SMALL)
     third = fleet.order()[2]
-    while isinstance(fleet.attempt(third), rate_limiter.Spent):
+    while isinstance(fleet.attempt(third), decisions.Spent):
         pass
     asked = third.limiter.gauges()["limiter_asked"]
     for _ in range(100):
@@ -92,10 +93,10 @@
     fleet = limiter_fleet.Fleet(at, limiter_fleet.SMALL)
     third = fleet.order()[2]
     decision = fleet.attempt(third)
-    while isinstance(decision, rate_limiter.Spent):
+    while isinstance(decision, decisions.Spent):
         decision = fleet.attempt(third)
     fleet.run(decision.retry_after_s + limiter_fleet.STEP_S)
-    assert isinstance(fleet.attempt(third), rate_limiter.Spent)
+    assert isinstance(fleet.attempt(third), decisions.Spent)
 
 
 @pytest.mark.parametrize("place", [0, 2])
@@ -105,13 +106,36 @@
     fleet = limiter_fleet.Fleet(at, limit)
     proxy = fleet.order()[place]
     spent = fleet.attempt(proxy)
-    while isinstance(fleet.attempt(proxy), rate_limiter.Spent):
+    while isinstance(fleet.attempt(proxy), decisions.Spent):
         pass
     proxy.limiter.refund(spent)
-    assert isinstance(fleet.attempt(proxy), rate_limiter.Spent)
-    at[0] += rate_limiter.MAX_REFUND_AGE_S + 0.01
+    assert isinstance(fleet.attempt(proxy), decisions.Spent)
+    at[0] += rate_limiter.MAX_REFUND_AGE_S
     proxy.limiter.refund(spent)
-    assert isinstance(fleet.attempt(proxy), rate_limiter.Limited)
+    assert isinstance(fleet.attempt(proxy), decisions.Limited)
+
+
+def test_tokens_refunded_again_and_again_do_not_add_up(at):
+    """Answers endpoints that refuse for a while: all tokens come back.
+
+    An operation waits 0.2 s and is refused as not run; when the endpoints
+    accept again, only the tokens of the last half second may run at once.
+    """
+    fleet = limiter_fleet.Fleet(at, limiter_fleet.LARGE)
+    third = fleet.order()[2]
+    waiting = []
+    for _ in range(400):
+        fleet.run(limiter_fleet.STEP_S)
+        waiting.append([fleet.attempt(third) for _ in range(100)])
+        if len(waiting) > 4:
+            for spent in waiting.pop(0):
+                if isinstance(spent, decisions.Spent):
+                    third.limiter.refund(spent)
+    held = sum(
+        isinstance(spent, decisions.Spent) for step in waiting for spent in step
+    )
+    rate_per_s = limiter_fleet.LARGE.rate_per_s / 3
+    assert held <= rate_per_s * (rate_limiter.MAX_REFUND_AGE_S + 0.25)
 
 
 def test_busy_proxy_asks_for_several_tokens(at):
@@ -137,8 +161,8 @@
     assert second.limiter.gauges()["limiter_buckets"] == 1
     at[0] += 2 * limiter_order.VIEW_AGE_S
     decision = fleet.attempt(first)
-    assert isinstance(decision, rate_limiter.Spent)
-    assert decision.origin is rate_limiter.Origin.PEER
+    assert isinstance(decision, decisions.Spent)
+    assert decision.origin is decisions.Origin.PEER
 
 
 def test_last_proxy_of_a_region_limits_until_its_end(at):
@@ -147,12 +171,12 @@
     proxy = fleet.order()[0]
     proxy.stopping = True
     at[0] += 2 * limiter_order.VIEW_AGE_S
-    assert fleet.attempt(proxy).origin is rate_limiter.Origin.BUCKET
+    assert fleet.attempt(proxy).origin is decisions.Origin.BUCKET
 
 
 def test_deadline_that_is_over_asks_nobody(at):
     fleet = limiter_fleet.Fleet(at, limiter_fleet.LARGE)
     third = fleet.order()[2]
     decision = third.limiter.try_spend("w", clock.now())
-    assert isinstance(decision, rate_limiter.Spent)
-    assert decision.origin is rate_limiter.Origin.ALLOWANCE
+    assert isinstance(decision, decisions.Spent)
+    assert decision.origin is decisions.Origin.ALLOWANCE
--- a/bronzehold/process/token_bucket.py
+++ b/bronzehold/process/token_bucket.py
@@ -110,25 +110,33 @@
 
 
 class Reserve:
-    """Tokens that were granted in advance and expire if they are not used."""
+    """Tokens that another proxy has granted and that expire if not used."""
 
     def __init__(self):
-        self._expiries: collections.deque[float] = collections.deque()
+        # The times at which each token was granted and expires.
+        self._tokens: collections.deque[tuple[float, float]] = (
+            collections.deque()
+        )
+
+    def add(self, count: int, *, granted_at: float, expires_at: float) -> None:
+        """Adds tokens."""
+        self._tokens.extend([(granted_at, expires_at)] * count)
 
-    def add(self, count: int, expires_at: float) -> None:
-        """Adds tokens; those added later expire later."""
-        self._expiries.extend([expires_at] * count)
+    def take(self, now: float) -> float | None:
+        """Takes a token that has not expired.
 
-    def take(self, now: float) -> bool:
-        """Takes a token that has not expired."""
-        while self._expiries:
-            if self._expiries.popleft() > now:
-                return True
-        return False
+        Returns:
+            When it was granted, None if there is none.
+        """
+        while self._tokens:
+            granted_at, expires_at = self._tokens.popleft()
+            if expires_at > now:
+                return granted_at
+        return None
 
     def clear(self) -> None:
         """Drops all tokens."""
-        self._expiries.clear()
+        self._tokens.clear()
 
 
 class RateMeter:
--- a/bronzehold/process/token_bucket_test.py
+++ b/bronzehold/process/token_bucket_test.py
@@ -68,11 +68,11 @@
 
 def test_reserve_forgets_expired_tokens():
     reserve = token_bucket.Reserve()
-    reserve.add(2, 1.0)
-    reserve.add(1, 2.0)
-    assert reserve.take(0.5)
-    assert reserve.take(1.5)
-    assert not reserve.take(1.5)
+    reserve.add(2, granted_at=0.0, expires_at=1.0)
+    reserve.add(1, granted_at=0.5, expires_at=2.0)
+    assert reserve.take(0.5) == 0.0
+    assert reserve.take(1.5) == 0.5
+    assert reserve.take(1.5) is None
 
 
 def test_rate_meter_follows_a_change_within_a_second():
--- a/tests/limiter_fleet.py
+++ b/tests/limiter_fleet.py
@@ -8,6 +8,7 @@
 
 from bronzehold.core import clock
 from bronzehold.core import routes
+from bronzehold.process import limit_decisions as decisions
 from bronzehold.process import rate_limiter
 from bronzehold.process import serving as serving_lib
 from bronzehold.process import timeline as timeline_lib
@@ -218,9 +219,9 @@
     def attempt(self, proxy):
         decision = proxy.limiter.try_spend("w", clock.now() + 1.0)
         match decision:
-            case rate_limiter.Spent():
+            case decisions.Spent():
                 self.spent_at.append(clock.now())
-            case rate_limiter.Limited(retry_after_s=retry_after_s):
+            case decisions.Limited(retry_after_s=retry_after_s):
                 assert retry_after_s > 0
                 self.refused_count += 1
         return decision
--- a/tests/platform_limits_test.py
+++ b/tests/platform_limits_test.py
@@ -8,6 +8,7 @@
 from bronzehold.core import clock
 from bronzehold.core import routes
 from bronzehold.platform import local
+from bronzehold.process import limit_decisions as decisions
 from bronzehold.process import rate_limiter
 from bronzehold.version import members as members_lib
 from bronzehold.version import rate_shares
@@ -64,8 +65,8 @@
         while not self._stop.wait(PAUSE_S):
             self._limiter.sweep()
             decision = self._limiter.try_spend("w", clock.now() + 1.0)
-            if isinstance(decision, rate_limiter.Spent):
-                self._spent_at.append(decision.at)
+            if isinstance(decision, decisions.Spent):
+                self._spent_at.append(clock.now())
 
     def stop(self):
         self._stop.set()
