Limits of workspaces: regions lend each other tokens

A workspace whose callers are all in one of three regions had a third of its limit. Tokens move from one bucket to another, so the sums of all failures stay as they were.

--- a/bronzehold/connection/forward_codec.py
+++ b/bronzehold/connection/forward_codec.py
@@ -338,6 +338,7 @@
         token_count=request.count,
         skipped=request.skipped,
         ended=request.ended,
+        loan=request.is_loan,
     )
 
 
@@ -355,6 +356,7 @@
         count=request.token_count,
         skipped=tuple(request.skipped),
         ended=tuple(request.ended),
+        is_loan=request.loan,
     )
 
 
--- a/bronzehold/process/limiter_order.py
+++ b/bronzehold/process/limiter_order.py
@@ -160,7 +160,7 @@
         view = self.view(now)
         order = self._orders.get(workspace)
         if order is None:
-            ranked = members_lib.rank(_key(workspace), view.present)
+            ranked = rank(workspace, view.present)
             candidates = [
                 m
                 for m in ranked
@@ -172,5 +172,12 @@
         return order
 
 
+def rank(
+    workspace: str, members: collections.abc.Iterable[members_lib.Member]
+) -> list[members_lib.Member]:
+    """Orders the proxies of a region for a workspace, the same everywhere."""
+    return members_lib.rank(_key(workspace), members)
+
+
 def _key(workspace: str) -> str:
     return f"limit {workspace}"
--- a/bronzehold/process/rate_limiter.py
+++ b/bronzehold/process/rate_limiter.py
@@ -31,11 +31,6 @@
 ASK_TIMEOUT_S = 0.15
 # Number of proxies in the order of a workspace that are asked.
 MAX_ASKED = 2
-# Above this rate of a workspace at this proxy, a request asks for the tokens of
-# BATCH_S, at most MAX_BATCH.
-BATCH_ABOVE_PER_S = 20.0
-BATCH_S = 0.1
-MAX_BATCH = 32
 # Tokens that were granted in advance expire, so that what one window granted is
 # not used in a later one.
 RESERVE_S = 0.25
@@ -43,13 +38,6 @@
 # again and again while endpoints refuse would otherwise add up, and all run
 # when the endpoints accept again.
 MAX_REFUND_AGE_S = 0.5
-# A refusal is remembered until its time, and at most this long: the limit may
-# be raised, or another proxy become the limiter.
-MAX_REFUSAL_S = 1.0
-# The same for a refusal of a proxy that is not the limiter.
-MAX_STANDBY_REFUSAL_S = 0.25
-# The longest time that a refused caller is told to wait.
-MAX_RETRY_AFTER_S = 60.0
 # What is kept of a workspace without operations is dropped after this time.
 IDLE_S = 60.0
 
@@ -134,7 +122,7 @@
                     origin=decisions.Origin.NO_LIMIT,
                 )
             if not share.limit.rate_per_s and not share.limit.burst:
-                share.turn_at = now + MAX_RETRY_AFTER_S
+                share.refuse(math.inf, now, by_limiter=True)
                 return self._limited(share, now)
             granted_at = share.reserve.take(now)
             if granted_at is not None:
@@ -167,7 +155,7 @@
                 return
             match spent.origin:
                 case decisions.Origin.BUCKET if share.bucket is not None:
-                    share.bucket.put_back(now)
+                    share.bucket.add(1, now)
                 case decisions.Origin.PEER:
                     share.reserve.add(
                         1, granted_at=spent.granted_at, expires_at=until
@@ -256,14 +244,10 @@
     ) -> messages.TokenRequest:
         name = share.limit.name
         skipped, ended = self._order.earlier(name, member.name, now)
-        rate_per_s = share.meter.rate_per_s(now)
-        count = 1
-        if rate_per_s > BATCH_ABOVE_PER_S and not share.is_asking_batch:
-            count = min(MAX_BATCH, math.ceil(rate_per_s * BATCH_S))
         return messages.TokenRequest(
             workspace=name,
             version=self._table().version,
-            count=count,
+            count=share.batch_size(now),
             skipped=skipped,
             ended=ended,
         )
@@ -312,14 +296,7 @@
         *,
         by_limiter: bool,
     ) -> decisions.Limited:
-        """Refuses an operation and those that follow until its turn."""
-        longest_s = MAX_REFUSAL_S if by_limiter else MAX_STANDBY_REFUSAL_S
-        retry_after_s = reply.retry_after_s
-        if not by_limiter:
-            # A limiter is found within seconds, and its share is larger.
-            retry_after_s = min(retry_after_s, share.limiter_interval_s())
-        share.turn_at = now + min(retry_after_s, MAX_RETRY_AFTER_S)
-        share.refused_until = min(share.turn_at, now + longest_s)
+        share.refuse(reply.retry_after_s, now, by_limiter=by_limiter)
         return self._limited(share, now)
 
     def _limited(
@@ -342,10 +319,40 @@
                 return messages.TokenReply(granted=request.count)
             for name in request.ended:
                 self._order.mark_ended(name, now)
+            if request.is_loan:
+                return self._lend(share, request.count, now)
             reply = self._take(share, request.count, now)
             self._counts["granted"] += reply.granted
             return reply
 
+    # Loans of other regions.
+
+    def shortages(self) -> list[tuple[str, int]]:
+        """Returns the workspaces that this proxy limits and lacks tokens of.
+
+        Returns:
+            The name of each, and the number of tokens that fill its bucket.
+        """
+        now = clock.now()
+        with self._lock:
+            missing = [
+                (name, share.bucket.missing(now))
+                for name, share in self._shares.items()
+                if share.bucket is not None
+                and share.role is workspace_share.Role.LIMITER
+            ]
+        return [(name, count) for name, count in missing if count]
+
+    def add_loan(self, workspace: str, count: int) -> None:
+        """Adds tokens of another region, unless the limiter has changed."""
+        now = clock.now()
+        with self._locked():
+            share = self._shares.get(workspace)
+            if share is None or not self._order.is_limiter(workspace, now):
+                return
+            self._bucket(share, now).add(count, now)
+            self._counts["borrowed"] += count
+
     # What follows is called with the lock held.
 
     def _take(
@@ -355,9 +362,22 @@
         granted = bucket.take(max(1, count), now)
         if granted:
             return messages.TokenReply(granted=granted)
-        wait_s = min(bucket.wait_s(now), MAX_RETRY_AFTER_S)
+        wait_s = min(bucket.wait_s(now), workspace_share.MAX_RETRY_AFTER_S)
         return messages.TokenReply(retry_after_s=wait_s)
 
+    def _lend(
+        self, share: workspace_share.WorkspaceShare, count: int, now: float
+    ) -> messages.TokenReply:
+        bucket = self._bucket(share, now)
+        lent = 0
+        if share.role is workspace_share.Role.LIMITER:
+            lent = bucket.take_spare(count, now)
+        self._counts["lent"] += lent
+        return messages.TokenReply(
+            granted=lent,
+            retry_after_s=0.0 if lent else workspace_share.MAX_REFUSAL_S,
+        )
+
     def _bucket(
         self, share: workspace_share.WorkspaceShare, now: float
     ) -> token_bucket.TokenBucket:
--- a/bronzehold/process/rate_limiter_test.py
+++ b/bronzehold/process/rate_limiter_test.py
@@ -121,7 +121,7 @@
     An operation waits 0.2 s and is refused as not run; when the endpoints
     accept again, only the tokens of the last half second may run at once.
     """
-    fleet = limiter_fleet.Fleet(at, limiter_fleet.LARGE)
+    fleet = limiter_fleet.Fleet(at, limiter_fleet.LARGE, has_loans=False)
     third = fleet.order()[2]
     waiting = []
     for _ in range(400):
--- a/bronzehold/process/serving.py
+++ b/bronzehold/process/serving.py
@@ -272,7 +272,7 @@
         return self._heard_at.get(name)
 
     def region_view(self, zones: frozenset[str]) -> RegionView:
-        """Returns the proxies of this proxy's region as of now.
+        """Returns the proxies of a region as of now.
 
         It goes by the times of the last digests and not by the list of live
         peers, which a process that was suspended still has from before.
@@ -298,9 +298,14 @@
             is_silent = now - self._last_heard_at > contact_s
             is_alone = len(known) == 1
             has_contact = is_alone or (is_majority and not is_silent)
-            self._had_contact |= has_contact
+            is_own = self._own.zone in zones
+            self._had_contact |= is_own and has_contact
             is_starting = self._expects_registered()
-            if not has_contact and (self._had_contact or not is_starting):
+            if (
+                is_own
+                and not has_contact
+                and (self._had_contact or not is_starting)
+            ):
                 self._contact_since = now
             contact_since = self._contact_since
         settled = now - contact_since >= SETTLE_PART * silence_s
--- a/bronzehold/process/token_bucket.py
+++ b/bronzehold/process/token_bucket.py
@@ -54,9 +54,25 @@
         self._tokens -= taken
         return taken
 
-    def put_back(self, now: float) -> None:
-        """Returns a token that was not used."""
-        self._tokens = min(self.share.capacity, self.tokens(now) + 1)
+    def take_spare(self, count: int, now: float) -> int:
+        """Takes whole tokens above half of the capacity.
+
+        Returns:
+            How many there were, at most count.
+        """
+        spare = int(self.tokens(now) - self.share.capacity / 2 + ROUNDING)
+        return self.take(max(0, min(count, spare)), now)
+
+    def missing(self, now: float) -> int:
+        """Returns the tokens that it lacks, 0 if it is at least half full."""
+        tokens = self.tokens(now)
+        if tokens >= self.share.capacity / 2:
+            return 0
+        return int(self.share.capacity - tokens)
+
+    def add(self, count: int, now: float) -> None:
+        """Adds tokens of another bucket, or one that was not used."""
+        self._tokens = min(self.share.capacity, self.tokens(now) + count)
 
     def wait_s(self, now: float) -> float:
         """Returns the time until there is a token, infinity if never."""
--- a/bronzehold/process/token_messages.py
+++ b/bronzehold/process/token_messages.py
@@ -18,6 +18,8 @@
             or did not answer.
         ended: Of these, the ones that limit nothing: no process accepts
             connections there, or it is stopping.
+        is_loan: Whether the sender is the limiter of another region, which asks
+            for tokens that the receiver's region does not need.
     """
 
     workspace: str
@@ -25,6 +27,7 @@
     count: int
     skipped: tuple[str, ...] = ()
     ended: tuple[str, ...] = ()
+    is_loan: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/bronzehold/process/workspace_share.py
+++ b/bronzehold/process/workspace_share.py
@@ -10,6 +10,19 @@
 from bronzehold.process import token_bucket
 from bronzehold.version import rate_shares
 
+# Above this rate of a workspace at this proxy, a request asks for the tokens of
+# BATCH_S, at most MAX_BATCH.
+BATCH_ABOVE_PER_S = 20.0
+BATCH_S = 0.1
+MAX_BATCH = 32
+# A refusal is remembered until its time, and at most this long: the limit may
+# be raised, or another proxy become the limiter.
+MAX_REFUSAL_S = 1.0
+# The same for a refusal of a proxy that is not the limiter.
+MAX_STANDBY_REFUSAL_S = 0.25
+# The longest time that a refused caller is told to wait.
+MAX_RETRY_AFTER_S = 60.0
+
 
 class Role(enum.Enum):
     """The role of a proxy for a workspace in its region."""
@@ -65,11 +78,32 @@
         self.refused_until = -math.inf
         self.reserve.clear()
 
-    def limiter_interval_s(self) -> float:
-        """Returns the time in which a limiter gets a token."""
-        if not self.limit.rate_per_s:
-            return math.inf
-        return self._regions / self.limit.rate_per_s
+    def batch_size(self, now: float) -> int:
+        """Returns the number of tokens to ask another proxy for."""
+        rate_per_s = self.meter.rate_per_s(now)
+        if rate_per_s <= BATCH_ABOVE_PER_S or self.is_asking_batch:
+            return 1
+        return min(MAX_BATCH, math.ceil(rate_per_s * BATCH_S))
+
+    def refuse(
+        self, retry_after_s: float, now: float, *, by_limiter: bool
+    ) -> None:
+        """Refuses operations until the turn of the next one.
+
+        Args:
+            retry_after_s: Time until there is a token.
+            now: The time.
+            by_limiter: Whether the limiter has refused.
+        """
+        longest_s = MAX_REFUSAL_S
+        if not by_limiter:
+            longest_s = MAX_STANDBY_REFUSAL_S
+            if self.limit.rate_per_s:
+                # A limiter is found within seconds, and its share is larger.
+                interval_s = self._regions / self.limit.rate_per_s
+                retry_after_s = min(retry_after_s, interval_s)
+        self.turn_at = now + min(retry_after_s, MAX_RETRY_AFTER_S)
+        self.refused_until = min(self.turn_at, now + longest_s)
 
     def set_role(
         self, role: Role, *, proxies: int, contact_since: float, now: float
--- a/tests/limiter_fleet.py
+++ b/tests/limiter_fleet.py
@@ -12,6 +12,7 @@
 from bronzehold.process import rate_limiter
 from bronzehold.process import serving as serving_lib
 from bronzehold.process import timeline as timeline_lib
+from bronzehold.process import token_loans
 from bronzehold.process import token_messages as messages
 from bronzehold.version import members as members_lib
 from bronzehold.version import rate_shares
@@ -98,6 +99,14 @@
             tolerance=TOLERANCE,
             has_seeds=self.fleet.size > 1,
         )
+        self.loans = token_loans.TokenLoans(
+            own=self.member,
+            regions=REGIONS,
+            serving=self.serving,
+            table=lambda: self.table,
+            limiter=self.limiter,
+            ask=self.ask,
+        )
 
     def stop(self, *, power=True):
         self.runs = False
@@ -105,7 +114,8 @@
         self.gone_at = clock.now()
 
     def ask(self, member, request, timeout_s):
-        assert timeout_s <= rate_limiter.ASK_TIMEOUT_S
+        if not request.is_loan:
+            assert timeout_s <= rate_limiter.ASK_TIMEOUT_S
         other = self.fleet.proxies[member.name]
         if self.part == other.part and not other.runs and other.has_power:
             raise messages.NoAnswerError("refused", ended=True)
@@ -146,8 +156,9 @@
 class Fleet:
     """Proxies in three regions, and when they let operations through."""
 
-    def __init__(self, at, limit, *, size=25):
+    def __init__(self, at, limit, *, size=25, has_loans=True):
         self.at = at
+        self.has_loans = has_loans
         self.size = size
         self.proxies = {}
         self.spent_at = []
@@ -215,6 +226,8 @@
         for proxy in self.running():
             proxy.update_peers()
             proxy.limiter.sweep()
+            if self.has_loans:
+                proxy.loans.run_once()
 
     def attempt(self, proxy):
         decision = proxy.limiter.try_spend("w", clock.now() + 1.0)
