Limits of workspaces: loans every 0.25 s, and no tokens lent back and forth

With a request every 0.5 s, callers of one region at above 132/s got 75 % of the limit: buckets just below half borrowed from each other, and the empty one found a lender that had nothing to spare and paused.

--- a/bronzehold/process/rate_limiter_test.py
+++ b/bronzehold/process/rate_limiter_test.py
@@ -1,4 +1,5 @@
 import dataclasses
+import threading
 
 import pytest
 
@@ -7,6 +8,7 @@
 from bronzehold.process import limit_decisions as decisions
 from bronzehold.process import limiter_order
 from bronzehold.process import rate_limiter
+from bronzehold.version import rate_shares
 from tests import limiter_fleet
 
 
@@ -138,6 +140,34 @@
     assert held <= rate_per_s * (rate_limiter.MAX_REFUND_AGE_S + 0.25)
 
 
+def test_token_is_spent_once_by_callers_at_the_same_time(at):
+    """Guards against a race between the tasks of callers and of proxies."""
+    limit = dataclasses.replace(limiter_fleet.LARGE, rate_per_s=0.001)
+    fleet = limiter_fleet.Fleet(at, limit, has_loans=False)
+    proxies = fleet.order()[:4]
+    spent = []
+
+    def spend(proxy):
+        for _ in range(100):
+            decision = proxy.limiter.try_spend("w", clock.now() + 1.0)
+            if isinstance(decision, decisions.Spent):
+                spent.append(decision)
+
+    threads = [
+        threading.Thread(target=spend, args=(proxy,))
+        for proxy in proxies
+        for _ in range(3)
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    share = rate_shares.limiter_share(
+        limiter_fleet.TOLERANCE, limit.rate_per_s, limit.burst, 3
+    )
+    assert len(spent) == int(share.initial)
+
+
 def test_busy_proxy_asks_for_several_tokens(at):
     fleet = limiter_fleet.Fleet(
         at, dataclasses.replace(limiter_fleet.LARGE, rate_per_s=900.0)
--- a/bronzehold/process/token_bucket.py
+++ b/bronzehold/process/token_bucket.py
@@ -12,6 +12,8 @@
 # Tokens within this of a whole one count as one, so that a caller which comes
 # back at the time it was told is not refused for a rounding error.
 ROUNDING = 1e-6
+# A bucket with fewer tokens may be empty before tokens of other regions arrive.
+MIN_ENOUGH = 2.0
 
 
 class TokenBucket:
@@ -64,11 +66,17 @@
         return self.take(max(0, min(count, spare)), now)
 
     def missing(self, now: float) -> int:
-        """Returns the tokens that it lacks, 0 if it is at least half full."""
+        """Returns the tokens that it lacks, 0 if it has enough for a while.
+
+        Enough is less than a lender keeps, or buckets would lend each other
+        the same tokens back and forth; only small ones need all of that.
+        """
+        capacity = self.share.capacity
+        enough = max(capacity / 4, min(MIN_ENOUGH, capacity / 2))
         tokens = self.tokens(now)
-        if tokens >= self.share.capacity / 2:
+        if tokens + ROUNDING >= enough:
             return 0
-        return int(self.share.capacity - tokens)
+        return int(capacity - tokens)
 
     def add(self, count: int, now: float) -> None:
         """Adds tokens of another bucket, or one that was not used."""
--- a/bronzehold/process/token_bucket_test.py
+++ b/bronzehold/process/token_bucket_test.py
@@ -47,6 +47,18 @@
     assert bucket.tokens(200.0) == 2.0
 
 
+def test_lender_keeps_half_and_does_not_borrow_it_back():
+    """Guards against buckets that lend each other the same tokens."""
+    bucket = _bucket()
+    assert bucket.take_spare(100, 200.0) == 4
+    assert bucket.take_spare(100, 200.0) == 0
+    assert bucket.missing(200.0) == 0
+    assert bucket.take(3, 200.0) == 3
+    assert bucket.missing(200.0) == 7
+    bucket.add(100, 200.0)
+    assert bucket.tokens(200.0) == SHARE.capacity
+
+
 def test_rate_of_zero_has_no_next_token():
     share = rate_shares.Share(rate_per_s=0.0, capacity=1.0, initial=1.0)
     bucket = token_bucket.TokenBucket(share=share, now=0.0)
--- a/bronzehold/process/token_loans.py
+++ b/bronzehold/process/token_loans.py
@@ -15,9 +15,10 @@
 from bronzehold.process import token_messages as messages
 from bronzehold.version import members as members_lib
 
-# Interval between two rounds of requests. A bucket that is half full lasts for
-# at least this long at twice its rate if burst is at least as high as rate.
-INTERVAL_S = 0.5
+# Interval between two rounds of requests. A lender gives at most half of its
+# capacity in each, so with a burst well below the rate, a longer interval would
+# leave most of its rate unused.
+INTERVAL_S = 0.25
 # Time to wait for the limiter of another region: a connection and a request
 # take two round trips, of up to 0.1 s between regions.
 TIMEOUT_S = 0.5
--- a/tests/limiter_fleet.py
+++ b/tests/limiter_fleet.py
@@ -208,6 +208,8 @@
             step = round(self.at[0] / STEP_S)
             if step % round(ROUND_S / STEP_S) == 0:
                 self._exchange_digests()
+            if step % round(token_loans.INTERVAL_S / STEP_S) == 0:
+                self._borrow()
             running = self.running()
             for proxy in running:
                 self._owed[proxy] += demand_per_s * STEP_S / len(running)
@@ -226,8 +228,10 @@
         for proxy in self.running():
             proxy.update_peers()
             proxy.limiter.sweep()
-            if self.has_loans:
-                proxy.loans.run_once()
+
+    def _borrow(self):
+        for proxy in self.running() if self.has_loans else ():
+            proxy.loans.run_once()
 
     def attempt(self, proxy):
         decision = proxy.limiter.try_spend("w", clock.now() + 1.0)
