Platform path: limits on memory and connections of callers and peers

Callers and peers could make a process hold any amount of memory and all descriptors. Now one budget (process/byte_budget.py) covers messages, requests, answers that are not taken and values of sessions. A message of over 16 KiB is charged before it is received; its connection waits up to 5 s without reading and is then refused (BUSY) and closed. Answers are charged without waiting, and no further statement runs while they overdraw the budget. While there is no room, transfers without progress for 1 s, or of over 5 s, are closed, the oldest first. A line ends the connection before more than the limit is buffered, and at most 8 KiB of pipelined statements are read ahead. A message has 30 s.

Connections of callers and of peers have maxima that keep a quarter of the descriptors for endpoints, proxies and the store (process/resource_limits.py). At the maximum, unfinished start-ups, readers that take nothing, and then the longest idle connections make room (process/connection_limit.py). The HTTP ports take 16 connections and requests of 16 KiB (process/bounded_http.py).

Large blocks now go back to the system (process/malloc.py), and no reference cycle keeps the buffers of a connection that has ended.

--- a/bronzehold/connection/forward_codec.py
+++ b/bronzehold/connection/forward_codec.py
@@ -127,7 +127,8 @@
             raise CodecError(f"a message of {length} bytes")
         end = LENGTH.size + length
         self._fill_to(end)
-        body = bytes(self._buf[LENGTH.size : end])
+        with memoryview(self._buf) as view:
+            body = bytes(view[LENGTH.size : end])
         del self._buf[:end]
         return body
 
--- a/bronzehold/connection/forward_server.py
+++ b/bronzehold/connection/forward_server.py
@@ -13,6 +13,7 @@
 from bronzehold.connection import acceptor
 from bronzehold.connection import forward_codec as codec
 from bronzehold.connection import frames
+from bronzehold.connection import peer_reader
 from bronzehold.connection import platform_blocks as blocks
 from bronzehold.connection import platform_runner
 from bronzehold.connection import platform_session
@@ -21,6 +22,9 @@
 from bronzehold.core import events
 from bronzehold.core import ports
 from bronzehold.core import statements
+from bronzehold.process import byte_budget
+from bronzehold.process import connection_limit
+from bronzehold.process import limit_events
 from bronzehold.process import platform_process
 from bronzehold.proto import forward_pb2 as pb
 
@@ -46,11 +50,14 @@
     ):
         self._sock = sock
         self._process = process
-        self._reader = codec.Reader(sock=sock)
+        self._account = process.budget.open_account(self._abort)
+        self._reader = peer_reader.PeerReader(sock=sock, account=self._account)
         self._session = platform_session.PlatformSession(name="")
         self._runner = platform_runner.Runner(session=self._session)
         self._lock = threading.Lock()
         self._waiting = True
+        self._waiting_since = clock.now()
+        self._is_closing = False
         # The call that has been read and not been answered yet.
         self._unanswered: codec.Call | None = None
 
@@ -62,14 +69,34 @@
                 self._handle(self._receive())
         except TimeoutError:
             return
-        except codec.CodecError as exc:
-            self._process.timeline.count(f"forwarded message: {exc}")
+        except codec.CodecError:
+            self._process.timeline.count("forwarded message that is malformed")
+        except byte_budget.ShortError:
+            self._process.timeline.count("forwarded message without memory")
         except Exception as exc:
             self.report_cut(f"{type(exc).__name__}: {exc}")
             raise
         finally:
+            self._account.close()
             self._runner.end_block(blocks.Idle())
 
+    def _abort(self, _phase: byte_budget.Phase) -> None:
+        """Ends a transfer that keeps memory from others."""
+        with contextlib.suppress(OSError):
+            self._sock.shutdown(socket.SHUT_RDWR)
+
+    def idle_since(self) -> tuple[connection_limit.Idleness, float] | None:
+        """See connection_limit.Candidate."""
+        with self._lock:
+            if self._is_closing or not self._waiting:
+                return None
+            return connection_limit.Idleness.WAITING, self._waiting_since
+
+    def close_idle(self) -> None:
+        """See connection_limit.Candidate."""
+        self._is_closing = True
+        self.end()
+
     def report_cut(self, cause: str) -> bool:
         """Logs the call that ends without a reply, if there is one.
 
@@ -99,6 +126,7 @@
     def _receive(self) -> pb.Request:
         with self._lock:
             self._waiting = isinstance(self._runner.block, blocks.Idle)
+            self._waiting_since = clock.now()
         try:
             self._sock.settimeout(self._receive_timeout_s())
             return codec.parse_request(self._reader.read())
@@ -127,7 +155,11 @@
                 call = codec.decode_call(request, arrived)
                 self._unanswered = call
                 reply = self._run(request, call)
-                self._send(codec.frame(codec.encode_reply(reply)))
+                data = codec.frame(codec.encode_reply(reply))
+                self._account.hold(
+                    peer_reader.COPIES * len(data), byte_budget.Phase.SENDING
+                )
+                self._send(data)
                 self._unanswered = None
                 self._clear_block()
 
@@ -237,12 +269,25 @@
         self._process = process
         self._numbers = itertools.count(1)
         self._sock = socket.create_server((host, port), backlog=ACCEPT_BACKLOG)
+        self._limit = connection_limit.ConnectionLimit(
+            limit=process.limits.peers,
+            list_open=process.forwarded.list,
+            count_open=process.forwarded.count,
+            report=limit_events.reporter(
+                process.timeline,
+                "max_descriptors: peers",
+                process.limits.peers,
+            ),
+        )
 
     def run(self) -> None:
         """Accepts connections until close is called."""
         acceptor.accept_until_closed(self._sock, self._spawn)
 
     def _spawn(self, sock: socket.socket) -> None:
+        if not self._limit.make_room():
+            sock.close()
+            return
         key = f"forward {next(self._numbers)}"
         session = ForwardSession(sock=sock, process=self._process)
         self._process.forwarded.add(key, session)
--- a/bronzehold/connection/platform_caller.py
+++ b/bronzehold/connection/platform_caller.py
@@ -92,6 +92,7 @@
         self._unanswered: statements.Request | None = None
         self._in_transaction = False
         self._served_count = 0
+        self._state_bytes = 0
 
     # Connection lifecycle.
 
@@ -99,6 +100,8 @@
         """Serves statements until the caller disconnects or the proxy stops."""
         try:
             while True:
+                # A large request is not kept during the wait for the next one.
+                req = None
                 req = self._receive()
                 if req is None:
                     return
@@ -160,6 +163,27 @@
             self._stopping = True
             self._link.stop_receiving()
 
+    def waiting_since(self) -> float | None:
+        """Returns since when a request is waited for outside a transaction.
+
+        In seconds of clock.now(); None at other times.
+        """
+        with self._lock:
+            return self._waiting_since
+
+    def in_transaction(self) -> bool:
+        """Returns whether a transaction was open before the last request."""
+        return self._in_transaction
+
+    def close_idle(self) -> None:
+        """Closes the connection if no request or transaction is in progress.
+
+        Requests that have arrived already are answered.
+        """
+        with self._lock:
+            if self._waiting_since is not None:
+                self._link.stop_receiving()
+
     def busy(self) -> bool:
         """Returns whether a request or a transaction is in progress."""
         with self._lock:
@@ -216,14 +240,19 @@
             return self._run_failed(req)
         match req.statement:
             case statements.SetValue(name=name, value=value):
+                self._charge_state(name, self._session.values.get(name), value)
                 self._session.values[name] = value
-            case statements.Prepare(name=name) as statement:
+            case statements.Prepare(name=name, shape=shape) as statement:
+                stored = self._session.names.get(name)
+                self._charge_state(name, stored and stored.shape, shape)
                 self._session.names[name] = platform_session.make_prepared(
                     statement
                 )
             case statements.Deallocate(name=name):
-                if self._session.names.pop(name, None) is None:
+                stored = self._session.names.pop(name, None)
+                if stored is None:
                     raise _failure_error(_missing_statement(name))
+                self._charge_state(name, stored.shape, None)
             case statements.Begin(read_only=read_only):
                 self._begin(read_only=read_only)
             case statements.Rollback():
@@ -245,6 +274,25 @@
                 )
         return None
 
+    def _charge_state(
+        self, name: str, old: str | None, new: str | None
+    ) -> None:
+        """Charges the memory for a named text of the session.
+
+        Args:
+            name: The name.
+            old: The text that is replaced, None for none.
+            new: The new text, None for none.
+        """
+        size = self._state_bytes
+        size += platform_session.entry_bytes(name, new)
+        size -= platform_session.entry_bytes(name, old)
+        if not self._link.hold_state(size):
+            raise _failure_error(
+                errors.MemoryShort(purpose="values of the session")
+            )
+        self._state_bytes = size
+
     def _run_failed(self, req: statements.Request) -> None:
         match req.statement:
             case statements.Rollback():
--- a/bronzehold/connection/platform_session.py
+++ b/bronzehold/connection/platform_session.py
@@ -41,6 +41,15 @@
     )
 
 
+# Memory of a named text beside its characters.
+ENTRY_BYTES = 256
+
+
+def entry_bytes(name: str, text: str | None) -> int:
+    """Returns the memory that a named text of a session takes, 0 for none."""
+    return 0 if text is None else ENTRY_BYTES + len(name) + len(text)
+
+
 class PlatformSession:
     """The state of one session; used only by the caller's task.
 
--- a/bronzehold/core/errors.py
+++ b/bronzehold/core/errors.py
@@ -68,6 +68,24 @@
     proxy: str
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class MemoryShort:
+    """The proxy has no memory for what the caller sends.
+
+    Attributes:
+        purpose: What the memory is for.
+    """
+
+    purpose: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ConnectionsShort:
+    """The proxy closes or refuses a connection since it has too many."""
+
+    proxy: str
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class SpendReached:
     """The service has used up its statement seconds for this window."""
@@ -203,6 +221,8 @@
     | ServiceUnknown
     | AccessDenied
     | Stopping
+    | MemoryShort
+    | ConnectionsShort
     | SpendReached
     | Unsupported
     | Malformed
@@ -257,6 +277,10 @@
             return _not_run("28P01", f'user "{user}" is not let in')
         case Stopping(proxy=proxy):
             return _not_run("57P01", f"proxy {proxy} is stopping")
+        case MemoryShort(purpose=purpose):
+            return _not_run("53200", f"no memory for {purpose}")
+        case ConnectionsShort(proxy=proxy):
+            return _not_run("53300", f"proxy {proxy} has too many connections")
         case SpendReached(service=service):
             return _not_run("53400", f"{service} has spent its seconds")
         case Unsupported(feature=feature):
--- a/bronzehold/core/events.py
+++ b/bronzehold/core/events.py
@@ -585,6 +585,26 @@
     error: str
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class LimitReached:
+    """A limit on what callers or peers may hold has taken effect.
+
+    Attributes:
+        bound: The limit: "receive_budget_mb", "max_descriptors" or
+            "message_time".
+        action: What was done: "refused", "closed" or "state refused".
+        amount: Bytes or connections that it was done to.
+        used: Bytes or connections of the whole process at that time.
+        limit: The value of the limit.
+    """
+
+    bound: str
+    action: str
+    amount: int
+    used: int
+    limit: int
+
+
 Event = (
     ProxyStarted
     | ProxyStopping
@@ -628,4 +648,5 @@
     | ForwardFailed
     | EventsNotLogged
     | SettingsSignalled
+    | LimitReached
 )
--- a/bronzehold/core/ports.py
+++ b/bronzehold/core/ports.py
@@ -83,6 +83,12 @@
     ) -> None:
         """Reports a failure to the caller."""
 
+    def hold_state(self, size: int) -> bool:
+        """Returns whether the session's state may take a number of bytes."""
+
+    def stop_receiving(self) -> None:
+        """Ends the connection after the requests that have arrived."""
+
 
 class EndpointConn(typing.Protocol):
     """One connection to an endpoint, used by one caller at a time.
--- a/bronzehold/platform/__main__.py
+++ b/bronzehold/platform/__main__.py
@@ -16,6 +16,7 @@
 from bronzehold.platform import instance
 from bronzehold.platform import settings_file
 from bronzehold.process import logwriter
+from bronzehold.process import malloc
 from bronzehold.process import signals
 from bronzehold.process import timeline as timeline_lib
 
@@ -33,6 +34,7 @@
         function does not return; the process exits with 0 after the drain.
     """
     faulthandler.enable()
+    malloc.set_up()
     path = os.environ.get(SETTINGS_VARIABLE, "")
     try:
         cfg = settings_file.load(path)
--- a/bronzehold/platform/listener.py
+++ b/bronzehold/platform/listener.py
@@ -17,7 +17,11 @@
 from bronzehold.core import errors
 from bronzehold.core import ports
 from bronzehold.core import statements
+from bronzehold.platform import caller_reader
 from bronzehold.platform import wire
+from bronzehold.process import byte_budget
+from bronzehold.process import connection_limit
+from bronzehold.process import limit_events
 from bronzehold.process import platform_process
 
 ACCEPT_BACKLOG = 1024
@@ -26,14 +30,36 @@
 STARTUP_TIMEOUT_S = 5.0
 # A caller that accepts no data for this long is treated as disconnected.
 SEND_TIMEOUT_S = 10.0
+# A caller that takes nothing for this long may be closed when there
+# are too many connections. A network that drops packets resumes sooner.
+NOT_TAKING_S = 1.0
+# Part of a large answer that a caller has to take within that time.
+SEND_PART_BYTES = 65536
 
 
 class Conn:
-    """One caller's connection; implements ports.CallerConn."""
+    """One caller's connection; implements ports.CallerConn.
 
-    def __init__(self, *, sock: socket.socket, reader: wire.LineReader):
+    Attributes:
+        closes_next: Whether the connection ends after the present request.
+    """
+
+    def __init__(
+        self,
+        *,
+        sock: socket.socket,
+        reader: wire.LineReader,
+        account: byte_budget.Account | None = None,
+    ):
         self._sock = sock
         self._reader = reader
+        self.closes_next = False
+        # Since when the caller takes nothing of an answer; None if no answer is
+        # being sent.
+        self._sending_since: float | None = None
+        self._account = account or byte_budget.UNLIMITED.open_account(
+            lambda _: None
+        )
 
     def receive(self, wait_s: float | None) -> statements.Request | None:
         """Waits for a statement.
@@ -51,14 +77,20 @@
             TimeoutError: No statement arrived within wait_s.
             ports.TransportError: The error message could not be sent.
         """
+        if self.closes_next:
+            return None
         self._sock.settimeout(wait_s)
         try:
             line = self._reader.read_line()
+            self._account.await_room()
         except ports.TransportError:
             return None
         except wire.ProtocolError as exc:
             self._reject(str(exc))
             return None
+        except byte_budget.ShortError:
+            send_last(self._sock, errors.MemoryShort(purpose="the message"))
+            return None
         if line == b"CLOSE":
             return None
         try:
@@ -72,7 +104,30 @@
 
     def complete(self, body: bytes, state: statements.TransactionState) -> None:
         """Sends an endpoint's answer to the caller."""
-        self._send(body + wire.encode_ready(state))
+        ready = wire.encode_ready(state)
+        if len(body) <= byte_budget.FREE_BYTES:
+            self._send(body + ready)
+            return
+        # The rows of the answer are in memory beside its body.
+        self._account.hold(2 * len(body), byte_budget.Phase.SENDING)
+        view = memoryview(body)
+        for start in range(0, len(body), SEND_PART_BYTES):
+            self._send(view[start : start + SEND_PART_BYTES])
+            self._account.record_progress()
+        self._send(ready)
+
+    def is_sending_for(self, seconds: float) -> bool:
+        """Returns whether the caller has taken nothing for some seconds."""
+        since = self._sending_since
+        return since is not None and clock.now() - since >= seconds
+
+    def is_pipelining(self) -> bool:
+        """Returns whether requests wait behind the present one."""
+        return self._reader.has_buffered_data()
+
+    def hold_state(self, size: int) -> bool:
+        """Returns whether the session's state may take a number of bytes."""
+        return self._account.hold_state(size)
 
     def acknowledge(self, state: statements.TransactionState) -> None:
         """Reports the success of a statement that the proxy itself handled."""
@@ -84,12 +139,14 @@
         """Reports a failure to the caller."""
         self._send(wire.encode_error(failure) + wire.encode_ready(state))
 
-    def _send(self, data: bytes) -> None:
+    def _send(self, data: bytes | memoryview) -> None:
         self._sock.settimeout(SEND_TIMEOUT_S)
+        self._sending_since = clock.now()
         try:
             self._sock.sendall(data)
         except OSError as exc:
             raise ports.TransportError(str(exc)) from exc
+        self._sending_since = None
 
     def stop_receiving(self) -> None:
         """Shuts down the receiving side of the connection.
@@ -100,6 +157,12 @@
             self._sock.shutdown(socket.SHUT_RD)
 
 
+def send_last(sock: socket.socket, failure: errors.Failure) -> None:
+    """Tells a caller why its connection is closed, if that does not block."""
+    with contextlib.suppress(OSError):
+        sock.send(wire.encode_error(failure), socket.MSG_DONTWAIT)
+
+
 class CallerConnection:
     """A caller's connection from its acceptance on.
 
@@ -114,12 +177,16 @@
         number: int,
         process: platform_process.PlatformProcess,
         links: forward_client.Links,
+        budget: byte_budget.Budget = byte_budget.UNLIMITED,
     ):
         self._sock = sock
+        self._account = budget.open_account(self._abort)
+        self._is_closing = False
         self._number = number
         self._process = process
         self._links = links
         self._accepted_at = clock.now()
+        self._link: Conn | None = None
         # None until the start-up is complete.
         self._caller: platform_caller.Caller | None = None
 
@@ -127,16 +194,24 @@
         """Answers the caller until it disconnects."""
         with (
             self._sock,
+            contextlib.closing(self._account),
             contextlib.suppress(ports.TransportError, TimeoutError, OSError),
         ):
             wire.set_socket_options(self._sock)
             self._sock.settimeout(STARTUP_TIMEOUT_S)
-            reader = wire.LineReader(sock=self._sock)
+            reader = caller_reader.CallerReader(
+                sock=self._sock, account=self._account
+            )
+            reader.message_timeout_s = STARTUP_TIMEOUT_S
             database = self._read_startup(reader)
             if database is None:
                 return
+            reader.message_timeout_s = caller_reader.MESSAGE_TIMEOUT_S
+            self._link = Conn(
+                sock=self._sock, reader=reader, account=self._account
+            )
             self._caller = platform_caller.Caller(
-                link=Conn(sock=self._sock, reader=reader),
+                link=self._link,
                 database=database,
                 process=self._process,
                 name=f"{self._process.name}/{self._number}",
@@ -153,6 +228,8 @@
             line = reader.read_line().decode(wire.ENCODING)
         except wire.ProtocolError as exc:
             return self._reject(errors.Malformed(problem=str(exc)))
+        except byte_budget.ShortError:
+            return self._reject(errors.MemoryShort(purpose="the message"))
         keyword, _, rest = line.partition(" ")
         database = rest.partition(" ")[0]
         if keyword != "STARTUP" or not database:
@@ -186,6 +263,40 @@
         else:
             self._caller.end()
 
+    def _abort(self, phase: byte_budget.Phase) -> None:
+        """Ends a transfer that keeps memory from others."""
+        if phase is byte_budget.Phase.RECEIVING:
+            send_last(self._sock, errors.MemoryShort(purpose="the message"))
+        with contextlib.suppress(OSError):
+            self._sock.shutdown(socket.SHUT_RDWR)
+
+    def idle_since(self) -> tuple[connection_limit.Idleness, float] | None:
+        """See connection_limit.Candidate."""
+        if self._is_closing:
+            return None
+        if self._caller is None:
+            return connection_limit.Idleness.STARTING, self._accepted_at
+        since = self._caller.waiting_since()
+        if since is not None:
+            return connection_limit.Idleness.WAITING, since
+        if self._link.is_sending_for(NOT_TAKING_S):
+            idleness = connection_limit.Idleness.NOT_TAKING
+            return idleness, self._accepted_at
+        if self._link.is_pipelining() and not self._caller.in_transaction():
+            return connection_limit.Idleness.PIPELINING, self._accepted_at
+        return None
+
+    def close_idle(self) -> None:
+        """See connection_limit.Candidate."""
+        self._is_closing = True
+        if self._caller is None:
+            self.end()
+        elif self._link.is_sending_for(NOT_TAKING_S):
+            self._abort(byte_budget.Phase.SENDING)
+        else:
+            self._link.closes_next = self._link.is_pipelining()
+            self._caller.close_idle()
+
     def busy(self) -> bool:
         """Returns whether a request or a transaction is in progress."""
         return self._caller is not None and self._caller.busy()
@@ -210,16 +321,35 @@
         self._links = links
         self._connection_numbers = itertools.count(1)
         self._sock = socket.create_server((host, port), backlog=ACCEPT_BACKLOG)
+        self._limit = connection_limit.ConnectionLimit(
+            limit=process.limits.callers,
+            list_open=process.callers.list,
+            count_open=process.callers.count,
+            report=limit_events.reporter(
+                process.timeline,
+                "max_descriptors: callers",
+                process.limits.callers,
+            ),
+        )
 
     def run(self) -> None:
         """Accepts connections until close is called."""
         acceptor.accept_until_closed(self._sock, self._spawn)
 
     def _spawn(self, sock: socket.socket) -> None:
+        if not self._limit.make_room():
+            failure = errors.ConnectionsShort(proxy=self._process.name)
+            send_last(sock, failure)
+            sock.close()
+            return
         number = next(self._connection_numbers)
         key = f"caller {number}"
         connection = CallerConnection(
-            sock=sock, number=number, process=self._process, links=self._links
+            sock=sock,
+            number=number,
+            process=self._process,
+            links=self._links,
+            budget=self._process.budget,
         )
         self._process.callers.add(key, connection)
         try:
--- a/bronzehold/platform/readiness.py
+++ b/bronzehold/platform/readiness.py
@@ -4,7 +4,8 @@
 """
 
 import collections.abc
-import http.server
+
+from bronzehold.process import bounded_http
 
 READY_PATH = "/bronzehold/ready"
 IDLE_TIMEOUT_S = 10.0
@@ -12,7 +13,7 @@
 
 def serve(
     address: tuple[str, int], is_ready: collections.abc.Callable[[], bool]
-) -> http.server.ThreadingHTTPServer:
+) -> bounded_http.Server:
     """Returns a server that is bound to an address.
 
     The caller runs its serve_forever method.
@@ -22,8 +23,7 @@
         is_ready: Returns whether the proxy accepts new callers.
     """
 
-    class Handler(http.server.BaseHTTPRequestHandler):
-        protocol_version = "HTTP/1.1"
+    class Handler(bounded_http.Handler):
         timeout = IDLE_TIMEOUT_S
 
         def do_GET(self) -> None:  # noqa: N802
@@ -35,9 +35,4 @@
             self.send_header("Content-Length", "0")
             self.end_headers()
 
-        def log_message(self, *_args) -> None:
-            return None
-
-    server = http.server.ThreadingHTTPServer(address, Handler)
-    server.daemon_threads = True
-    return server
+    return bounded_http.Server(address, Handler)
--- a/bronzehold/platform/wire.py
+++ b/bronzehold/platform/wire.py
@@ -86,7 +86,8 @@
         while True:
             end_index = self._buf.find(LINE_END, self._search_start)
             if end_index >= 0:
-                line = bytes(self._buf[:end_index])
+                with memoryview(self._buf) as view:
+                    line = bytes(view[:end_index])
                 del self._buf[: end_index + len(LINE_END)]
                 self._search_start = 0
                 return line
@@ -101,7 +102,7 @@
         if next_timeout_s is not None:
             self._sock.settimeout(next_timeout_s())
         try:
-            chunk = self._sock.recv(RECEIVE_BUFFER_BYTES)
+            chunk = self._sock.recv(self._next_size())
         except TimeoutError:
             if next_timeout_s is None:
                 raise
@@ -112,6 +113,10 @@
             raise ports.TransportError("closed by the other side")
         self._buf += chunk
 
+    def _next_size(self) -> int:
+        """Returns the maximum number of bytes to receive at once."""
+        return RECEIVE_BUFFER_BYTES
+
 
 def set_socket_options(sock: socket.socket) -> None:
     """Sets the TCP options that every connection uses."""
--- a/bronzehold/process/exposition.py
+++ b/bronzehold/process/exposition.py
@@ -1,9 +1,9 @@
 """Serves counters and latencies over HTTP in the text format of Prometheus."""
 
 import collections.abc
-import http.server
 
 from bronzehold.core import clock
+from bronzehold.process import bounded_http
 from bronzehold.process import metrics
 from bronzehold.process import platform_process
 
@@ -125,7 +125,7 @@
 def create_server(
     address: tuple[str, int],
     render_metrics: collections.abc.Callable[[], bytes],
-) -> http.server.ThreadingHTTPServer:
+) -> bounded_http.Server:
     """Returns a bound HTTP server; call serve_forever to answer requests.
 
     Args:
@@ -133,8 +133,7 @@
         render_metrics: A function that returns the body of a response.
     """
 
-    class Handler(http.server.BaseHTTPRequestHandler):
-        protocol_version = "HTTP/1.1"
+    class Handler(bounded_http.Handler):
         timeout = IDLE_TIMEOUT_S
 
         def do_GET(self) -> None:  # noqa: N802
@@ -145,9 +144,4 @@
             self.end_headers()
             self.wfile.write(body)
 
-        def log_message(self, *_args) -> None:
-            return None
-
-    server = http.server.ThreadingHTTPServer(address, Handler)
-    server.daemon_threads = True
-    return server
+    return bounded_http.Server(address, Handler)
--- a/bronzehold/process/open_connections.py
+++ b/bronzehold/process/open_connections.py
@@ -63,6 +63,10 @@
         with self._lock:
             return list(self._connections.values())
 
+    def count(self) -> int:
+        """Returns the number of connections."""
+        return len(self._connections)
+
     def count_busy(self) -> int:
         """Returns the number of connections with work in progress."""
         return sum(connection.busy() for connection in self.list())
--- a/bronzehold/process/platform_process.py
+++ b/bronzehold/process/platform_process.py
@@ -14,10 +14,13 @@
 from bronzehold.core import ports
 from bronzehold.core import routes
 from bronzehold.core import settings
+from bronzehold.process import byte_budget
 from bronzehold.process import drain as drain_lib
+from bronzehold.process import limit_events
 from bronzehold.process import metrics
 from bronzehold.process import open_connections
 from bronzehold.process import platform_service
+from bronzehold.process import resource_limits
 from bronzehold.process import serving as serving_lib
 from bronzehold.process import shutdown as shutdown_lib
 from bronzehold.process import tasks
@@ -43,6 +46,8 @@
         config_received: An event that is set once a configuration is in force.
         listings_received: An event that is set once the endpoints are listed.
         shutdown: The planned stop of the process.
+        limits: The limits on memory and connections.
+        budget: The memory for messages and answers.
         callers: The connections of callers.
         forwarded: The connections of proxies that forward statements here.
         port_closed: Whether a stop has closed the callers' port.
@@ -83,6 +88,17 @@
         self._listings: dict[str, routes.Listing] = {}
         self._services: dict[str, platform_service.PlatformService] = {}
         self.shutdown = shutdown
+        self.limits = resource_limits.derive(
+            memory_mb=cfg.memory_mb,
+            max_descriptors=cfg.max_descriptors,
+            receive_budget_mb=cfg.receive_budget_mb,
+        )
+        self.budget = byte_budget.Budget(
+            total=self.limits.budget_bytes,
+            report=limit_events.reporter(
+                timeline, "receive_budget_mb", self.limits.budget_bytes
+            ),
+        )
         self.callers = open_connections.OpenConnections[
             open_connections.CallerConnection
         ]()
--- a/tests/stop_review_test.py
+++ b/tests/stop_review_test.py
@@ -23,6 +23,7 @@
 from bronzehold.platform import listener
 from bronzehold.platform import local
 from bronzehold.platform import wire
+from bronzehold.process import byte_budget
 from bronzehold.process import drain
 from bronzehold.process import open_connections
 from bronzehold.process import shutdown as shutdown_lib
@@ -269,6 +270,9 @@
         name="p",
         callers=open_connections.OpenConnections(),
         tasks=types.SimpleNamespace(spawn=spawn),
+        limits=types.SimpleNamespace(callers=8),
+        budget=byte_budget.UNLIMITED,
+        timeline=None,
     )
     front = listener.Listener(
         host="127.0.0.1", port=0, process=process, links=None
