PostgreSQL path: limits on memory and connections of callers

The listener of this path took messages of up to 1 GiB from any caller, kept batches of any size, waited without end for readers that take nothing (each kept a connection to an endpoint), and had no limit on connections.

Its callers now use the same budget and the same limit on connections as the platform path (connection/caller_frames.py, connection/caller_slot.py): the messages of a request are charged before they are received, a message beyond the memory is refused at its header, a message has 30 s, and a reader that takes nothing for 10 s is closed.

--- a/bronzehold/connection/caller.py
+++ b/bronzehold/connection/caller.py
@@ -11,13 +11,17 @@
 import time
 
 from bronzehold.connection import blocks
+from bronzehold.connection import caller_frames
 from bronzehold.connection import executor as executor_lib
 from bronzehold.connection import frames
 from bronzehold.connection import messages
 from bronzehold.connection import router as router_lib
 from bronzehold.connection import session as session_lib
+from bronzehold.core import clock
 from bronzehold.core import data
 from bronzehold.core import errors
+from bronzehold.process import byte_budget
+from bronzehold.process import connection_limit
 from bronzehold.process import metrics
 from bronzehold.process import service as service_lib
 from bronzehold.request import batch as batch_lib
@@ -25,6 +29,13 @@
 from bronzehold.request import durations
 
 LINGER_TIMEOUT_S = 2.0
+# A caller that accepts no data for this long is treated as disconnected.
+SEND_TIMEOUT_S = 10.0
+# Part of a large answer that a caller has to take within that time.
+SEND_PART_BYTES = 65536
+# A caller that takes nothing for this long may be closed when there are too
+# many connections. A network that drops packets resumes sooner.
+NOT_TAKING_S = 1.0
 
 
 class _Phase(enum.Enum):
@@ -59,9 +70,10 @@
         self,
         *,
         sock: socket.socket,
-        reader: frames.Reader,
+        reader: caller_frames.CallerReader,
         served: service_lib.ServiceRuntime,
         key: tuple[int, int],
+        account: byte_budget.Account,
     ):
         self.key = key
         self._sock = sock
@@ -78,7 +90,13 @@
             executor=self._executor, session=self._session, send=self._send
         )
         self._lock = threading.Lock()
+        self._account = account
         self._phase = _Phase.ANSWERING
+        self._phase_since = clock.now()
+        self._outside_block = True
+        # Since when the caller takes nothing of an answer; None if no answer is
+        # being sent.
+        self._sending_since: float | None = None
         self._stopping = False
         self._told = False
         # What the caller is told if the proxy stops before the next answer.
@@ -117,13 +135,19 @@
         """Answers batches until the caller disconnects or the proxy stops."""
         try:
             while True:
+                # A large request is not kept during the wait for the next one.
+                batch = None
+                self._reader.begin_request()
                 self._await_batch()
                 batch = self._read_batch()
+                self._reader.finish_request()
                 if batch is None or not self._accepts():
                     return
                 self._answer(batch)
         except (DisconnectedError, frames.ClosedError):
             return
+        except byte_budget.ShortError:
+            self._fail_last(errors.MemoryShort(purpose="the message"))
         except frames.FramingError as exc:
             self._send(
                 messages.failure(errors.Malformed(problem=str(exc)), fatal=True)
@@ -145,6 +169,8 @@
     def _enter(self, phase: _Phase) -> None:
         with self._lock:
             self._phase = phase
+            self._phase_since = clock.now()
+            self._outside_block = isinstance(self._executor.block, blocks.Idle)
             self._interruption = self._executor.interruption()
 
     def _accepts(self) -> bool:
@@ -214,6 +240,41 @@
         """Cancels the caller's running statement, if there is one."""
         self._executor.cancel()
 
+    def idle_since(self) -> tuple[connection_limit.Idleness, float] | None:
+        """See connection_limit.Candidate."""
+        since = self._sending_since
+        if since is not None and clock.now() - since >= NOT_TAKING_S:
+            return connection_limit.Idleness.NOT_TAKING, since
+        with self._lock:
+            waits = self._phase is not _Phase.ANSWERING and self._outside_block
+            if not waits:
+                return None
+            return connection_limit.Idleness.WAITING, self._phase_since
+
+    def close_idle(self, failure: errors.Failure) -> None:
+        """Closes the connection if no request is in progress.
+
+        Nothing that it sends afterwards is run.
+
+        Args:
+            failure: What the caller is told.
+        """
+        with self._lock:
+            since = self._sending_since
+            if since is not None and clock.now() - since >= NOT_TAKING_S:
+                self._shut_down()
+            elif self._phase is not _Phase.ANSWERING and not self._told:
+                self._told = True
+                self._fail_last(failure)
+                self._shut_down()
+
+    def _fail_last(self, failure: errors.Failure) -> None:
+        frames.send_last(self._sock, messages.failure(failure, fatal=True))
+
+    def _shut_down(self) -> None:
+        with contextlib.suppress(OSError):
+            self._sock.shutdown(socket.SHUT_RDWR)
+
     def busy(self) -> bool:
         """Returns whether a stop of the proxy waits for this caller."""
         with self._lock:
@@ -231,10 +292,30 @@
             return self._phase is _Phase.ANSWERING and not self._told
 
     def _send(self, out: bytes) -> None:
+        timeout_s = self._sock.gettimeout()
+        self._sock.settimeout(SEND_TIMEOUT_S)
         try:
-            frames.send(self._sock, out)
+            if len(out) <= byte_budget.FREE_BYTES:
+                self._send_part(out)
+            else:
+                self._send_large(out)
         except (frames.ClosedError, TimeoutError) as exc:
             raise DisconnectedError from exc
+        self._sock.settimeout(timeout_s)
+
+    def _send_large(self, out: bytes) -> None:
+        # The answer is in memory as it was received and as it is sent.
+        self._account.hold(2 * len(out), byte_budget.Phase.SENDING)
+        view = memoryview(out)
+        for start in range(0, len(out), SEND_PART_BYTES):
+            self._send_part(view[start : start + SEND_PART_BYTES])
+            self._account.record_progress()
+        self._account.hold(0, byte_budget.Phase.RUNNING)
+
+    def _send_part(self, out: bytes | memoryview) -> None:
+        self._sending_since = clock.now()
+        frames.send(self._sock, out)
+        self._sending_since = None
 
     # Reading.
 
@@ -247,8 +328,10 @@
                 case b"X":
                     return None
                 case b"Q":
+                    self._reader.keep(frame)
                     return self._query_batch(frame)
                 case b"S" | b"H":
+                    self._reader.keep(frame)
                     items.append(batch_lib.BatchMessage(frame=frame))
                     if failure is None:
                         return self._extended_batch(items)
@@ -260,6 +343,7 @@
                 case b"P" | b"B" | b"D" | b"E" | b"C":
                     if failure is not None:
                         continue
+                    self._reader.keep(frame)
                     try:
                         items.append(self._session.names.resolve(frame))
                     except errors.FailureError as exc:
--- a/bronzehold/connection/frames.py
+++ b/bronzehold/connection/frames.py
@@ -68,7 +68,7 @@
             TimeoutError: The socket's timeout expired.
         """
         try:
-            chunk = self._sock.recv(RECEIVE_BYTES)
+            chunk = self._sock.recv(self._next_size())
         except TimeoutError:
             raise
         except OSError as exc:
@@ -77,6 +77,10 @@
             raise ClosedError("closed by the other side")
         self._buf += chunk
 
+    def _next_size(self) -> int:
+        """Returns the maximum number of bytes to receive at once."""
+        return RECEIVE_BYTES
+
     def read_exactly(self, count: int) -> bytes:
         """Reads an exact number of bytes that are not part of a frame."""
         while len(self._buf) < count:
@@ -122,7 +126,8 @@
                 end = start + 1 + length
                 if len(buf) < end:
                     return
-                data = bytes(buf[start:end])
+                with memoryview(buf) as view:
+                    data = bytes(view[start:end])
                 start = end
                 taken += 1
                 yield Frame(kind=kind, data=data)
--- a/bronzehold/process/proxy.py
+++ b/bronzehold/process/proxy.py
@@ -16,6 +16,8 @@
 from bronzehold.connection import acceptor
 from bronzehold.connection import authentication
 from bronzehold.connection import caller as caller_lib
+from bronzehold.connection import caller_frames
+from bronzehold.connection import caller_slot
 from bronzehold.connection import frames
 from bronzehold.connection import handshake
 from bronzehold.connection import messages
@@ -24,12 +26,16 @@
 from bronzehold.core import errors
 from bronzehold.core import events
 from bronzehold.core import settings
+from bronzehold.process import byte_budget
 from bronzehold.process import catalog
+from bronzehold.process import connection_limit
 from bronzehold.process import etcd_store
 from bronzehold.process import failover
+from bronzehold.process import limit_events
 from bronzehold.process import metrics
 from bronzehold.process import operator_api
 from bronzehold.process import peers
+from bronzehold.process import resource_limits
 from bronzehold.process import service as service_lib
 from bronzehold.process import shutdown as shutdown_lib
 from bronzehold.process import store_sync
@@ -120,6 +126,26 @@
         self._lock = threading.Lock()
         self._callers: dict[int, caller_lib.Caller] = {}
         self._socks: dict[int, socket.socket] = {}
+        self._slots: dict[int, caller_slot.CallerSlot] = {}
+        limits = resource_limits.derive(
+            memory_mb=cfg.memory_mb,
+            max_descriptors=cfg.max_descriptors,
+            receive_budget_mb=cfg.receive_budget_mb,
+        )
+        self._budget = byte_budget.Budget(
+            total=limits.budget_bytes,
+            report=limit_events.reporter(
+                self.timeline, "receive_budget_mb", limits.budget_bytes
+            ),
+        )
+        self._limit = connection_limit.ConnectionLimit(
+            limit=limits.callers,
+            list_open=self._all_slots,
+            count_open=lambda: len(self._slots),
+            report=limit_events.reporter(
+                self.timeline, "max_descriptors: callers", limits.callers
+            ),
+        )
         # The callers that were told in their handshake that the proxy stops.
         self._told: set[int] = set()
         self._pids = itertools.count(1)
@@ -153,10 +179,23 @@
     def _accept(self) -> None:
         acceptor.accept_until_closed(self._listener, self._spawn_caller)
 
+    def _all_slots(self) -> list[caller_slot.CallerSlot]:
+        with self._lock:
+            return list(self._slots.values())
+
     def _spawn_caller(self, sock: socket.socket) -> None:
+        if not self._limit.make_room():
+            failure = errors.ConnectionsShort(proxy=self.cfg.name)
+            caller_slot.end(sock, failure)
+            sock.close()
+            return
         pid = next(self._pids)
+        slot = caller_slot.CallerSlot(
+            sock=sock, budget=self._budget, proxy=self.cfg.name
+        )
         with self._lock:
             self._socks[pid] = sock
+            self._slots[pid] = slot
         self.tasks.spawn("caller", lambda: self._serve(sock, pid))
 
     def _serve(self, sock: socket.socket, pid: int) -> None:
@@ -175,11 +214,14 @@
             with self._lock:
                 self._callers.pop(pid, None)
                 self._socks.pop(pid, None)
+                slot = self._slots.pop(pid)
                 self._told.discard(pid)
+            slot.account.close()
             sock.close()
 
     def _handshake_and_serve(self, sock: socket.socket, own_pid: int) -> None:
-        reader = frames.Reader(sock=sock)
+        account = self._slots[own_pid].account
+        reader = caller_frames.CallerReader(sock=sock, account=account)
         body = handshake.read_startup_packet(sock, reader)
         if messages.startup_code(body) == messages.CANCEL_REQUEST:
             pid, secret = messages.parse_cancel(body)
@@ -196,7 +238,11 @@
         caller.close_gracefully()
 
     def _open_caller(
-        self, sock: socket.socket, reader: frames.Reader, pid: int, body
+        self,
+        sock: socket.socket,
+        reader: caller_frames.CallerReader,
+        pid: int,
+        body,
     ) -> caller_lib.Caller:
         if messages.startup_code(body) >> 16 != messages.PROTOCOL_MAJOR:
             raise errors.FailureError(
@@ -214,11 +260,13 @@
             reader=reader,
             served=served,
             key=(pid, secrets.randbits(SECRET_BITS)),
+            account=self._slots[pid].account,
         )
         # The caller is registered before its cancel key is sent, so that the
         # key works at once and a planned stop includes the caller.
         with self._lock:
             self._callers[pid] = caller
+            self._slots[pid].caller = caller
             draining = self._listener is None
         caller.open(params)
         if draining:
--- a/bronzehold/tools/main.py
+++ b/bronzehold/tools/main.py
@@ -19,6 +19,7 @@
 from bronzehold.platform import demo as platform_demo
 from bronzehold.platform import settings_file as platform_settings
 from bronzehold.process import etcd_store
+from bronzehold.process import malloc
 from bronzehold.process import proxy as proxy_lib
 from bronzehold.process import signals
 from bronzehold.process import timeline as timeline_lib
@@ -73,6 +74,7 @@
         config: JSON file with the proxy's settings.
     """
     cfg = _load_settings(config, settings.Settings)
+    malloc.set_up()
     timeline_lib.set_up_logging(cfg.log_level)
     running = proxy_lib.Proxy(cfg=cfg)
     stop = _stop_on_signal()
