--- a/bronzehold/platform/instance.py
+++ b/bronzehold/platform/instance.py
@@ -163,6 +163,12 @@
             "peers": float(len(self.gossip.live_peers())),
             "store_away": float(self.mirror.store_unreachable()),
             "store_watched": float(self.serving.watches_store()),
+            "receive_budget_bytes": float(self.process.budget.total),
+            "receive_budget_used_bytes": float(self.process.budget.used()),
+            "caller_connections": float(self.process.callers.count()),
+            "caller_connections_max": float(self.process.limits.callers),
+            "peer_connections": float(self.process.forwarded.count()),
+            "peer_connections_max": float(self.process.limits.peers),
             "forward_suspects": float(self.serving.suspect_count()),
             **{
                 f"forwarded_{outcome}": float(count)
--- a/bronzehold/process/byte_budget.py
+++ b/bronzehold/process/byte_budget.py
@@ -12,6 +12,7 @@
 """
 
 import collections.abc
+import contextlib
 import enum
 import threading
 
@@ -164,6 +165,7 @@
         self._changed = threading.Condition()
         self._used = 0
         self._state_used = 0
+        self._pending_reports: list[tuple[str, int, int]] = []
         # Accounts with a charge for a message or an answer.
         self._charged: set[Account] = set()
 
@@ -178,6 +180,20 @@
         """
         return Account(budget=self, abort=abort)
 
+    @contextlib.contextmanager
+    def _locked(self) -> collections.abc.Iterator[None]:
+        """Holds the lock; what is to be reported is reported after it."""
+        reports = []
+        try:
+            with self._changed:
+                try:
+                    yield
+                finally:
+                    reports, self._pending_reports = self._pending_reports, []
+        finally:
+            for report in reports:
+                self._report(*report)
+
     def used(self) -> int:
         """Returns the bytes that are charged."""
         return self._used
@@ -186,14 +202,14 @@
         """Charges a message that is to be received; see Account.reserve."""
         # The largest message is received even if the budget is smaller.
         charge = min(size - FREE_BYTES, self.total - self._state_used)
-        with self._changed:
+        with self._locked():
             self._wait_for(account, charge - account.charge)
             self._set(account, charge, Phase.RECEIVING)
             account.covered = size
 
     def await_room(self, account: Account) -> None:
         """Waits while the budget is overdrawn; see Account.await_room."""
-        with self._changed:
+        with self._locked():
             self._wait_for(account, 0)
 
     def _wait_for(self, account: Account, size: int) -> None:
@@ -201,7 +217,9 @@
         while self._used + size > self.total:
             now = clock.now()
             if now >= deadline or account.is_aborted:
-                self._report("refused", account.charge, self._used)
+                self._pending_reports.append(
+                    ("refused", account.charge, self._used)
+                )
                 raise ShortError
             self._abort_stalled(self._used + size - self.total, now)
             self._changed.wait(CHECK_INTERVAL_S)
@@ -213,11 +231,11 @@
         for account in choose_stalled(self._charged, missing, now):
             account.is_aborted = True
             account.abort(account.phase)
-            self._report("closed", account.charge, self._used)
+            self._pending_reports.append(("closed", account.charge, self._used))
 
     def set_charge(self, account: Account, size: int, phase: Phase) -> None:
         """Replaces a charge without waiting; see Account.hold."""
-        with self._changed:
+        with self._locked():
             self._set(account, max(0, size - FREE_BYTES), phase)
             account.covered = max(size, FREE_BYTES)
 
@@ -234,11 +252,13 @@
 
     def set_state(self, account: Account, charge: int) -> bool:
         """Replaces the charge for a session's state; False without room."""
-        with self._changed:
+        with self._locked():
             added = charge - account.state_bytes
             most = self.total * MAX_STATE_PART
             if added > 0 and self._state_used + added > most:
-                self._report("state refused", account.state_bytes, self._used)
+                self._pending_reports.append(
+                    ("state refused", account.state_bytes, self._used)
+                )
                 return False
             self._state_used += added
             self._add(added)
--- a/bronzehold/process/resource_limits.py
+++ b/bronzehold/process/resource_limits.py
@@ -19,10 +19,11 @@
 MIN_RESERVED = 64
 # The part of the descriptors for endpoints, other proxies and the store.
 RESERVED_PART = 0.25
-# The part of the descriptors for connections of other proxies.
-PEERS_PART = 0.125
+# The part of the descriptors for connections of other proxies. Each statement
+# that is forwarded here and has not been answered takes one.
+PEERS_PART = 0.25
 # Connections to each port of the load balancer and of the metrics.
-MAX_HTTP_CONNECTIONS = 16
+MAX_HTTP_CONNECTIONS = 32
 HTTP_PORTS = 2
 # Used where the system has no limit.
 MAX_DESCRIPTORS = 65536
--- a/bronzehold/request/relay.py
+++ b/bronzehold/request/relay.py
@@ -130,8 +130,10 @@
         except (frames.ClosedError, TimeoutError) as exc:
             raise self._incomplete(str(exc)) from exc
         self._read_replies(hidden + rewritten.replies)
+        remaining = bytes(self._out)
+        self._out.clear()
         return Answer(
-            remaining=bytes(self._out),
+            remaining=remaining,
             forwarded=self._forwarded,
             state=self._state,
             mark=self._mark,
@@ -156,6 +158,8 @@
                 self._out += reply.local_reply
                 index += 1
                 continue
+            # A large frame is not kept during the wait for the next one.
+            frame = None
             frame = self._next_frame()
             if frame.kind in reply.end_types:
                 self._handle_reply_end(frame, reply)
