No statement goes to an endpoint while answers overdraw the memory

A crowd whose statements had all been received before the first answer came got all its answers at once. Long rows are not decoded any more, as nothing reads them.

--- a/bronzehold/connection/caller.py
+++ b/bronzehold/connection/caller.py
@@ -85,6 +85,7 @@
             session=self._session,
             send=self._send,
             name=f"{key[0]}",
+            may_start=account.may_start,
         )
         self._router = router_lib.Router(
             executor=self._executor, session=self._session, send=self._send
--- a/bronzehold/connection/executor.py
+++ b/bronzehold/connection/executor.py
@@ -56,6 +56,7 @@
         session: session_lib.Session,
         send: collections.abc.Callable[[bytes], None],
         name: str,
+        may_start: collections.abc.Callable[[], bool] = lambda: True,
     ):
         """Initializes the executor.
 
@@ -64,6 +65,7 @@
             session: The caller's session.
             send: Sends bytes to the caller.
             name: The caller's id, for fair queueing and cancel requests.
+            may_start: Returns whether there is memory for an answer.
         """
         self.block: blocks.Block = blocks.Idle()
         self.endpoint_role = "none"
@@ -72,6 +74,7 @@
         self._session = session
         self._send = send
         self._caller_id = name
+        self._may_start = may_start
         self._active: backend_lib.Backend | None = None
         self._lock = threading.Lock()
         self._write_counted = False
@@ -535,6 +538,9 @@
         )
         self._slot = self._make_slot(pool, batch, length)
         backend.attach(self._caller_id)
+        if not self._may_start():
+            self._return_connection(pool, backend, good=True)
+            raise errors.FailureError(errors.MemoryShort(purpose="an answer"))
         try:
             backend.set_variables(self._session.statements())
         except client.ServerError as exc:
--- a/bronzehold/connection/forward_server.py
+++ b/bronzehold/connection/forward_server.py
@@ -206,6 +206,7 @@
             service=service,
             timeout_at=call.deadline,
             shutdown=self._process.shutdown,
+            may_start=self._account.may_start,
         )
         req = call.request
         match call.block:
--- a/bronzehold/connection/platform_blocks.py
+++ b/bronzehold/connection/platform_blocks.py
@@ -5,6 +5,7 @@
 handled.
 """
 
+import collections.abc
 import dataclasses
 
 from bronzehold.connection import forward_client
@@ -28,12 +29,14 @@
         timeout_at: The end of the statement's own timeout, in seconds of
             clock.now().
         shutdown: The planned stop of this proxy.
+        may_start: Returns whether there is memory for an answer.
     """
 
     route: routes.Route
     service: platform_service.PlatformService
     timeout_at: float
     shutdown: shutdown_lib.Shutdown
+    may_start: collections.abc.Callable[[], bool] = lambda: True
 
     @property
     def deadline(self) -> float:
--- a/bronzehold/connection/platform_caller.py
+++ b/bronzehold/connection/platform_caller.py
@@ -331,6 +331,7 @@
             service=service,
             timeout_at=req.arrived + route.timeout_s,
             shutdown=self._process.shutdown,
+            may_start=self._link.may_start,
         )
 
     def _refuse_if_stopping(
--- a/bronzehold/connection/platform_exchange.py
+++ b/bronzehold/connection/platform_exchange.py
@@ -112,6 +112,12 @@
         """
         self._not_run = False
         pool, conn = self._acquire(context, target)
+        if not context.may_start():
+            pool.end_statement(None)
+            pool.release(conn, reusable=True)
+            raise blocks.TryOtherEndpointError(
+                errors.MemoryShort(purpose="an answer"), sent=False
+            )
         lease = Lease(pool=pool, conn=conn)
         try:
             yield lease
--- a/bronzehold/core/ports.py
+++ b/bronzehold/core/ports.py
@@ -86,6 +86,9 @@
     def hold_state(self, size: int) -> bool:
         """Returns whether the session's state may take a number of bytes."""
 
+    def may_start(self) -> bool:
+        """Returns whether there is memory for an answer."""
+
     def stop_receiving(self) -> None:
         """Ends the connection after the requests that have arrived."""
 
--- a/bronzehold/core/statements.py
+++ b/bronzehold/core/statements.py
@@ -286,7 +286,7 @@
 
     Attributes:
         body: Answer to forward to the caller unchanged.
-        rows: Fields of each row, for commands of the proxy itself.
+        rows: Fields of each short row, for commands of the proxy itself.
         state: Transaction state of the connection after the command.
         position: Log position of the endpoint after the command, None if the
             answer has none.
--- a/bronzehold/platform/listener.py
+++ b/bronzehold/platform/listener.py
@@ -129,6 +129,10 @@
         """Returns whether the session's state may take a number of bytes."""
         return self._account.hold_state(size)
 
+    def may_start(self) -> bool:
+        """Returns whether there is memory for an answer."""
+        return self._account.may_start()
+
     def acknowledge(self, state: statements.TransactionState) -> None:
         """Reports the success of a statement that the proxy itself handled."""
         self._send(wire.COMPLETE_MESSAGE + wire.encode_ready(state))
--- a/bronzehold/platform/wire.py
+++ b/bronzehold/platform/wire.py
@@ -20,6 +20,9 @@
 LINE_END = b"\r\n"
 MAX_LINE_BYTES = 1 << 20
 RECEIVE_BUFFER_BYTES = 65536
+# Rows that the proxy reads itself are far shorter. Others are only forwarded,
+# and a decoded copy would double the memory of a large answer.
+MAX_DECODED_ROW_BYTES = 4096
 # Request id of commands that the proxy itself sends; invalid for callers.
 NO_ID = "-"
 
@@ -311,7 +314,8 @@
         keyword, _, rest = line.partition(b" ")
         match keyword:
             case b"ROW":
-                rows.append(rest.decode(ENCODING))
+                if len(rest) <= MAX_DECODED_ROW_BYTES:
+                    rows.append(rest.decode(ENCODING))
                 body += (line, LINE_END)
             case b"COMPLETE":
                 body += (line, LINE_END)
--- a/bronzehold/process/byte_budget.py
+++ b/bronzehold/process/byte_budget.py
@@ -125,6 +125,14 @@
         if self._budget.is_overdrawn:
             self._budget.await_room(self)
 
+    def may_start(self) -> bool:
+        """Returns whether a statement may be sent to an endpoint.
+
+        It may have waited for an endpoint since await_room, while others got
+        answers that are not taken.
+        """
+        return not self._budget.is_overdrawn
+
     def record_progress(self) -> None:
         """Records that bytes were received or sent."""
         self.progressed_at = clock.now()
