PostgreSQL path: answers wait for memory before they are read

With the check at the start of a statement alone, 45 statements in flight got their answers in one burst when room came back: 32 to 53 MiB for 120 readers that take nothing. A relay now waits, up to 5 s, for room for the message that an endpoint has begun to send, and is then charged for it.

--- a/bronzehold/connection/caller.py
+++ b/bronzehold/connection/caller.py
@@ -31,6 +31,8 @@
 LINGER_TIMEOUT_S = 2.0
 # A caller that accepts no data for this long is treated as disconnected.
 SEND_TIMEOUT_S = 10.0
+# An answer is in memory as it is received and as it is sent.
+ANSWER_COPIES = 2
 # Part of a large answer that a caller has to take within that time.
 SEND_PART_BYTES = 65536
 # A caller that takes nothing for this long may be closed when there are too
@@ -86,6 +88,7 @@
             send=self._send,
             name=f"{key[0]}",
             may_start=account.may_start,
+            expect=self._expect_answer,
         )
         self._router = router_lib.Router(
             executor=self._executor, session=self._session, send=self._send
@@ -292,6 +295,10 @@
         with self._lock:
             return self._phase is _Phase.ANSWERING and not self._told
 
+    def _expect_answer(self, size: int) -> None:
+        if size > byte_budget.FREE_BYTES:
+            self._account.expect_answer(ANSWER_COPIES * size)
+
     def _send(self, out: bytes) -> None:
         timeout_s = self._sock.gettimeout()
         self._sock.settimeout(SEND_TIMEOUT_S)
@@ -305,8 +312,7 @@
         self._sock.settimeout(timeout_s)
 
     def _send_large(self, out: bytes) -> None:
-        # The answer is in memory as it was received and as it is sent.
-        self._account.hold(2 * len(out), byte_budget.Phase.SENDING)
+        self._account.hold(ANSWER_COPIES * len(out), byte_budget.Phase.SENDING)
         view = memoryview(out)
         for start in range(0, len(out), SEND_PART_BYTES):
             self._send_part(view[start : start + SEND_PART_BYTES])
--- a/bronzehold/connection/executor.py
+++ b/bronzehold/connection/executor.py
@@ -57,6 +57,7 @@
         send: collections.abc.Callable[[bytes], None],
         name: str,
         may_start: collections.abc.Callable[[], bool] = lambda: True,
+        expect: collections.abc.Callable[[int], None] = lambda _: None,
     ):
         """Initializes the executor.
 
@@ -66,6 +67,7 @@
             send: Sends bytes to the caller.
             name: The caller's id, for fair queueing and cancel requests.
             may_start: Returns whether there is memory for an answer.
+            expect: Called with the bytes that an answer will take; may wait.
         """
         self.block: blocks.Block = blocks.Idle()
         self.endpoint_role = "none"
@@ -75,6 +77,7 @@
         self._send = send
         self._caller_id = name
         self._may_start = may_start
+        self._expect = expect
         self._active: backend_lib.Backend | None = None
         self._lock = threading.Lock()
         self._write_counted = False
@@ -579,6 +582,7 @@
                 overdue=self._shutdown.overdue,
                 hold_back=hold,
                 skipping=skipping,
+                expect=self._expect,
             )
             plan = batch_lib.rewrite(batch, backend.prepared)
             self._slot.start()
--- a/bronzehold/connection/frames.py
+++ b/bronzehold/connection/frames.py
@@ -60,6 +60,14 @@
         """Returns whether the buffer holds unread bytes."""
         return bool(self._buf)
 
+    def expected_bytes(self) -> int:
+        """Returns the bytes that the next frame needs in the buffer."""
+        size = len(self._buf)
+        if size < HEADER_BYTES:
+            return size
+        _, length = HEADER.unpack_from(self._buf)
+        return max(size, 1 + length)
+
     def fill(self) -> None:
         """Receives more bytes into the buffer.
 
--- a/bronzehold/process/byte_budget.py
+++ b/bronzehold/process/byte_budget.py
@@ -100,7 +100,23 @@
             ShortError: There was no room in time.
         """
         if size > self.covered:
-            self._budget.acquire(self, max(size, expected))
+            self._budget.acquire(self, max(size, expected), Phase.RECEIVING)
+
+    def expect_answer(self, size: int) -> None:
+        """Waits for room for an answer that an endpoint has begun to send.
+
+        Without room in time, the answer is charged all the same: it is that of
+        a request that has run.
+
+        Args:
+            size: Bytes that the answer will take.
+        """
+        if size <= self.covered:
+            return
+        try:
+            self._budget.acquire(self, size, Phase.RUNNING)
+        except ShortError:
+            self._budget.set_charge(self, size, Phase.RUNNING)
 
     def hold(self, size: int, phase: Phase) -> None:
         """Replaces the charge without waiting.
@@ -206,13 +222,13 @@
         """Returns the bytes that are charged."""
         return self._used
 
-    def acquire(self, account: Account, size: int) -> None:
-        """Charges a message that is to be received; see Account.reserve."""
+    def acquire(self, account: Account, size: int, phase: Phase) -> None:
+        """Charges bytes that are to be received; see Account.reserve."""
         # The largest message is received even if the budget is smaller.
         charge = min(size - FREE_BYTES, self.total - self._state_used)
         with self._locked():
             self._wait_for(account, charge - account.charge)
-            self._set(account, charge, Phase.RECEIVING)
+            self._set(account, charge, phase)
             account.covered = size
 
     def await_room(self, account: Account) -> None:
--- a/bronzehold/request/relay.py
+++ b/bronzehold/request/relay.py
@@ -77,6 +77,7 @@
         overdue: collections.abc.Callable[[], bool],
         hold_back: bool,
         skipping: bool = False,
+        expect: collections.abc.Callable[[int], None] = lambda _: None,
     ):
         """Initializes the exchange.
 
@@ -91,6 +92,8 @@
                 reported mark on is held back.
             skipping: Whether the endpoint ignores messages until a Sync,
                 after an error in an earlier batch.
+            expect: Called with the bytes that the answer will take; may wait
+                until there is room for them.
         """
         self._backend = backend
         self._forward = forward
@@ -105,6 +108,7 @@
         self._sqlstate = ""
         self._not_primary = False
         self._skipping = skipping
+        self._expect = expect
 
     def run(
         self, rewritten: batch_lib.RewrittenBatch, ahead: tuple[bytes, ...] = ()
@@ -207,6 +211,7 @@
         self._forward_buffered()
         if self._overdue():
             raise self._incomplete(STOPPING_REASON)
+        self._expect(len(self._out) + reader.expected_bytes())
         try:
             reader.fill()
         except TimeoutError:
