--- a/bronzehold/connection/caller_frames.py
+++ b/bronzehold/connection/caller_frames.py
@@ -69,6 +69,8 @@
     def fill(self) -> None:
         """Receives more bytes; see frames.Reader.fill."""
         if not self._buf:
+            if self._kept_bytes:
+                self._reserve()
             super().fill()
             return
         if self._deadline is None:
--- a/bronzehold/platform/settings_file_test.py
+++ b/bronzehold/platform/settings_file_test.py
@@ -34,6 +34,17 @@
     assert cfg.log_level == "INFO"
 
 
+def test_limits_are_optional_and_not_negative(tmp_path):
+    """Guards against settings of an older template that are refused."""
+    assert _load(tmp_path, json.dumps(VALID)).memory_mb == 0
+    limits = {"memory_mb": 200, "max_descriptors": 512, "receive_budget_mb": 8}
+    cfg = _load(tmp_path, json.dumps({**VALID, **limits}))
+    assert (cfg.memory_mb, cfg.max_descriptors) == (200, 512)
+    assert cfg.receive_budget_mb == 8
+    with pytest.raises(validation.ProblemsError):
+        _load(tmp_path, json.dumps({**VALID, "memory_mb": -1}))
+
+
 def test_all_problems_are_reported_together(tmp_path):
     invalid = {**VALID, "callers": "nowhere", "peer_port": "3", "stop_s": None}
     with pytest.raises(validation.ProblemsError) as caught:
--- a/bronzehold/tools/explain.py
+++ b/bronzehold/tools/explain.py
@@ -63,6 +63,8 @@
     "AnswerCut": "the answer to a read was lost on every endpoint tried",
     "Stopping": "not run: the proxy that it was forwarded to was stopping and "
     "no other could take it",
+    "MemoryShort": "not run: the proxy had no memory for the message, the "
+    "session's values or the answer; look for LimitReached",
     "ServiceUnknown": "not run: no route for the database in this version",
 }
 
