Merge limits on what callers and peers may hold

Callers that misbehave could run a process out of memory or descriptors. The settings get the machine's memory and descriptors, and the window of the limits where a deployment has one. A workspace without keys is valid, as the check of configurations has it.

--- a/bronzehold/connection/platform_blocks.py
+++ b/bronzehold/connection/platform_blocks.py
@@ -5,6 +5,7 @@
 handled.
 """
 
+import collections.abc
 import dataclasses
 
 from bronzehold.connection import forward_client
@@ -32,6 +33,7 @@
         version: The version of the configuration that allowed it.
         may_redirect: Whether it may be refused in favour of the proxies in the
             region of its endpoint, which have the workspace's connections.
+        may_start: Returns whether there is memory for an answer.
     """
 
     route: routes.Route
@@ -41,6 +43,7 @@
     workspace: str = ""
     version: int = 0
     may_redirect: bool = False
+    may_start: collections.abc.Callable[[], bool] = lambda: True
 
     @property
     def deadline(self) -> float:
--- a/bronzehold/connection/platform_exchange.py
+++ b/bronzehold/connection/platform_exchange.py
@@ -126,6 +126,12 @@
         """
         self._completed = False
         pool, conn = self._acquire(context, target)
+        if not context.may_start():
+            pool.end_statement(None)
+            pool.release(conn, reusable=True)
+            raise blocks.TryOtherEndpointError(
+                errors.MemoryShort(purpose="an answer"), sent=False
+            )
         lease = Lease(pool=pool, conn=conn)
         try:
             yield lease
--- a/bronzehold/connection/token_exchange_test.py
+++ b/bronzehold/connection/token_exchange_test.py
@@ -14,7 +14,9 @@
 from bronzehold.core import clock
 from bronzehold.core import routes
 from bronzehold.core import statements
+from bronzehold.process import byte_budget
 from bronzehold.process import open_connections
+from bronzehold.process import resource_limits
 from bronzehold.process import tasks as tasks_lib
 from bronzehold.process import timeline as timeline_lib
 from bronzehold.process import token_messages as messages
@@ -53,6 +55,10 @@
             timeline=timeline,
             tasks=self.tasks,
             forwarded=open_connections.OpenConnections(),
+            budget=byte_budget.UNLIMITED,
+            limits=resource_limits.derive(
+                memory_mb=0, max_descriptors=0, receive_budget_mb=0
+            ),
             rate_limiter=types.SimpleNamespace(grant=self._grant),
             service=lambda _name: self.released.wait() and None,
         )
--- a/bronzehold/core/events.py
+++ b/bronzehold/core/events.py
@@ -788,6 +788,26 @@
     error: str
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class LimitReached:
+    """A limit on what callers or peers may hold has taken effect.
+
+    Attributes:
+        bound: The limit: "receive_budget_mb", "max_descriptors" or
+            "message_time".
+        action: What was done: "refused", "closed" or "state refused".
+        amount: Bytes or connections that it was done to.
+        used: Bytes or connections of the whole process at that time.
+        limit: The value of the limit.
+    """
+
+    bound: str
+    action: str
+    amount: int
+    used: int
+    limit: int
+
+
 Event = (
     ProxyStarted
     | ProxyStopping
@@ -839,4 +859,5 @@
     | LimiterUnanswered
     | EventsNotLogged
     | SettingsSignalled
+    | LimitReached
 )
--- a/bronzehold/core/settings.py
+++ b/bronzehold/core/settings.py
@@ -85,6 +85,13 @@
         endpoint_password: Password for connections to endpoints.
         log_level: Level of the JSON logs.
         timing: Intervals and timeouts.
+        memory_mb: Memory of the machine in MiB that the process may use, 0 to
+            take it from the system.
+        max_descriptors: Maximum number of open descriptors, 0 to take it from
+            the system.
+        receive_budget_mb: Memory in MiB for the messages of callers and peers
+            and for answers that they have not taken, 0 for a part of
+            memory_mb.
     """
 
     name: str
@@ -100,6 +107,9 @@
     endpoint_password: str = ""
     log_level: str = "INFO"
     timing: Timing = Timing()
+    memory_mb: int = 0
+    max_descriptors: int = 0
+    receive_budget_mb: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -126,6 +136,13 @@
             exceed it.
         limit_slack: Number of operations by which they may exceed it in
             addition.
+        memory_mb: Memory of the machine in MiB that the process may use, 0 to
+            take it from the system.
+        max_descriptors: Maximum number of open descriptors, 0 to take it from
+            the system.
+        receive_budget_mb: Memory in MiB for the messages of callers and peers
+            and for answers that they have not taken, 0 for a part of
+            memory_mb.
     """
 
     name: str
@@ -144,3 +161,6 @@
     limit_window_s: float = 5.0
     limit_overage: float = 0.1
     limit_slack: float = 20.0
+    memory_mb: int = 0
+    max_descriptors: int = 0
+    receive_budget_mb: int = 0
--- a/bronzehold/platform/settings_file.py
+++ b/bronzehold/platform/settings_file.py
@@ -48,6 +48,14 @@
     return number
 
 
+def _limit(fields: fields_lib.Fields, name: str) -> int:
+    """Returns an optional limit, 0 if the system's own one applies."""
+    value = fields.integer(name, 0)
+    if value < 0:
+        raise fields.problem(name, "is negative")
+    return value
+
+
 _FIELD_READERS = {
     "name": lambda f: f.text("name"),
     "zone": lambda f: f.text("zone"),
@@ -65,4 +73,7 @@
     "limit_window_s": lambda f: _positive(f, "limit_window_s", 5.0),
     "limit_overage": lambda f: _not_negative(f, "limit_overage", 0.1),
     "limit_slack": lambda f: _not_negative(f, "limit_slack", 20.0),
+    "memory_mb": lambda f: _limit(f, "memory_mb"),
+    "max_descriptors": lambda f: _limit(f, "max_descriptors"),
+    "receive_budget_mb": lambda f: _limit(f, "receive_budget_mb"),
 }
--- a/bronzehold/platform/wire.py
+++ b/bronzehold/platform/wire.py
@@ -20,6 +20,9 @@
 LINE_END = b"\r\n"
 MAX_LINE_BYTES = 1 << 20
 RECEIVE_BUFFER_BYTES = 65536
+# Rows that the proxy reads itself are far shorter. Others are only forwarded,
+# and a decoded copy would double the memory of a large answer.
+MAX_DECODED_ROW_BYTES = 4096
 # Request id of commands that the proxy itself sends; invalid for callers.
 NO_ID = "-"
 
@@ -86,7 +89,8 @@
         while True:
             end_index = self._buf.find(LINE_END, self._search_start)
             if end_index >= 0:
-                line = bytes(self._buf[:end_index])
+                with memoryview(self._buf) as view:
+                    line = bytes(view[:end_index])
                 del self._buf[: end_index + len(LINE_END)]
                 self._search_start = 0
                 return line
@@ -101,7 +105,7 @@
         if next_timeout_s is not None:
             self._sock.settimeout(next_timeout_s())
         try:
-            chunk = self._sock.recv(RECEIVE_BUFFER_BYTES)
+            chunk = self._sock.recv(self._next_size())
         except TimeoutError:
             if next_timeout_s is None:
                 raise
@@ -112,6 +116,10 @@
             raise ports.TransportError("closed by the other side")
         self._buf += chunk
 
+    def _next_size(self) -> int:
+        """Returns the maximum number of bytes to receive at once."""
+        return RECEIVE_BUFFER_BYTES
+
 
 def set_socket_options(sock: socket.socket) -> None:
     """Sets the TCP options that every connection uses."""
@@ -308,7 +316,8 @@
         keyword, _, rest = line.partition(b" ")
         match keyword:
             case b"ROW":
-                rows.append(rest.decode(ENCODING))
+                if len(rest) <= MAX_DECODED_ROW_BYTES:
+                    rows.append(rest.decode(ENCODING))
                 body += (line, LINE_END)
             case b"COMPLETE":
                 body += (line, LINE_END)
--- a/bronzehold/platform/workspaces.py
+++ b/bronzehold/platform/workspaces.py
@@ -61,7 +61,7 @@
 
 
 def _decode_keys(fields: fields_lib.Fields) -> list[str]:
-    keys = fields.list("api_keys")
+    keys = fields.list("api_keys") if fields.has("api_keys") else []
     if not all(isinstance(key, str) and key for key in keys):
         raise fields.problem("api_keys", "has a key that is no text")
     return keys
