Limits: proxies that have just started limit nothing yet, and tests of loans

Cause: a proxy that came back was first in the order of its region as soon as it was heard, but had no contact to it for another second, so it granted a standby's share only; operations below the limit were refused meanwhile.

Change: a proxy is no limiter in its first 2 s, unless all of its region have just started. A limiter without a report starts with two parts of the slack, and has a part less capacity. Seeds of the own host do not count as others.

--- a/bronzehold/platform/instance.py
+++ b/bronzehold/platform/instance.py
@@ -120,7 +120,9 @@
                 overage=cfg.limit_overage,
                 slack=cfg.limit_slack,
             ),
-            has_seeds=bool(cfg.seeds),
+            has_seeds=any(
+                addresses.split(seed)[0] != cfg.host for seed in cfg.seeds
+            ),
         )
         self.tokens = tokens_lib.Tokens(
             proxy=cfg.name,
--- a/bronzehold/process/digest_exchange.py
+++ b/bronzehold/process/digest_exchange.py
@@ -161,7 +161,9 @@
     def receive(self, received: gossip_lib.ReceivedDigest) -> None:
         """Applies a peer's digest."""
         digest = received.digest
-        self._serving.note_heard(digest.proxy)
+        self._serving.note_heard(
+            digest.proxy, digest.uptime_ms / gossip_lib.MILLISECONDS_PER_S
+        )
         if digest.version > self._newest_version:
             if self._newest_version <= self._process.table().version:
                 self._newest_version_at = clock.now()
--- a/bronzehold/process/serving.py
+++ b/bronzehold/process/serving.py
@@ -38,6 +38,10 @@
 MIN_CONTACT_S = 0.75
 ABSENT_PART = 0.65
 MIN_ABSENT_S = 1.0
+# A proxy that has just started has no contact to its region yet, while others
+# hear it already. It is not present in the region before this time, unless all
+# of the region have just started.
+SETTLED_UPTIME_S = 2.0
 # The others have heard a proxy that comes back after this part, one round.
 SETTLE_PART = 0.25
 
@@ -47,7 +51,8 @@
     """The proxies of a region as this proxy sees them.
 
     Attributes:
-        present: This proxy and those that are live, without the stopping ones.
+        present: This proxy and those that are live, without the stopping ones
+            and those that have just started.
         known: Names of all that are live or registered, in alphabetical order.
         in_contact: Whether more than half of the known ones, this proxy
             included, have been heard for long enough that they have heard this
@@ -107,6 +112,7 @@
         self._suspected_at: dict[str, float] = {}
         self._registered: dict[str, members_lib.Member] = {}
         self._heard_at: dict[str, float] = {}
+        self._peer_started_at: dict[str, float] = {}
         self._last_heard_at = -math.inf
         # A new process sends digests from its start on.
         self._contact_since = self._started_at
@@ -318,14 +324,20 @@
                 events.ForwardFailed(peer=name, why=reason)
             )
 
-    def note_heard(self, name: str) -> None:
-        """Records that a digest of a proxy has arrived."""
+    def note_heard(self, name: str, uptime_s: float = math.inf) -> None:
+        """Records that a digest of a proxy has arrived.
+
+        Args:
+            name: The name of the proxy.
+            uptime_s: Time since the start of its process.
+        """
         now = clock.now()
         with self._lock:
             if self._contact_s() < now - self._last_heard_at < math.inf:
                 # This process was suspended or cut off.
                 self._contact_since = now
             self._last_heard_at = self._heard_at[name] = now
+            self._peer_started_at[name] = now - uptime_s
             suspected_at = self._suspected_at.get(name)
             if suspected_at is not None and now - suspected_at > MIN_SUSPECT_S:
                 del self._suspected_at[name]
@@ -342,6 +354,14 @@
         with self._lock:
             return [m for m in self._members.values() if m.zone in zones]
 
+    def _is_settled(self, name: str, now: float) -> bool:
+        started_at = (
+            self._started_at
+            if name == self._own.name
+            else self._peer_started_at.get(name, -math.inf)
+        )
+        return now - started_at >= SETTLED_UPTIME_S
+
     def region_view(self, zones: frozenset[str]) -> RegionView:
         """Returns the proxies of this proxy's region as of now.
 
@@ -375,12 +395,14 @@
                 self._contact_since = now
             contact_since = self._contact_since
         settled = now - contact_since >= SETTLE_PART * silence_s
+        present = [
+            m
+            for n, m in members.items()
+            if n in known and ages.get(n, 0.0) < absent_s
+        ]
+        settled_members = [m for m in present if self._is_settled(m.name, now)]
         return RegionView(
-            present=tuple(
-                m
-                for n, m in members.items()
-                if n in known and ages.get(n, 0.0) < absent_s
-            ),
+            present=tuple(settled_members or present),
             known=tuple(sorted(known)),
             in_contact=is_alone or (has_contact and settled),
             contact_since=contact_since,
--- a/bronzehold/version/rate_shares.py
+++ b/bronzehold/version/rate_shares.py
@@ -86,8 +86,8 @@
     initial = _handover(tolerance, rate_per_s, burst)
     return Share(
         rate_per_s=rate_in_window_per_s,
-        capacity=3 * initial + rate_in_window_per_s * MIN_RESTART_S,
-        initial=initial,
+        capacity=2 * initial + rate_in_window_per_s * MIN_RESTART_S,
+        initial=2 * initial,
         in_window=in_window + initial,
     )
 
--- a/tests/workspace_limits_test.py
+++ b/tests/workspace_limits_test.py
@@ -6,8 +6,10 @@
 import pytest
 
 from bronzehold.core import clock
+from bronzehold.process import limit_decisions as decisions
 from bronzehold.process import serving as serving_lib
 from bronzehold.process import token_messages as messages
+from bronzehold.version import rate_shares
 from tests import limiter_fleet
 
 WORKSPACES = pytest.mark.parametrize(
@@ -321,3 +323,53 @@
             fleet.attempt(rng.choice(proxies))
             count += 1
     assert fleet.refused_count / count < target
+
+
+@pytest.mark.parametrize(
+    "limit", [limiter_fleet.LARGE, limiter_fleet.SMALL], ids=str
+)
+def test_callers_of_one_region_get_the_whole_limit(at, limit):
+    """Answers a workspace all of whose callers are in one region."""
+    fleet = limiter_fleet.Fleet(at, limit)
+    proxies = fleet.order()
+    for step in range(600):
+        fleet.run(limiter_fleet.STEP_S)
+        for _ in range(1 + int(limit.rate_per_s / 10)):
+            fleet.attempt(proxies[step % len(proxies)])
+    assert len(fleet.spent_at) >= 0.9 * 30.0 * limit.rate_per_s
+    fleet.assert_limited(limit)
+
+
+def test_loans_leave_the_lender_half_of_its_burst(at):
+    """Guards against an excess in one region that empties the others."""
+    fleet = limiter_fleet.Fleet(at, limiter_fleet.LARGE)
+    fleet.run(5.0)
+    borrowers = fleet.order()
+    for _ in range(100):
+        fleet.run(limiter_fleet.STEP_S)
+        for proxy in borrowers:
+            for _ in range(10):
+                fleet.attempt(proxy)
+    lender = fleet.order(limiter_fleet.ZONES[1])[2]
+    spent = [fleet.attempt(lender) for _ in range(20)]
+    assert all(isinstance(d, decisions.Spent) for d in spent)
+
+
+def test_region_that_is_cut_off_lends_and_borrows_nothing(at):
+    """Guards against loans that are granted without being taken anywhere."""
+    fleet = limiter_fleet.Fleet(at, limiter_fleet.LARGE)
+    for proxy in fleet.order():
+        proxy.part = 1
+    fleet.run(5.0)
+    fleet.spent_at.clear()
+    for _ in range(200):
+        fleet.run(limiter_fleet.STEP_S)
+        for _ in range(20):
+            fleet.attempt(fleet.order()[0])
+    share = rate_shares.limiter_share(
+        limiter_fleet.TOLERANCE,
+        limiter_fleet.LARGE.rate_per_s,
+        limiter_fleet.LARGE.burst,
+        len(limiter_fleet.ZONES),
+    )
+    assert len(fleet.spent_at) <= share.capacity + 10.0 * share.rate_per_s + 1
