Keys are trusted for a bounded time where the settings ask for it

Cause: a proxy that reaches neither the store nor a peer which does goes on with the keys that it knows, for any time.

Change: key_max_age_ms in the settings bounds the time since a read of the store or a peer's report confirmed the configuration; later, statements with a key are refused as not run.

Result: two tests of the confirmation, one of a proxy that refuses and recovers.

--- a/bronzehold/connection/platform_caller.py
+++ b/bronzehold/connection/platform_caller.py
@@ -4,6 +4,7 @@
 records metrics and log events of the requests.
 """
 
+import collections.abc
 import math
 import threading
 import typing
@@ -49,6 +50,7 @@
         metrics: The metrics.
         shutdown: The planned stop of the proxy.
         rate_limiter: The limits of the workspaces.
+        keys_confirmed: Returns whether keys may be trusted.
     """
 
     name: str
@@ -56,6 +58,7 @@
     metrics: metrics.Metrics
     shutdown: shutdown_lib.Shutdown
     rate_limiter: rate_limiter_lib.RateLimiter | None
+    keys_confirmed: collections.abc.Callable[[], bool]
 
     def table(self) -> routes.Table:
         """Returns the current routing table."""
@@ -321,6 +324,14 @@
             return self._access
         return access.check(table, route, self._key)
 
+    def _require_confirmed_key(self) -> None:
+        """Refuses the request if its key may have been revoked long ago."""
+        if not self._access.workspace or self._process.keys_confirmed():
+            return
+        if not self._is_outside_block():
+            self._runner.end_block(blocks.Failed())
+        raise _failure_error(errors.KeyUnconfirmed())
+
     def _check_key(self) -> None:
         """Refuses the request if the caller's key has been revoked.
 
@@ -334,6 +345,7 @@
             ):
                 self._access = granted
                 self._version = version
+                self._require_confirmed_key()
             case _:
                 self._refused = True
                 self._process.timeline.add_frequent(
--- a/bronzehold/core/errors.py
+++ b/bronzehold/core/errors.py
@@ -66,6 +66,14 @@
     """The caller's key is unknown or has been revoked."""
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class KeyUnconfirmed:
+    """The proxy has not been able to confirm its configuration for too long.
+
+    The caller's key may have been revoked meanwhile.
+    """
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class ServedElsewhere:
     """The endpoint for the statement is served by proxies of its region.
@@ -249,6 +257,7 @@
     | ServiceUnknown
     | AccessDenied
     | KeyDenied
+    | KeyUnconfirmed
     | ServedElsewhere
     | Stopping
     | MemoryShort
@@ -308,6 +317,8 @@
             return _not_run("28P01", f'user "{user}" is not let in')
         case KeyDenied():
             return _not_run("28000", "the key is not valid")
+        case KeyUnconfirmed():
+            return _not_run("57P03", "the key cannot be confirmed at present")
         case ServedElsewhere(region=region):
             return _not_run("57P03", f"proxies in {region} serve it")
         case Stopping(proxy=proxy):
--- a/bronzehold/core/settings.py
+++ b/bronzehold/core/settings.py
@@ -131,6 +131,9 @@
             the port.
         stop_s: Maximum duration of a planned stop in seconds.
         log_level: Level of the JSON logs.
+        key_max_age_ms: Time in ms without a confirmation of the configuration
+            after which keys of workspaces are not trusted any more, 0 for no
+            bound.
         limit_window_s: Window of the rate limits of workspaces in seconds.
         limit_overage: Part of a limit by which the operations in a window may
             exceed it.
@@ -158,6 +161,7 @@
     seeds: tuple[str, ...]
     stop_s: float
     log_level: str = "INFO"
+    key_max_age_ms: int = 0
     limit_window_s: float = 5.0
     limit_overage: float = 0.1
     limit_slack: float = 20.0
--- a/bronzehold/platform/instance.py
+++ b/bronzehold/platform/instance.py
@@ -9,6 +9,7 @@
 from bronzehold.connection import forward_client
 from bronzehold.connection import forward_server
 from bronzehold.core import addresses
+from bronzehold.core import data
 from bronzehold.core import events
 from bronzehold.core import settings
 from bronzehold.platform import directory
@@ -107,6 +108,11 @@
             key=MEMBERS_PREFIX + cfg.name,
             own=own,
         )
+        if cfg.key_max_age_ms:
+            max_age_s = cfg.key_max_age_ms * data.MILLISECOND
+            self.process.keys_confirmed = lambda: self.news.is_confirmed(
+                max_age_s
+            )
         self.process.rate_limiter = rate_limiter_lib.RateLimiter(
             own=own,
             regions=cfg.regions,
--- a/bronzehold/platform/settings_file.py
+++ b/bronzehold/platform/settings_file.py
@@ -70,6 +70,7 @@
     "seeds": lambda f: tuple(f.list("seeds")),
     "stop_s": lambda f: f.number("stop_s"),
     "log_level": lambda f: f.text("log_level", "INFO"),
+    "key_max_age_ms": lambda f: _limit(f, "key_max_age_ms"),
     "limit_window_s": lambda f: _positive(f, "limit_window_s", 5.0),
     "limit_overage": lambda f: _not_negative(f, "limit_overage", 0.1),
     "limit_slack": lambda f: _not_negative(f, "limit_slack", 20.0),
--- a/bronzehold/process/platform_process.py
+++ b/bronzehold/process/platform_process.py
@@ -53,6 +53,8 @@
         forwarded: The connections of proxies that forward statements here.
         port_closed: Whether a stop has closed the callers' port.
         stop_listening: A function that closes the port. The listener sets it.
+        keys_confirmed: A function that returns whether the configuration was
+            confirmed recently enough to trust keys.
         rate_limiter: The limits of the workspaces, None before it is set.
     """
 
@@ -108,6 +110,7 @@
         self.forwarded = open_connections.OpenConnections()
         self.port_closed = False
         self.stop_listening: collections.abc.Callable[[], None] = lambda: None
+        self.keys_confirmed: collections.abc.Callable[[], bool] = lambda: True
         self.rate_limiter: rate_limiter_lib.RateLimiter | None = None
 
     # Configuration, services and endpoints.
--- a/bronzehold/process/store_news.py
+++ b/bronzehold/process/store_news.py
@@ -11,6 +11,7 @@
 
 import collections.abc
 import dataclasses
+import math
 import random
 import threading
 
@@ -95,6 +96,8 @@
         # The time at which the report's position was heard of.
         self._report_arrived = 0.0
         self._read_at = 0.0
+        # When all changes of the store were last known to be known here.
+        self._confirmed_at = -math.inf
         self._reread_at = 0.0
         # The position up to which all changes are known here.
         self._known = START
@@ -141,6 +144,7 @@
         jitter = random.uniform(1 - REREAD_JITTER, 1 + REREAD_JITTER)  # noqa: S311
         with self._lock:
             self._read_at = clock.now()
+            self._confirmed_at = max(self._confirmed_at, at)
             self._reread_at = self._read_at + REREAD_INTERVAL_S * jitter
             if self._report.position > position and self._report_arrived < at:
                 # The store had no such revision after the report arrived.
@@ -211,6 +215,8 @@
                 self._expect_era(report.position.era)
             at = max(report.at, self._report.at)
             self._report = Report(position=report.position, at=at)
+            if report.position <= self._known:
+                self._confirmed_at = max(self._confirmed_at, report.at)
         if is_new:
             self._arrived.set()
             self._on_newer_revision()
@@ -246,6 +252,15 @@
                 return None
             return self._report
 
+    def is_confirmed(self, max_age_s: float) -> bool:
+        """Returns whether all changes were known here not long ago.
+
+        Args:
+            max_age_s: The longest time since a read of the store, or a report
+                of a peer that reads it, said so.
+        """
+        return clock.now() - self._confirmed_at <= max_age_s
+
     def retry_interval_s(self) -> float:
         """Returns the mean pause after a failed call to the store.
 
--- a/bronzehold/process/store_news_test.py
+++ b/bronzehold/process/store_news_test.py
@@ -191,3 +191,23 @@
     proxy.news.forget_before(1)
     assert proxy.news.era() == 1
     assert proxy.told_peers == 1
+
+
+def test_configuration_is_confirmed_by_own_reads_and_by_reports(proxy):
+    """Guards against keys that are trusted long after their revocation."""
+    proxy.news.next_step(_at(7))
+    proxy.at += 10.0
+    assert not proxy.news.is_confirmed(5.0)
+    proxy.hear(7, age_s=1.0)
+    assert proxy.news.is_confirmed(5.0)
+    proxy.at += 4.5
+    assert not proxy.news.is_confirmed(5.0)
+    proxy.news.note_read(_at(7), proxy.at)
+    assert proxy.news.is_confirmed(5.0)
+
+
+def test_report_of_a_change_that_is_not_known_confirms_nothing(proxy):
+    proxy.news.next_step(_at(7))
+    proxy.at += 10.0
+    proxy.hear(8)
+    assert not proxy.news.is_confirmed(5.0)
--- a/tests/stop_crossing_test.py
+++ b/tests/stop_crossing_test.py
@@ -150,6 +150,9 @@
     shutdown = shutdown_lib.Shutdown()
     rate_limiter = None
 
+    def keys_confirmed(self):
+        return True
+
     def table(self):
         return routes.EMPTY_TABLE
 
--- a/tests/stop_review_test.py
+++ b/tests/stop_review_test.py
@@ -86,6 +86,7 @@
             name="p",
             shutdown=shutdown,
             rate_limiter=None,
+            keys_confirmed=lambda: True,
             find_route=lambda _: ROUTE,
             service=lambda _: None,
             table=lambda: routes.Table(
--- a/tests/workspaces_test.py
+++ b/tests/workspaces_test.py
@@ -186,3 +186,19 @@
     out, err = capfd.readouterr()
     assert "secret-one" not in out + err
     assert all("secret" not in run.client for run in fleet.group.executed)
+
+
+def test_a_proxy_without_confirmation_does_not_trust_keys(fleet):
+    """Guards against a revoked key at a proxy that is cut off from the store.
+
+    Where the settings bound the age of keys, statements are refused as not run
+    until the configuration is confirmed again.
+    """
+    proxy = fleet.proxies[0]
+    session = fleet.connect("own", 0, SECRETS["w1"])
+    session.rows("WRITE confirmed 1")
+    proxy.process.keys_confirmed = lambda: proxy.news.is_confirmed(0.0)
+    assert _error(session.execute("WRITE confirmed 2")) == "ERROR BUSY"
+    proxy.process.keys_confirmed = lambda: proxy.news.is_confirmed(60.0)
+    session.rows("WRITE confirmed 3")
+    assert _writes(fleet, "confirmed") == 2
