The last message to a caller never waits for its socket

A connection that keeps memory from others is ended under the lock of the memory budget. The message that says why was sent with MSG_DONTWAIT, but a socket with a timeout waits for room before that. A caller that takes no answers and leaves a message incomplete kept the lock for up to the time of its message, 30 s, and no other connection of the process could charge memory.

Both paths now look whether the socket accepts output.

--- a/bronzehold/connection/caller_frames_test.py
+++ b/bronzehold/connection/caller_frames_test.py
@@ -1,3 +1,4 @@
+import contextlib
 import socket
 import struct
 
@@ -7,6 +8,7 @@
 from bronzehold.connection import forward_codec as codec
 from bronzehold.connection import frames
 from bronzehold.connection import peer_reader
+from bronzehold.core import clock
 from bronzehold.process import byte_budget
 
 MEBIBYTE = 1 << 20
@@ -100,3 +102,16 @@
     with pytest.raises(TimeoutError):
         reader.read()
     assert budget.used() == 0
+
+
+def test_last_message_does_not_wait_for_a_caller_that_takes_nothing():
+    """Guards against a memory budget that one caller keeps locked."""
+    local_sock, _remote_sock = socket.socketpair()
+    local_sock.setblocking(False)
+    with contextlib.suppress(BlockingIOError):
+        while True:
+            local_sock.send(bytes(65536))
+    local_sock.settimeout(5.0)
+    started = clock.now()
+    frames.send_last(local_sock, b"last")
+    assert clock.now() - started < 2.0
--- a/bronzehold/connection/frames.py
+++ b/bronzehold/connection/frames.py
@@ -11,6 +11,8 @@
 import socket
 import struct
 
+from bronzehold.core import sockets
+
 HEADER = struct.Struct("!cI")
 LENGTH = struct.Struct("!I")
 HEADER_BYTES = HEADER.size
@@ -163,8 +165,10 @@
 
 def send_last(sock: socket.socket, data: bytes) -> None:
     """Sends data without waiting and ends the sending side; ignores errors."""
-    with contextlib.suppress(OSError):
-        sock.send(data, socket.MSG_DONTWAIT)
+    with contextlib.suppress(OSError, ValueError):
+        # A timeout of the socket would apply in spite of MSG_DONTWAIT.
+        if sockets.accepts_output(sock):
+            sock.send(data, socket.MSG_DONTWAIT)
     with contextlib.suppress(OSError):
         sock.shutdown(socket.SHUT_WR)
 
--- a/bronzehold/platform/listener.py
+++ b/bronzehold/platform/listener.py
@@ -192,8 +192,10 @@
 
 def send_last(sock: socket.socket, failure: errors.Failure) -> None:
     """Tells a caller why its connection is closed, if that does not block."""
-    with contextlib.suppress(OSError):
-        sock.send(wire.encode_error(failure), socket.MSG_DONTWAIT)
+    with contextlib.suppress(OSError, ValueError):
+        # A timeout of the socket would apply in spite of MSG_DONTWAIT.
+        if sockets.accepts_output(sock):
+            sock.send(wire.encode_error(failure), socket.MSG_DONTWAIT)
 
 
 class CallerConnection:
--- a/bronzehold/platform/listener_test.py
+++ b/bronzehold/platform/listener_test.py
@@ -1,7 +1,9 @@
+import contextlib
 import socket
 
 from bronzehold.connection import platform_caller
 from bronzehold.core import clock
+from bronzehold.core import errors
 from bronzehold.core import routes
 from bronzehold.core import statements
 from bronzehold.platform import listener
@@ -89,3 +91,20 @@
     connection.stop()
     connection.serve()
     assert caller.recv(100) == b""
+
+
+def test_last_message_does_not_wait_for_a_caller_that_takes_nothing():
+    """Guards against a memory budget that one caller keeps locked.
+
+    The connection is ended under the lock of the budget, while its socket has
+    the timeout of the message that it receives.
+    """
+    local_sock, _remote_sock = socket.socketpair()
+    local_sock.setblocking(False)
+    with contextlib.suppress(BlockingIOError):
+        while True:
+            local_sock.send(bytes(65536))
+    local_sock.settimeout(5.0)
+    started = clock.now()
+    listener.send_last(local_sock, errors.MemoryShort(purpose="the message"))
+    assert clock.now() - started < 2.0
