--- a/bronzehold/process/token_loans.py
+++ b/bronzehold/process/token_loans.py
@@ -9,13 +9,14 @@
 import collections.abc
 import math
 
+from bronzehold.core import clock
 from bronzehold.process import serving as serving_lib
 from bronzehold.process import token_messages as messages
 from bronzehold.process import workspace_share
 from bronzehold.version import members as members_lib
 
 # A limiter in another region answers within a round trip between regions. While
-# it is asked, an operation waits.
+# limiters are asked, an operation waits, so this is the time for all of them.
 ASK_TIMEOUT_S = 0.06
 # A region that has lent nothing is asked again after this time.
 RETRY_S = 0.25
@@ -73,30 +74,40 @@
             request: The request, with the number of tokens wanted.
             now: The time, in seconds of clock.now().
         """
+        until = now + ASK_TIMEOUT_S
         for region, zones in self._zones.items():
             key = (request.workspace, region)
             if now < self._retry_at.get(key, -math.inf):
                 continue
+            timeout_s = until - clock.now()
+            if timeout_s <= 0:
+                break
             ranked = self._rank(request.workspace, self._serving.live(zones))
-            granted = self._ask_first(ranked, request)
+            granted = self._ask_first(ranked, request, timeout_s)
             if granted:
                 return messages.TokenReply(granted=granted)
             self._retry_at[key] = now + RETRY_S
         return messages.TokenReply()
 
     def _ask_first(
-        self, ranked: list[members_lib.Member], request: messages.TokenRequest
+        self,
+        ranked: list[members_lib.Member],
+        request: messages.TokenRequest,
+        timeout_s: float,
     ) -> int:
         if not ranked:
             return 0
         try:
-            return self._ask(ranked[0], request, ASK_TIMEOUT_S).granted
+            return self._ask(ranked[0], request, timeout_s).granted
         except messages.NoAnswerError:
             return 0
 
     def retain(self, workspaces: collections.abc.Container[str]) -> None:
         """Drops what is kept of all other workspaces."""
-        for key in [k for k in self._retry_at if k[0] not in workspaces]:
+        # Other threads add entries meanwhile.
+        for key in list(self._retry_at):
+            if key[0] in workspaces:
+                continue
             self._retry_at.pop(key, None)
 
 
