Limits: the token of an open transaction expires before its first use

A transaction takes its token at BEGIN, and kept it until its first statement without a limit of time. Callers that open transactions over minutes and then send their first statements together exceeded the operations of a window.

A token that is older than MAX_REFUND_AGE_S and was not used is replaced by a new one.

--- a/bronzehold/connection/operation_token.py
+++ b/bronzehold/connection/operation_token.py
@@ -4,6 +4,7 @@
 takes a token before it reaches an endpoint and gives it back if it has not run.
 """
 
+from bronzehold.core import clock
 from bronzehold.core import data
 from bronzehold.core import errors
 from bronzehold.process import limit_decisions as decisions
@@ -23,7 +24,11 @@
         self._is_used = False
 
     def take(self, workspace: str, deadline: float) -> None:
-        """Takes a token, if the operation has none yet.
+        """Takes a token, if the operation has none that is still valid.
+
+        An unused token of a transaction that waits for its first statement
+        expires: the tokens of many such transactions would otherwise add up and
+        be used in one window.
 
         Args:
             workspace: The workspace of the caller, "" for none.
@@ -32,8 +37,9 @@
         Raises:
             errors.FailureError: The workspace is over its limit.
         """
-        if self._limiter is None or not workspace or self._spent is not None:
+        if self._limiter is None or not workspace or self._has_valid_token():
             return
+        self._spent = None
         match self._limiter.try_spend(workspace, deadline):
             case decisions.Limited(retry_after_s=retry_after_s):
                 raise errors.FailureError(
@@ -45,6 +51,12 @@
             case spent:
                 self._spent = spent
 
+    def _has_valid_token(self) -> bool:
+        if self._spent is None:
+            return False
+        age_s = clock.now() - self._spent.granted_at
+        return self._is_used or age_s < rate_limiter_lib.MAX_REFUND_AGE_S
+
     def use(self) -> None:
         """Records that a statement of the operation has run, or may have."""
         self._is_used = True
