A session whose key is valid again after a revocation ends

The close of a quiet session with a revoked key is announced 0.15 s before it. If a newer configuration had the key again, or no workspaces at all, in that time, nothing closed the session any more, and each of its requests was refused as DENIED for good, with a valid key.

A session that has been told so now ends after the refusal of the request that crossed the announcement. The new test failed before: the session stayed open.

--- a/bronzehold/connection/platform_caller.py
+++ b/bronzehold/connection/platform_caller.py
@@ -152,6 +152,9 @@
         self._runner.reset()
         self._runner.end_block(blocks.Idle())
         self._record(req, self._announced)
+        if isinstance(self._announced, errors.KeyDenied):
+            # If the key is valid again, end_if_revoked no longer ends it.
+            self._refused = True
         self._link.fail(self._announced, self._state())
         self._link.announce(self._announced)
 
--- a/bronzehold/platform/listener_test.py
+++ b/bronzehold/platform/listener_test.py
@@ -1,5 +1,9 @@
 import contextlib
+import dataclasses
 import socket
+import threading
+import time
+import types
 
 from bronzehold.connection import platform_caller
 from bronzehold.core import clock
@@ -108,3 +112,69 @@
     started = clock.now()
     listener.send_last(local_sock, errors.MemoryShort(purpose="the message"))
     assert clock.now() - started < 2.0
+
+
+class KeyProcess(FakeProcess):
+    """A process whose configuration knows the key until it is revoked."""
+
+    rate_limiter = None
+    timeline = types.SimpleNamespace(add_frequent=lambda _: None)
+    metrics = types.SimpleNamespace(record=lambda *_: None)
+
+    def __init__(self):
+        super().__init__()
+        route = routes.Route(
+            name="r",
+            database="d",
+            service="s",
+            freshness=routes.Latest(),
+            timeout_s=1.0,
+            target_latency_s=0.3,
+            priority=0,
+        )
+        workspace = routes.Workspace(name="w", rate_per_s=None, burst=0.0)
+        self.known = dataclasses.replace(
+            routes.EMPTY_TABLE,
+            routes={"d": route},
+            workspaces={"w": workspace},
+            workspace_by_key={"k": "w"},
+        )
+        self.current = self.known
+
+    def table(self):
+        return self.current
+
+    def service(self, name):
+        return None
+
+
+def test_session_ends_if_its_key_is_valid_again_after_the_announcement():
+    """Guards against a session that refuses its valid key for good.
+
+    The close after a revocation was announced, and the key put back into the
+    configuration before it. Nothing then closed the connection.
+    """
+    process = KeyProcess()
+    conn, remote_sock = _pair()
+    caller = platform_caller.Caller(
+        link=conn,
+        database="d",
+        key="k",
+        process=process,
+        name="c",
+        links=None,
+    )
+    task = threading.Thread(target=caller.serve, daemon=True)
+    task.start()
+    time.sleep(platform_caller.QUIET_S + 0.02)
+    process.current = dataclasses.replace(
+        process.known, version=1, workspace_by_key={}
+    )
+    caller.end_if_revoked()
+    process.current = dataclasses.replace(process.known, version=2)
+    remote_sock.sendall(b"QUERY 1 READ a\r\n")
+    time.sleep(platform_caller.CROSSING_S)
+    caller.end_if_revoked()
+    task.join(2.0)
+    assert not task.is_alive()
+    assert remote_sock.recv(1000).startswith(b"ERROR DENIED")
