A forwarded read is reported as not run only if no attempt may have run

A read whose answer from one proxy was lost and that a second proxy then refused was reported as not run, and its token was given back, though the first proxy may have run it. Reads that run on this proxy had the check already; it now covers the forwarded ones.

Both new tests failed before with the outcome NOT_RUN.

--- a/bronzehold/connection/forwarding_runner.py
+++ b/bronzehold/connection/forwarding_runner.py
@@ -15,6 +15,7 @@
 from bronzehold.connection import platform_blocks as blocks
 from bronzehold.connection import platform_runner
 from bronzehold.connection import platform_session
+from bronzehold.connection import read_runner
 from bronzehold.core import clock
 from bronzehold.core import errors
 from bronzehold.core import ports
@@ -104,9 +105,14 @@
             errors.FailureError: It could not be answered.
         """
         call = _make_call(req, context, prepared)
-        return self._run(
-            call, context, lambda here: self._local.read(req, here, prepared)
-        )
+        try:
+            return self._run(
+                call,
+                context,
+                lambda here: self._local.read(req, here, prepared),
+            )
+        except errors.FailureError as exc:
+            raise read_runner.true_read_error(self.exchange, exc) from exc
 
     def write(
         self,
--- a/bronzehold/connection/forwarding_runner_test.py
+++ b/bronzehold/connection/forwarding_runner_test.py
@@ -8,6 +8,8 @@
 from bronzehold.connection import platform_blocks as blocks
 from bronzehold.connection import platform_session
 from bronzehold.core import clock
+from bronzehold.core import errors
+from bronzehold.core import ports
 from bronzehold.core import routes
 from bronzehold.core import statements
 from bronzehold.process import shutdown as shutdown_lib
@@ -93,7 +95,10 @@
     context = blocks.StatementContext(
         route=ROUTE,
         service=types.SimpleNamespace(
-            limits=None, budget=types.SimpleNamespace(deposit=lambda: None)
+            limits=None,
+            budget=types.SimpleNamespace(
+                deposit=lambda: None, try_withdraw=lambda: True
+            ),
         ),
         timeout_at=now + 0.1,
         shutdown=shutdown_lib.Shutdown(),
@@ -125,3 +130,38 @@
     links.is_starting = False
     assert read() == "served here"
     assert links.tried == [TARGET, SECOND]
+
+
+class LostLink(FakeLink):
+    """A connection that is lost after the statement was sent."""
+
+    def receive(self, deadline):
+        raise ports.TransportError("lost")
+
+    def close(self):
+        pass
+
+
+class RefusingLink(FakeLink):
+    """A connection to a proxy without a free connection."""
+
+    def receive(self, deadline):
+        return codec.Reply(
+            state=statements.TransactionState.IDLE,
+            endpoint="e",
+            last_write=None,
+            failure=errors.Overloaded(endpoint="e", expected_ms=9),
+        )
+
+
+def test_read_whose_first_answer_was_lost_is_not_reported_as_not_run(
+    links, read, monkeypatch
+):
+    """Guards against a token given back for an operation that may have run."""
+    found = iter([LostLink(), RefusingLink()])
+    monkeypatch.setattr(links, "acquire", lambda _: next(found))
+    links.close_idle_to = lambda _: None
+    with pytest.raises(errors.FailureError) as caught:
+        read()
+    outcome = errors.report(caught.value.failure).outcome
+    assert outcome is not errors.Outcome.NOT_RUN
--- a/bronzehold/connection/platform_exchange.py
+++ b/bronzehold/connection/platform_exchange.py
@@ -104,13 +104,15 @@
         )
 
     def record_attempt(self, target: str, failure: errors.Failure) -> None:
-        """Records a failed attempt for the log."""
+        """Records a failed attempt, for the log and the outcome of a read."""
+        attempt = blocks.Attempt(
+            endpoint=target, failure=failure, failed_at=clock.now()
+        )
         if len(self.attempts) < MAX_RECORDED_ATTEMPTS:
-            self.attempts.append(
-                blocks.Attempt(
-                    endpoint=target, failure=failure, failed_at=clock.now()
-                )
-            )
+            self.attempts.append(attempt)
+        elif errors.report(failure).outcome is not errors.Outcome.NOT_RUN:
+            # An attempt that may have run decides how the read is reported.
+            self.attempts[-1] = attempt
 
     @contextlib.contextmanager
     def lease(
--- a/bronzehold/connection/read_runner.py
+++ b/bronzehold/connection/read_runner.py
@@ -61,19 +61,7 @@
         try:
             return self._read(req, context, prepared)
         except errors.FailureError as exc:
-            raise self._true_read_error(exc) from exc
-
-    def _true_read_error(self, exc: errors.FailureError) -> errors.FailureError:
-        """Returns an error that says not run only if no attempt may have run.
-
-        The last attempt may have been refused, while an endpoint may still run
-        an earlier one whose answer was lost.
-        """
-        for attempt in reversed(self._exchange.attempts):
-            outcome = errors.report(attempt.failure).outcome
-            if outcome is not errors.Outcome.NOT_RUN:
-                return errors.FailureError(attempt.failure)
-        return exc
+            raise true_read_error(self._exchange, exc) from exc
 
     def _read(
         self,
@@ -230,3 +218,18 @@
                 sent=False,
             )
         return renewed
+
+
+def true_read_error(
+    exchange: platform_exchange.Exchange, exc: errors.FailureError
+) -> errors.FailureError:
+    """Returns an error that says not run only if no attempt may have run.
+
+    The last attempt may have been refused, while an endpoint may still run an
+    earlier one whose answer was lost.
+    """
+    for attempt in reversed(exchange.attempts):
+        outcome = errors.report(attempt.failure).outcome
+        if outcome is not errors.Outcome.NOT_RUN:
+            return errors.FailureError(attempt.failure)
+    return exc
--- a/bronzehold/connection/read_runner_test.py
+++ b/bronzehold/connection/read_runner_test.py
@@ -42,3 +42,12 @@
 
 def test_read_that_no_endpoint_ran_is_reported_as_not_run(read_failure):
     assert read_failure(BUSY, BUSY) == BUSY
+
+
+def test_lost_answer_after_many_refusals_is_not_forgotten(read_failure):
+    """Guards against an untrue "not run" after many rounds of refusals.
+
+    The number of recorded attempts is limited.
+    """
+    refusals = [BUSY] * platform_exchange.MAX_RECORDED_ATTEMPTS
+    assert read_failure(*refusals, LOST, BUSY) == LOST
