Limits: proxies that are gone are forgotten

The order of limiters kept the names of proxies that had ended or did not answer, until they were heard again. A proxy that was replaced is never heard again, so the two dictionaries grew by an entry with each replacement, and with each unknown name in a request for tokens.

Names that are not known in the region are now dropped. The new test failed before; the tests of the limits pass (workspace_limits_test, rate_limiter_test).

--- a/bronzehold/process/limiter_order.py
+++ b/bronzehold/process/limiter_order.py
@@ -74,7 +74,9 @@
         view = self._serving.region_view(self._zones)
         self._view = view
         self._view_at = now
-        for name in [n for n in self._ended_at if self._is_back(n)]:
+        for name in [
+            n for n in self._ended_at if n not in view.known or self._is_back(n)
+        ]:
             del self._ended_at[name]
             self._orders.clear()
         is_leaving = self._stopping() and len(view.known) > 1
@@ -152,9 +154,12 @@
             self._ended_at[name] = now
 
     def retain(self, workspaces: collections.abc.Container[str]) -> None:
-        """Drops what is kept of all other workspaces."""
+        """Drops what is kept of other workspaces and of unknown proxies."""
         for name in [n for n in self._orders if n not in workspaces]:
             del self._orders[name]
+        known = () if self._view is None else self._view.known
+        for name in [n for n in self._skip_until if n not in known]:
+            del self._skip_until[name]
 
     def _order(self, workspace: str, now: float) -> _Order:
         view = self.view(now)
