Split the caller of the platform path by job

The decisions on the close (quiet, announced, revoked key, stop, end) and the lock that they need are now caller_closing.CallerClosing; metrics and events of requests are request_record.RequestRecorder; the protocol of the process is caller_host.Host. Behaviour is unchanged. Two tests refer to QUIET_S in its new module.

--- a/bronzehold/connection/platform_caller.py
+++ b/bronzehold/connection/platform_caller.py
@@ -1,71 +1,28 @@
 """Connection of one caller of the platform path.
 
-Reads statements, runs them on the runner, sends the answers to the caller and
-records metrics and log events of the requests.
+Reads statements, runs them on the runner and sends the answers to the caller.
+Metrics and log events of the requests are in request_record.py, and when the
+connection closes is decided in caller_closing.py.
 """
 
 import math
-import threading
-import typing
 
+from bronzehold.connection import caller_closing
+from bronzehold.connection import caller_host
 from bronzehold.connection import forward_client
 from bronzehold.connection import forwarding_runner
 from bronzehold.connection import operation_token
 from bronzehold.connection import platform_blocks as blocks
 from bronzehold.connection import platform_session
+from bronzehold.connection import request_record
 from bronzehold.core import clock
 from bronzehold.core import errors
 from bronzehold.core import events
 from bronzehold.core import ports
 from bronzehold.core import routes
 from bronzehold.core import statements
-from bronzehold.process import metrics
-from bronzehold.process import platform_service
-from bronzehold.process import rate_limiter as rate_limiter_lib
-from bronzehold.process import shutdown as shutdown_lib
-from bronzehold.process import timeline as timeline_lib
 from bronzehold.version import access
 
-# One in this many successful statements of a session is logged; slow and failed
-# ones always are.
-LOG_SAMPLE_INTERVAL = 100
-
-
-# A stop closes a connection that has been quiet for this long.
-QUIET_S = 0.04
-# The time between the announcement of the close and the close, if the caller
-# does not close the connection before. It covers a round trip between regions,
-# and ends before the port closes (drain.CLOSE_LEAD_S) for callers that were
-# idle, so that they delay no exit.
-CROSSING_S = 0.15
-
-
-class Host(typing.Protocol):
-    """The part of the process that a caller uses.
-
-    Attributes:
-        name: The name of the proxy.
-        timeline: The log of events.
-        metrics: The metrics.
-        shutdown: The planned stop of the proxy.
-        rate_limiter: The limits of the workspaces.
-    """
-
-    name: str
-    timeline: timeline_lib.Timeline
-    metrics: metrics.Metrics
-    shutdown: shutdown_lib.Shutdown
-    rate_limiter: rate_limiter_lib.RateLimiter | None
-
-    def table(self) -> routes.Table:
-        """Returns the current routing table."""
-
-    def find_route(self, database: str) -> routes.Route | None:
-        """Returns the route of a database, None if it is unknown."""
-
-    def service(self, name: str) -> platform_service.PlatformService | None:
-        """Returns a service by its name, None if it is unknown."""
-
 
 class Caller:
     """Serves one caller.
@@ -80,7 +37,7 @@
         link: ports.CallerConn,
         database: str,
         key: str,
-        process: Host,
+        process: caller_host.Host,
         name: str,
         links: forward_client.Links,
     ):
@@ -98,24 +55,19 @@
         self._token = operation_token.OperationToken(
             limiter=process.rate_limiter
         )
+        self._closing = caller_closing.CallerClosing(
+            link=link, process=process, session=name
+        )
+        self._recorder = request_record.RequestRecorder(
+            process=process,
+            runner=self._runner,
+            session=name,
+            database=database,
+        )
         self._route: routes.Route | None = None
-        self._lock = threading.Lock()
-        # Since when a request outside of a transaction is waited for, in
-        # seconds of clock.now(); None at other times.
-        self._waiting_since: float | None = None
-        self._stopping = False
-        # Whether the caller was refused because the proxy stops or its key was
-        # revoked, so that the connection ends after what has arrived.
-        self._refused = False
-        # Since when the caller is told that its next request will not run, in
-        # seconds of clock.now(); None if it is not.
-        self._announced_at: float | None = None
-        self._announced = self._stop_failure()
-        self._receiving = False
         # The request that has been read and not been answered yet.
         self._unanswered: statements.Request | None = None
         self._in_transaction = False
-        self._served_count = 0
         self._state_bytes = 0
 
     # Connection lifecycle.
@@ -130,11 +82,11 @@
                 if req is None:
                     return
                 self._unanswered = req
-                if self._announced_at is None:
+                if self._closing.is_announced():
+                    self._refuse_announced(req)
+                else:
                     self._in_transaction = not self._is_outside_block()
                     self._answer(req)
-                else:
-                    self._refuse_announced(req)
                 self._unanswered = None
         except Exception as exc:
             self.report_cut(f"{type(exc).__name__}: {exc}")
@@ -151,33 +103,24 @@
         """
         self._runner.reset()
         self._runner.end_block(blocks.Idle())
-        self._record(req, self._announced)
-        self._link.fail(self._announced, self._state())
-        self._link.announce(self._announced)
+        failure = self._closing.announced()
+        self._record(req, failure)
+        self._link.fail(failure, self._state())
+        self._link.announce(failure)
 
     def _is_outside_block(self) -> bool:
         return isinstance(self._runner.block, blocks.Idle)
 
     def _receive(self) -> statements.Request | None:
         while True:
-            outside_block = self._is_outside_block()
-            with self._lock:
-                if self._refused and outside_block:
-                    # What has arrived already is still received.
-                    self._link.stop_receiving()
-                self._waiting_since = clock.now() if outside_block else None
-                self._receiving = True
-            try:
-                return self._link.receive(self._receive_timeout_s())
-            except TimeoutError:
-                # The endpoint connection is returned to the pool. The caller
-                # gets the error with its next statement, because drivers
-                # discard messages that they did not ask for.
-                self._runner.end_block(blocks.Failed())
-            finally:
-                with self._lock:
-                    self._waiting_since = None
-                    self._receiving = False
+            with self._closing.waiting(outside_block=self._is_outside_block()):
+                try:
+                    return self._link.receive(self._receive_timeout_s())
+                except TimeoutError:
+                    # The endpoint connection is returned to the pool. The
+                    # caller gets the error with its next statement, because
+                    # drivers discard messages that they did not ask for.
+                    self._runner.end_block(blocks.Failed())
 
     def _receive_timeout_s(self) -> float | None:
         match self._runner.block:
@@ -192,60 +135,23 @@
         Called again and again until then. A caller that is never quiet is
         refused its next request once not all are accepted any more.
         """
-        with self._lock:
-            self._stopping = True
-            self._close_when_quiet(self._stop_failure())
-
-    def _stop_failure(self) -> errors.Failure:
-        return errors.Stopping(proxy=self._process.name)
-
-    def _close_when_quiet(self, failure: errors.Failure) -> None:
-        now = clock.now()
-        since = self._waiting_since
-        if self._announced_at is not None:
-            if now - self._announced_at >= CROSSING_S:
-                self._link.stop_receiving()
-        elif since is not None and now - since >= QUIET_S:
-            self._announce_close(now, failure)
+        self._closing.stop()
 
     def end(self) -> None:
         """Closes the connection once the request in progress is answered."""
-        with self._lock:
-            self._stopping = True
-            if self._receiving and self._announced_at is None:
-                self._announce_close(clock.now(), self._stop_failure())
-            self._link.stop_receiving()
+        self._closing.end()
 
     def end_if_revoked(self) -> None:
         """Closes the connection if it is quiet and its key was revoked."""
-        if not isinstance(self._look_up_key(), access.Denied):
-            return
-        with self._lock:
-            self._close_when_quiet(errors.KeyDenied())
-
-    def _announce_close(self, now: float, failure: errors.Failure) -> None:
-        """Tells a caller without a request that its next one will not run.
-
-        That request may be on its way already, and its caller could not know
-        whether it was run if the connection were just closed.
-        """
-        self._announced_at = now
-        self._announced = failure
-        self._link.announce(failure)
-        self._process.timeline.add_frequent(
-            events.CallerNotified(
-                session=self._session.name,
-                in_transaction=self._waiting_since is None,
-            )
-        )
+        if isinstance(self._look_up_key(), access.Denied):
+            self._closing.revoke()
 
     def waiting_since(self) -> float | None:
         """Returns since when a request is waited for outside a transaction.
 
         In seconds of clock.now(); None at other times.
         """
-        with self._lock:
-            return self._waiting_since
+        return self._closing.waiting_since()
 
     def in_transaction(self) -> bool:
         """Returns whether a transaction was open before the last request."""
@@ -256,14 +162,11 @@
 
         Requests that have arrived already are answered.
         """
-        with self._lock:
-            if self._waiting_since is not None:
-                self._link.stop_receiving()
+        self._closing.close_idle()
 
     def busy(self) -> bool:
         """Returns whether a request or a transaction is in progress."""
-        with self._lock:
-            return self._waiting_since is None
+        return self._closing.waiting_since() is None
 
     def report_cut(self, cause: str) -> bool:
         """Logs the request that ends without a whole answer, if there is one.
@@ -277,17 +180,11 @@
         req = self._unanswered
         if req is None:
             return False
-        self._process.timeline.add_frequent(
-            events.RequestCut(
-                request=req.id,
-                session=self._session.name,
-                group=self._route.service if self._route else "",
-                work=type(req.statement).__name__,
-                endpoint=self._runner.exchange.endpoint,
-                in_transaction=self._in_transaction,
-                took_ms=int((clock.now() - req.arrived) * 1000),
-                cause=cause,
-            )
+        self._recorder.record_cut(
+            req,
+            cause,
+            service=self._route.service if self._route else "",
+            in_transaction=self._in_transaction,
         )
         return True
 
@@ -335,7 +232,7 @@
                 self._access = granted
                 self._version = version
             case _:
-                self._refused = True
+                self._closing.refuse()
                 self._process.timeline.add_frequent(
                     events.KeyRefused(
                         session=self._session.name,
@@ -465,16 +362,16 @@
         The open transaction is rolled back, so the caller may repeat all of
         it.
         """
-        closes_next = self._stopping and self._is_outside_block()
+        closes_next = self._closing.is_stopping() and self._is_outside_block()
         timeout_s = math.inf if closes_next else route.timeout_s
         if self._process.shutdown.accepts(timeout_s):
             return
-        self._refused = True
+        self._closing.refuse()
         if not self._is_outside_block():
             self._runner.end_block(
                 blocks.Idle() if commits else blocks.Failed()
             )
-        raise _failure_error(errors.Stopping(proxy=self._process.name))
+        raise _failure_error(self._closing.stop_failure())
 
     def _commit(self, req: statements.Request) -> statements.Completed:
         if self._is_outside_block():
@@ -522,98 +419,17 @@
                     req, context, prepared, writes=writes
                 )
 
-    # Metrics and logs.
-
     def _record(
         self, req: statements.Request, failure: errors.Failure | None
     ) -> None:
-        elapsed_s = clock.now() - req.arrived
-        outcome = "ok" if failure is None else type(failure).__name__
-        service = self._route.service if self._route else ""
-        key = metrics.Key(
-            service=service,
-            statement_kind=type(req.statement).__name__,
-            endpoint=self._runner.exchange.endpoint,
-            outcome=outcome,
-        )
-        self._process.metrics.record(key, elapsed_s)
-        if failure is not None:
-            self._log_failure(req, failure, service, elapsed_s)
-            return
-        target_s = self._route.target_latency_s if self._route else 0.0
-        self._served_count += 1
-        if elapsed_s > target_s:
-            self._log_served(events.RequestSlow, req, service, elapsed_s)
-        elif self._served_count % LOG_SAMPLE_INTERVAL == 1:
-            self._log_served(events.RequestServed, req, service, elapsed_s)
-
-    def _log_served(
-        self,
-        kind: type[events.RequestSlow],
-        req: statements.Request,
-        service: str,
-        elapsed_s: float,
-    ) -> None:
-        self._process.timeline.add_frequent(
-            kind(**self._common_fields(req, service, elapsed_s))
+        self._recorder.record(
+            req,
+            failure,
+            request_record.Origin(
+                route=self._route, workspace=self._access.workspace
+            ),
         )
 
-    def _common_fields(
-        self, req: statements.Request, service: str, elapsed_s: float
-    ) -> dict[str, str | int]:
-        """Returns the fields common to all events of a request."""
-        return {
-            "request": req.id,
-            "session": self._session.name,
-            "database": self._database,
-            "group": service,
-            "workspace": self._access.workspace,
-            "work": type(req.statement).__name__,
-            "endpoint": self._runner.exchange.endpoint,
-            "tried": self._format_attempts(req),
-            "via": self._runner.via,
-            "took_ms": int(elapsed_s * 1000),
-            "version": self._process.table().version,
-        }
-
-    def _log_failure(
-        self,
-        req: statements.Request,
-        failure: errors.Failure,
-        service: str,
-        elapsed_s: float,
-    ) -> None:
-        served = self._process.service(service)
-        leader = served.group.leader() if served else None
-        proof = served.group.proofs.newest() if served else None
-        age = clock.now() - proof.at if proof else -0.001
-        self._process.timeline.add_frequent(
-            events.RequestFailed(
-                **self._common_fields(req, service, elapsed_s),
-                failure=type(failure).__name__,
-                detail=errors.report(failure).message,
-                primary=leader.endpoint if leader else "",
-                term=leader.term if leader else 0,
-                proof_age_ms=int(age * 1000),
-            )
-        )
-
-    def _format_attempts(self, req: statements.Request) -> str:
-        """Returns the failed attempts with milliseconds since the request."""
-        return ", ".join(
-            f"{attempt.endpoint} {_reason(attempt.failure)} "
-            f"+{int((attempt.failed_at - req.arrived) * 1000)}"
-            for attempt in self._runner.exchange.attempts
-        )
-
-
-def _reason(failure: errors.Failure) -> str:
-    match failure:
-        case errors.EndpointError(reason=reason, detail=detail):
-            return f"{reason.value} {detail}".rstrip()
-        case _:
-            return type(failure).__name__
-
 
 def _missing_statement(name: str) -> errors.Failure:
     return errors.NameMissing(kind="statement", name=name)
--- a/bronzehold/platform/listener.py
+++ b/bronzehold/platform/listener.py
@@ -12,6 +12,7 @@
 import socket
 
 from bronzehold.connection import acceptor
+from bronzehold.connection import caller_closing
 from bronzehold.connection import forward_client
 from bronzehold.connection import platform_caller
 from bronzehold.core import clock
@@ -294,7 +295,7 @@
 
         A new connection gets the time for its first statement.
         """
-        if clock.now() - self._accepted_at < platform_caller.QUIET_S:
+        if clock.now() - self._accepted_at < caller_closing.QUIET_S:
             return
         if self._caller is None:
             self.end()
--- a/bronzehold/platform/listener_test.py
+++ b/bronzehold/platform/listener_test.py
@@ -1,6 +1,6 @@
 import socket
 
-from bronzehold.connection import platform_caller
+from bronzehold.connection import caller_closing
 from bronzehold.core import clock
 from bronzehold.core import routes
 from bronzehold.core import statements
@@ -85,7 +85,7 @@
 
 def test_connection_without_a_startup_does_not_hold_up_a_stop(monkeypatch):
     connection, caller = _connection(FakeProcess())
-    monkeypatch.setattr(platform_caller, "QUIET_S", 0.0)
+    monkeypatch.setattr(caller_closing, "QUIET_S", 0.0)
     connection.stop()
     connection.serve()
     assert caller.recv(100) == b""
--- a/tests/stop_crossing_test.py
+++ b/tests/stop_crossing_test.py
@@ -15,6 +15,7 @@
 import pytest
 
 from bench.soak import deployment as deployment_lib
+from bronzehold.connection import caller_closing
 from bronzehold.connection import platform_caller
 from bronzehold.core import ports
 from bronzehold.core import routes
@@ -178,7 +179,7 @@
     )
     task = threading.Thread(target=caller.serve)
     task.start()
-    time.sleep(platform_caller.QUIET_S + 0.02)
+    time.sleep(caller_closing.QUIET_S + 0.02)
     caller.stop()
     caller.stop()
     refusal = b"ERROR BUSY not run: proxy p is stopping"
