--- a/bronzehold/platform/listener_test.py
+++ b/bronzehold/platform/listener_test.py
@@ -5,6 +5,7 @@
 import time
 import types
 
+from bronzehold.connection import caller_closing
 from bronzehold.connection import platform_caller
 from bronzehold.core import clock
 from bronzehold.core import errors
@@ -91,7 +92,7 @@
 
 def test_connection_without_a_startup_does_not_hold_up_a_stop(monkeypatch):
     connection, caller = _connection(FakeProcess())
-    monkeypatch.setattr(platform_caller, "QUIET_S", 0.0)
+    monkeypatch.setattr(caller_closing, "QUIET_S", 0.0)
     connection.stop()
     connection.serve()
     assert caller.recv(100) == b""
@@ -166,14 +167,14 @@
     )
     task = threading.Thread(target=caller.serve, daemon=True)
     task.start()
-    time.sleep(platform_caller.QUIET_S + 0.02)
+    time.sleep(caller_closing.QUIET_S + 0.02)
     process.current = dataclasses.replace(
         process.known, version=1, workspace_by_key={}
     )
     caller.end_if_revoked()
     process.current = dataclasses.replace(process.known, version=2)
     remote_sock.sendall(b"QUERY 1 READ a\r\n")
-    time.sleep(platform_caller.CROSSING_S)
+    time.sleep(caller_closing.CROSSING_S)
     caller.end_if_revoked()
     task.join(2.0)
     assert not task.is_alive()
