Split the limits of workspaces by job

RateLimiter keeps its interface and decides on the operations of callers. Behaviour is unchanged, and no test is changed.

--- a/bronzehold/process/rate_limiter.py
+++ b/bronzehold/process/rate_limiter.py
@@ -4,27 +4,27 @@
 bucket of a workspace: the first of the live ones by rendezvous hashing, its
 limiter. The others ask it for a token for each operation. They ask the second
 if the first does not answer, and have a small allowance if that fails too.
-Which shares these have is in version/rate_shares.py.
+Which shares these have is in version/rate_shares.py. What this proxy holds is
+in workspace_shares.py; token_grants.py answers the requests of other proxies.
 """
 
-import collections
 import collections.abc
-import contextlib
 import math
 import os
-import threading
 
 from bronzehold.core import clock
 from bronzehold.core import events
 from bronzehold.core import routes
 from bronzehold.process import limit_decisions as decisions
 from bronzehold.process import limiter_order
+from bronzehold.process import region_loans
 from bronzehold.process import serving as serving_lib
 from bronzehold.process import timeline as timeline_lib
+from bronzehold.process import token_grants
 from bronzehold.process import token_loans
 from bronzehold.process import token_messages as messages
-from bronzehold.process import window_budget
 from bronzehold.process import workspace_share
+from bronzehold.process import workspace_shares
 from bronzehold.version import members as members_lib
 from bronzehold.version import rate_shares
 
@@ -50,10 +50,6 @@
 MAX_REFUSAL_S = 1.0
 # The same for a refusal of a proxy that is not the limiter.
 MAX_STANDBY_REFUSAL_S = 0.25
-# The longest time that a refused caller is told to wait.
-MAX_RETRY_AFTER_S = 60.0
-# What is kept of a workspace without operations is dropped after this time.
-IDLE_S = 60.0
 PROCESS_ID_BYTES = 4
 
 
@@ -87,15 +83,9 @@
         has_seeds: bool,
     ):
         self._own = own
-        self._process_id = f"{own.name}/{os.urandom(PROCESS_ID_BYTES).hex()}"
+        process_id = f"{own.name}/{os.urandom(PROCESS_ID_BYTES).hex()}"
         region = regions[own.zone]
-        self._region_count = len(set(regions.values()))
-        self._table = table
         self._ask = ask
-        self._stopping = stopping
-        self._timeline = timeline
-        self._tolerance = tolerance
-        self._lock = threading.Lock()
         self._order = limiter_order.LimiterOrder(
             own=own,
             zones=frozenset(z for z, r in regions.items() if r == region),
@@ -103,25 +93,30 @@
             stopping=stopping,
             has_seeds=has_seeds,
         )
-        self._borrower = token_loans.Borrower(
-            own=own,
-            regions=regions,
-            serving=serving,
-            ask=ask,
-            rank=limiter_order.rank,
+        self._shares = workspace_shares.WorkspaceShares(
+            process_id=process_id,
+            order=self._order,
+            table=table,
+            timeline=timeline,
+            tolerance=tolerance,
+            region_count=len(set(regions.values())),
+        )
+        self._loans = region_loans.RegionLoans(
+            shares=self._shares,
+            borrower=token_loans.Borrower(
+                own=own,
+                regions=regions,
+                serving=serving,
+                ask=ask,
+                rank=limiter_order.rank,
+            ),
+        )
+        self._grants = token_grants.TokenGrants(
+            process_id=process_id,
+            shares=self._shares,
+            loans=self._loans,
+            stopping=stopping,
         )
-        self._shares: dict[str, workspace_share.WorkspaceShare] = {}
-        self._counts = collections.Counter[str]()
-        self._events: list[events.Event] = []
-
-    @contextlib.contextmanager
-    def _locked(self) -> collections.abc.Iterator[None]:
-        """Holds the lock and records the events after its release."""
-        with self._lock:
-            yield
-            new_events, self._events = self._events, []
-        for event in new_events:
-            self._timeline.add_frequent(event)
 
     # Operations of this proxy's callers.
 
@@ -136,8 +131,8 @@
             deadline: Deadline of the operation, in seconds of clock.now().
         """
         now = clock.now()
-        with self._locked():
-            share = self._share(workspace, now)
+        with self._shares.locked():
+            share = self._shares.get_or_add(workspace, now)
             if share is None:
                 return decisions.Spent(
                     workspace=workspace,
@@ -145,7 +140,7 @@
                     origin=decisions.Origin.NO_LIMIT,
                 )
             if not share.limit.rate_per_s and not share.limit.burst:
-                share.turn_at = now + MAX_RETRY_AFTER_S
+                share.turn_at = now + workspace_shares.MAX_RETRY_AFTER_S
                 return self._limited(share, now)
             granted_at = share.reserve.take(now)
             if granted_at is not None:
@@ -172,8 +167,8 @@
         until = spent.granted_at + MAX_REFUND_AGE_S
         if until <= now:
             return
-        with self._locked():
-            share = self._shares.get(spent.workspace)
+        with self._shares.locked():
+            share = self._shares.find(spent.workspace)
             if share is None:
                 return
             match spent.origin:
@@ -188,7 +183,7 @@
                 case _:
                     return
             share.refused_until = -math.inf
-            self._counts["refunded"] += 1
+            self._shares.counts["refunded"] += 1
 
     def _spend_here(
         self, share: workspace_share.WorkspaceShare
@@ -199,15 +194,15 @@
         have the smaller allowance.
         """
         now = clock.now()
-        with self._locked():
+        with self._shares.locked():
             if not self._order.may_act(now):
                 return None
-            reply = self._take(share, 1, now)
+            reply = self._shares.take(share, 1, now)
             if reply.granted:
                 return self._spent(share, now, decisions.Origin.BUCKET)
-        reply = self._borrow(share, 1, reply)
+        reply = self._loans.borrow(share, 1, reply)
         now = clock.now()
-        with self._locked():
+        with self._shares.locked():
             if reply.granted:
                 return self._spent(share, now, decisions.Origin.PEER)
             is_limiter = share.role is workspace_share.Role.LIMITER
@@ -224,7 +219,7 @@
         """Asks another proxy; returns None if it does not decide."""
         now = clock.now()
         timeout_s = min(ASK_TIMEOUT_S, deadline - now)
-        with self._locked():
+        with self._shares.locked():
             if self._order.is_skipped(member.name, now) or timeout_s <= 0:
                 return None
             request = self._request(share, member, now)
@@ -237,10 +232,10 @@
             reply = messages.TokenReply(is_leaving=exc.ended)
             why = str(exc)
         now = clock.now()
-        with self._locked():
+        with self._shares.locked():
             share.note_usage(reply.usage, now)
             share.is_asking_batch &= not is_batch
-            self._counts["asked"] += 1
+            self._shares.counts["asked"] += 1
             if reply.granted:
                 share.reserve.add(
                     reply.granted - 1,
@@ -250,11 +245,11 @@
                 return self._spent(share, now, decisions.Origin.PEER)
             if reply.is_decision:
                 return self._refuse(share, reply, now, by_limiter=is_first)
-            self._counts["unanswered"] += 1
+            self._shares.counts["unanswered"] += 1
             self._order.skip(member.name, now)
             if reply.is_leaving:
                 self._order.mark_ended(member.name, now)
-            self._events.append(
+            self._shares.add_event(
                 events.LimiterUnanswered(
                     workspace=request.workspace,
                     peer=member.name,
@@ -279,7 +274,7 @@
             count = min(MAX_BATCH, math.ceil(rate_per_s * BATCH_S))
         return messages.TokenRequest(
             workspace=name,
-            version=self._table().version,
+            version=self._shares.version(),
             count=count,
             usage=share.usage,
             usage_age_s=now - share.usage_at if share.usage.limiter else 0.0,
@@ -291,7 +286,7 @@
         self, share: workspace_share.WorkspaceShare
     ) -> decisions.Spent | decisions.Limited:
         now = clock.now()
-        with self._locked():
+        with self._shares.locked():
             # Its part is not known while others may be starting too.
             has_spent = not self._order.may_be_unaware(
                 now
@@ -301,7 +296,7 @@
                 now=now,
             )
             if has_spent:
-                self._counts["allowance"] += 1
+                self._shares.counts["allowance"] += 1
                 return self._spent(share, now, decisions.Origin.ALLOWANCE)
             reply = messages.TokenReply(
                 retry_after_s=share.allowance.wait_s(now)
@@ -316,7 +311,7 @@
         granted_at: float | None = None,
     ) -> decisions.Spent:
         share.meter.add(now)
-        self._counts["spent"] += 1
+        self._shares.counts["spent"] += 1
         return decisions.Spent(
             workspace=share.limit.name,
             granted_at=now if granted_at is None else granted_at,
@@ -337,204 +332,23 @@
         if not by_limiter:
             # A limiter is found within seconds, and its share is larger.
             retry_after_s = min(retry_after_s, share.limiter_interval_s())
-        share.turn_at = now + min(retry_after_s, MAX_RETRY_AFTER_S)
+        share.turn_at = now + min(
+            retry_after_s, workspace_shares.MAX_RETRY_AFTER_S
+        )
         share.refused_until = min(share.turn_at, now + longest_s)
         return self._limited(share, now)
 
     def _limited(
         self, share: workspace_share.WorkspaceShare, now: float
     ) -> decisions.Limited:
-        self._counts["refused"] += 1
+        self._shares.counts["refused"] += 1
         return decisions.Limited(retry_after_s=max(0.0, share.turn_at - now))
 
     # Requests of other proxies.
 
     def grant(self, request: messages.TokenRequest) -> messages.TokenReply:
         """Answers another proxy at once; decides nothing while stopping."""
-        now = clock.now()
-        with self._locked():
-            limit = self._limit(request.workspace)
-            if limit is None or self._stopping():
-                return messages.TokenReply(is_leaving=self._stopping())
-            share = self._share(request.workspace, now)
-            if share is None:
-                return messages.TokenReply(granted=request.count)
-            if request.borrows:
-                return self._lend(share, request.count, now)
-            for name in request.ended:
-                self._order.mark_ended(name, now)
-            self._apply_usage(share, request, now)
-            reply = self._take(share, request.count, now)
-            self._counts["granted"] += reply.granted
-        if reply.granted:
-            return reply
-        return self._borrow(share, request.count, reply)
-
-    def _apply_usage(
-        self,
-        share: workspace_share.WorkspaceShare,
-        request: messages.TokenRequest,
-        now: float,
-    ) -> None:
-        """Counts what the limiter before this one has granted."""
-        is_other = request.usage.limiter not in ("", self._process_id)
-        match self._bucket(share, now):
-            case window_budget.WindowBudget() as budget if is_other:
-                budget.apply_report(request.usage, request.usage_age_s, now)
-
-    # Tokens of other regions.
-
-    def _lend(
-        self, share: workspace_share.WorkspaceShare, count: int, now: float
-    ) -> messages.TokenReply:
-        if not self._order.is_limiter(share.limit.name, now):
-            return messages.TokenReply()
-        granted = token_loans.lend(self._bucket(share, now), count, now)
-        self._counts["lent"] += granted
-        return messages.TokenReply(granted=granted)
-
-    def _borrow(
-        self,
-        share: workspace_share.WorkspaceShare,
-        count: int,
-        refusal: messages.TokenReply,
-    ) -> messages.TokenReply:
-        """Borrows tokens for operations that the own bucket refused.
-
-        Args:
-            share: The share of the workspace.
-            count: Number of operations.
-            refusal: The reply if no other region has tokens to spare.
-        """
-        if share.role is not workspace_share.Role.LIMITER:
-            return refusal
-        if not share.loan_lock.acquire(timeout=token_loans.ASK_TIMEOUT_S):
-            return refusal
-        try:
-            with self._locked():
-                now = clock.now()
-                taken = share.take_borrowed(count, now)
-                wanted = token_loans.wanted(share.demand.rate_per_s(now))
-            if taken:
-                return messages.TokenReply(granted=taken)
-            request = messages.TokenRequest(
-                workspace=share.limit.name,
-                version=self._table().version,
-                count=max(count, wanted),
-                borrows=True,
-            )
-            reply = self._borrower.borrow(request, clock.now())
-            if not reply.granted:
-                return refusal
-            now = clock.now()
-            with self._locked():
-                self._counts["borrowed"] += reply.granted
-                share.borrowed.add(
-                    reply.granted,
-                    granted_at=now,
-                    expires_at=now + token_loans.LOAN_S,
-                )
-                taken = share.take_borrowed(count, now)
-                return messages.TokenReply(granted=taken)
-        finally:
-            share.loan_lock.release()
-
-    # What follows is called with the lock held.
-
-    def _take(
-        self, share: workspace_share.WorkspaceShare, count: int, now: float
-    ) -> messages.TokenReply:
-        bucket = self._bucket(share, now)
-        for _ in range(count):
-            share.demand.add(now)
-        granted = share.take_borrowed(count, now) or bucket.take(
-            max(1, count), now
-        )
-        if granted:
-            return messages.TokenReply(
-                granted=granted, usage=self._usage(bucket, now)
-            )
-        wait_s = min(bucket.wait_s(now), MAX_RETRY_AFTER_S)
-        return messages.TokenReply(
-            retry_after_s=wait_s, usage=self._usage(bucket, now)
-        )
-
-    def _usage(
-        self, bucket: workspace_share.Bucket, now: float
-    ) -> messages.Usage:
-        match bucket:
-            case window_budget.WindowBudget():
-                return bucket.usage(self._process_id, now)
-            case _:
-                return messages.NO_USAGE
-
-    def _bucket(
-        self, share: workspace_share.WorkspaceShare, now: float
-    ) -> workspace_share.Bucket:
-        is_limiter = self._order.is_limiter(share.limit.name, now)
-        view = self._order.view(now)
-        bucket, is_new = share.set_role(
-            workspace_share.Role.LIMITER
-            if is_limiter
-            else workspace_share.Role.STANDBY,
-            proxies=view.fleet_size,
-            contact_since=view.contact_since,
-            now=now,
-        )
-        if is_new:
-            self._note_role(share, bucket.tokens(now), now)
-        return bucket
-
-    def _note_role(
-        self,
-        share: workspace_share.WorkspaceShare,
-        tokens: float,
-        now: float,
-    ) -> None:
-        view = self._order.view(now)
-        candidates = self._order.candidates(share.limit.name, now)
-        self._events.append(
-            events.LimiterRoleChanged(
-                workspace=share.limit.name,
-                role=share.role.value,
-                tokens=round(tokens, 3),
-                first=candidates[0].name if candidates else "",
-                present=len(view.present),
-                known=len(view.known),
-                in_contact=view.in_contact,
-                version=self._table().version,
-            )
-        )
-
-    def _limit(self, name: str) -> routes.Workspace | None:
-        workspaces = self._table().workspaces
-        return None if workspaces is None else workspaces.get(name)
-
-    def _share(
-        self, name: str, now: float
-    ) -> workspace_share.WorkspaceShare | None:
-        """Returns the share of a workspace, None if it has no limit."""
-        limit = self._limit(name)
-        if limit is None or limit.rate_per_s is None:
-            self._shares.pop(name, None)
-            return None
-        share = self._shares.get(name) or self._add_share(limit, now)
-        if share.limit != limit:
-            share.change_limit(limit)
-        share.used_at = now
-        return share
-
-    def _add_share(
-        self, limit: routes.Workspace, now: float
-    ) -> workspace_share.WorkspaceShare:
-        share = workspace_share.WorkspaceShare(
-            limit=limit,
-            tolerance=self._tolerance,
-            regions=self._region_count,
-            now=now,
-        )
-        self._shares[limit.name] = share
-        return share
+        return self._grants.grant(request)
 
     # Maintenance.
 
@@ -546,45 +360,11 @@
         and a proxy that was out of contact notices that without operations.
         """
         now = clock.now()
-        limits = {
-            name: limit
-            for name, limit in (self._table().workspaces or {}).items()
-            if limit.rate_per_s is not None
-        }
-        with self._locked():
-            for name in self._shares.keys() - limits.keys():
-                del self._shares[name]
-            self._order.retain(limits.keys())
-            self._borrower.retain(limits.keys())
-            for limit in limits.values():
-                self._sweep_workspace(limit, now)
-
-    def _sweep_workspace(self, limit: routes.Workspace, now: float) -> None:
-        name = limit.name
-        share = self._shares.get(name)
-        if share is not None and share.limit != limit:
-            share.change_limit(limit)
-        if self._order.is_limiter(name, now):
-            self._bucket(share or self._add_share(limit, now), now)
-        elif share is None:
-            return
-        elif now - share.used_at > IDLE_S:
-            del self._shares[name]
-        elif share.role is workspace_share.Role.LIMITER:
-            share.drop_bucket(now)
-            self._note_role(share, 0.0, now)
+        limits = self._shares.limits()
+        with self._shares.locked():
+            self._loans.retain(limits.keys())
+            self._shares.sweep(limits, now)
 
     def gauges(self) -> dict[str, float]:
         """Returns counters and sizes for the metrics, by name."""
-        with self._lock:
-            roles = collections.Counter(s.role for s in self._shares.values())
-            return {
-                "limiter_buckets": float(roles[workspace_share.Role.LIMITER]),
-                "limiter_standby_buckets": float(
-                    roles[workspace_share.Role.STANDBY]
-                ),
-                **{
-                    f"limiter_{name}": float(count)
-                    for name, count in self._counts.items()
-                },
-            }
+        return self._shares.gauges()
