Split the pool by job

The queue with its tags and its expected wait is now request_queue.RequestQueue; idle and leased connections, their owners, the limits and the overflow are connection_stock.ConnectionStock. Pool keeps its interface, its lock and the slots. Behaviour is unchanged.

--- a/bench/plain_proxy.py
+++ b/bench/plain_proxy.py
@@ -8,6 +8,7 @@
 """
 
 from bronzehold.process import pool as pool_lib
+from bronzehold.process import request_queue
 from bronzehold.process import service as service_lib
 from bronzehold.request import read_routing
 from bronzehold.tools import main
@@ -31,11 +32,9 @@
     deadline: float,
     priority: int,
     max_expected_wait_s: float | None,
-) -> pool_lib.Waiter:
+) -> request_queue.Waiter:
     del session, deadline, priority, max_expected_wait_s
-    waiter = pool_lib.Waiter(tag=0.0, order=next(self._order))
-    self._waiters.append(waiter)
-    return waiter
+    return self._queue.add_tagged(0.0)
 
 
 def _pending_statements(served, pool: pool_lib.Pool) -> float:
--- a/bronzehold/process/capacities_test.py
+++ b/bronzehold/process/capacities_test.py
@@ -18,6 +18,7 @@
 from bronzehold.process import capacities as capacities_lib
 from bronzehold.process import capacity as capacity_lib
 from bronzehold.process import pool as pool_lib
+from bronzehold.process import request_queue
 from bronzehold.process import timeline as timeline_lib
 from bronzehold.request import comparison
 from bronzehold.request import placement
@@ -80,7 +81,7 @@
             limits=self.limits,
             service_s=self.service_s,
             measured=clock.now() - self.measured_at
-            < pool_lib.MEASUREMENT_TTL_S,
+            < request_queue.MEASUREMENT_TTL_S,
             wait_s=wait_s,
         )
 
--- a/bronzehold/process/pool_test.py
+++ b/bronzehold/process/pool_test.py
@@ -7,6 +7,7 @@
 
 from bronzehold.core import errors
 from bronzehold.core import ports
+from bronzehold.process import connection_stock
 from bronzehold.process import pool as pool_lib
 from tests import helpers
 
@@ -286,7 +287,7 @@
     held = _acquire(pool, 3)
     _release(pool, held)
     for conn in held:
-        conn.idle_since -= pool_lib.OVERFLOW_IDLE_S + 0.01
+        conn.idle_since -= connection_stock.OVERFLOW_IDLE_S + 0.01
     pool.close_excess_idle()
     assert sum(not conn.closed for conn in held) == 1
 
