Split the state of a platform group by job

Answers and failures are now endpoint_contacts.EndpointContacts, the hold and the writes in flight are write_hold.WriteHold. PlatformGroup keeps its interface and its condition variable. Behaviour is unchanged. One test refers to SILENCE_TIMEOUT_S in its new module.

--- a/bronzehold/process/digest_exchange_test.py
+++ b/bronzehold/process/digest_exchange_test.py
@@ -8,6 +8,7 @@
 from bronzehold.core import routes
 from bronzehold.process import capacities as capacities_lib
 from bronzehold.process import digest_exchange as exchange_lib
+from bronzehold.process import endpoint_contacts
 from bronzehold.process import gossip as gossip_lib
 from bronzehold.process import platform_group
 from bronzehold.process import store_news as news_lib
@@ -328,7 +329,7 @@
     outside = _GroupService(serves=False)
     harness.at += 10.0
     outside.group.note_failing("e", refused=False)
-    harness.at += platform_group.SILENCE_TIMEOUT_S + 0.1
+    harness.at += endpoint_contacts.SILENCE_TIMEOUT_S + 0.1
     assert _views(harness, outside) == ["g"]
     outside.group.note_answered("e")
     assert _views(harness, outside) == ["g"], "it reaches the primary"
--- a/bronzehold/process/platform_group.py
+++ b/bronzehold/process/platform_group.py
@@ -15,23 +15,18 @@
 from bronzehold.core import events
 from bronzehold.core import routes
 from bronzehold.core import statements
+from bronzehold.process import endpoint_contacts
 from bronzehold.process import timeline as timeline_lib
+from bronzehold.process import write_hold
 from bronzehold.version import freshness
 from bronzehold.version import succession
 
 RECHECK_S = 0.05
-# Slightly over twice the probe timeout (probes.PROBE_TIMEOUT_S).
-SILENCE_TIMEOUT_S = 0.7
-# Covers two refused connections, one probe interval apart.
-REFUSED_TIMEOUT_S = 0.12
 # Bounds of the time for which a catch-up estimate is used after the endpoint's
 # last report: at least some round trips, at most half of the shortest data age
 # that a route tolerates.
 MIN_ESTIMATE_VALID_S = 0.1
 MAX_ESTIMATE_VALID_S = 0.8
-# An endpoint that answered within this time counts as reached, even if a later
-# attempt failed.
-RECENT_ANSWER_S = 0.5
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -47,29 +42,6 @@
     term: int
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class Contact:
-    """The recent answers and failures of one endpoint.
-
-    All times are in seconds of clock.now().
-
-    Attributes:
-        answered_at: The time of its last answer of any kind.
-        failing_since: The time of the first failed attempt after that answer,
-            0 if there is none.
-        refusing_since: The time of the first refused connection after that
-            answer, 0 if there is none.
-        position: The last log position that it reported.
-        position_at: The time of that report.
-    """
-
-    answered_at: float
-    failing_since: float = 0.0
-    refusing_since: float = 0.0
-    position: statements.LogPosition | None = None
-    position_at: float = 0.0
-
-
 class PlatformGroup:
     """The state of one group, guarded by one condition variable.
 
@@ -96,14 +68,14 @@
         self.cond = threading.Condition()
         self._timeline = timeline
         self._listings: dict[str, routes.Listing] = {}
-        self._contacts: dict[str, Contact] = {}
+        self._contacts = endpoint_contacts.EndpointContacts(
+            group=name, timeline=timeline
+        )
         self._leader: Leader | None = None
         self._term = 0
         self._leaderless_since = clock.now()
         self._reached_by_peer_at: dict[str, float] = {}
-        self._hold_attempt = ""
-        self._hold_expires_at = 0.0
-        self._writes_in_flight = 0
+        self._hold = write_hold.WriteHold()
 
     # Updates from the directory.
 
@@ -112,17 +84,7 @@
         with self.cond:
             old = self._listings
             self._listings = dict(listings)
-            now = clock.now()
-            for name, listing in listings.items():
-                old_listing = old.get(name)
-                restarted = (
-                    old_listing is not None
-                    and old_listing.started_ms != listing.started_ms
-                )
-                if name not in self._contacts or restarted:
-                    self._contacts[name] = Contact(answered_at=now)
-            for name in set(self._contacts) - set(listings):
-                del self._contacts[name]
+            self._contacts.apply_listings(old, listings)
             leader = self._leader
             if leader is not None and leader.endpoint not in listings:
                 self._clear_leader("no longer listed")
@@ -194,27 +156,8 @@
     def _note_answer(
         self, endpoint: str, position: statements.LogPosition | None
     ) -> None:
-        contact = self._contacts.get(endpoint)
-        if contact is None:
-            return
-        contact.answered_at = clock.now()
-        if contact.failing_since:
-            self._timeline.add_frequent(
-                events.EndpointAnswers(
-                    group=self.name,
-                    endpoint=endpoint,
-                    after_ms=int(
-                        (contact.answered_at - contact.failing_since) * 1000
-                    ),
-                )
-            )
-        contact.failing_since = 0.0
-        if contact.refusing_since:
-            contact.refusing_since = 0.0
+        if self._contacts.note_answer(endpoint, position):
             self.cond.notify_all()
-        if position is not None:
-            contact.position = position
-            contact.position_at = contact.answered_at
 
     def note_not_leading(self, endpoint: str) -> None:
         """Records that an endpoint refused work as it is not the primary."""
@@ -226,23 +169,9 @@
     def note_failing(self, endpoint: str, *, refused: bool) -> None:
         """Records that an endpoint did not answer or refused a connection."""
         with self.cond:
-            contact = self._contacts.get(endpoint)
-            if contact is None:
-                return
-            now = clock.now()
-            if not contact.failing_since:
-                contact.failing_since = now
-                self._timeline.add_frequent(
-                    events.EndpointFails(
-                        group=self.name,
-                        endpoint=endpoint,
-                        leads=self._is_leader(endpoint),
-                        refused=refused,
-                        silent_ms=int((now - contact.answered_at) * 1000),
-                    )
-                )
-            if refused:
-                contact.refusing_since = contact.refusing_since or now
+            self._contacts.note_failing(
+                endpoint, refused=refused, leads=self._is_leader(endpoint)
+            )
 
     def reset_contacts(self) -> None:
         """Resets all failures, for use after a suspension of this process.
@@ -250,11 +179,7 @@
         The endpoints' silence during a suspension says nothing about them.
         """
         with self.cond:
-            now = clock.now()
-            for contact in self._contacts.values():
-                contact.answered_at = now
-                contact.failing_since = 0.0
-                contact.refusing_since = 0.0
+            self._contacts.reset()
 
     def _is_leader(self, endpoint: str) -> bool:
         return self._leader is not None and self._leader.endpoint == endpoint
@@ -311,41 +236,33 @@
             until: The time when the hold expires, in seconds of clock.now().
         """
         with self.cond:
-            if self._is_write_held() and attempt > self._hold_attempt:
-                return
-            self._hold_attempt = attempt
-            self._hold_expires_at = until
-            self.cond.notify_all()
+            if self._hold.hold(attempt, until):
+                self.cond.notify_all()
 
     def renew_hold(self, attempt: str, until: float) -> None:
         """Extends the hold if writes are held for this change."""
         with self.cond:
-            if self._is_write_held() and self._hold_attempt == attempt:
-                self._hold_expires_at = until
+            self._hold.renew(attempt, until)
 
     def release_writes(self, attempt: str) -> None:
         """Releases writes if they are held for this change."""
         with self.cond:
-            if self._hold_attempt == attempt:
-                self._hold_attempt = ""
+            if self._hold.release(attempt):
                 self.cond.notify_all()
 
     def hold_attempt(self) -> str:
         """Returns the change that writes are held for, "" if none."""
         with self.cond:
-            return self._hold_attempt if self._is_write_held() else ""
-
-    def _is_write_held(self) -> bool:
-        return bool(self._hold_attempt) and clock.now() < self._hold_expires_at
+            return self._hold.attempt()
 
     def drained(self) -> bool:
         """Returns whether writes are held and none is in flight."""
         with self.cond:
-            return self._is_write_held() and self._writes_in_flight == 0
+            return self._hold.is_drained()
 
     def has_writes_in_flight(self) -> bool:
         """Returns whether writes of this proxy are in flight."""
-        return self._writes_in_flight > 0
+        return self._hold.in_flight > 0
 
     def start_write(self, deadline: float) -> Leader | None:
         """Waits until the primary accepts writes, and counts one as in flight.
@@ -359,12 +276,12 @@
             The primary, None at the deadline.
         """
         with self.cond:
-            while not self._accepts_connections() or self._is_write_held():
+            while not self._accepts_connections() or self._hold.is_held():
                 left = self._limit_deadline(deadline) - clock.now()
                 if left <= 0:
                     return None
                 self.cond.wait(min(left, RECHECK_S))
-            self._writes_in_flight += 1
+            self._hold.in_flight += 1
             return self._leader
 
     def _accepts_connections(self) -> bool:
@@ -377,7 +294,7 @@
     def end_write(self) -> None:
         """Counts a write, or a transaction that may write, as ended."""
         with self.cond:
-            self._writes_in_flight -= 1
+            self._hold.in_flight -= 1
 
     # Queries.
 
@@ -434,7 +351,7 @@
         )
         return remaining_s if position_age_s < estimate_valid_s else 0.0
 
-    def contact(self, endpoint: str) -> Contact | None:
+    def contact(self, endpoint: str) -> endpoint_contacts.Contact | None:
         """Returns the recent contact of an endpoint, None if not listed."""
         return self._contacts.get(endpoint)
 
@@ -458,7 +375,10 @@
         if contact is None:
             return True
         silent_s = clock.now() - contact.answered_at
-        return contact.failing_since > 0 and silent_s > RECENT_ANSWER_S
+        return (
+            contact.failing_since > 0
+            and silent_s > endpoint_contacts.RECENT_ANSWER_S
+        )
 
     def note_peer_reached(self, endpoint: str) -> None:
         """Records that a peer has recently reached an endpoint that leads."""
@@ -479,34 +399,20 @@
         reported_at = self._reached_by_peer_at.get(leader.endpoint, 0.0)
         # A peer's report may be this old on arrival, and so date from before
         # the primary became unreachable.
-        reached_since = reported_at - RECENT_ANSWER_S
+        reached_since = reported_at - endpoint_contacts.RECENT_ANSWER_S
         return (
             reached_since > contact.failing_since > 0
-            and clock.now() - reported_at < RECENT_ANSWER_S
+            and clock.now() - reported_at < endpoint_contacts.RECENT_ANSWER_S
         )
 
     def reach(self, endpoint: str) -> succession.Reach:
         """Returns the reachability of an endpoint from this proxy."""
-        contact = self._contacts.get(endpoint)
-        if contact is None or self.is_unreachable(endpoint):
-            return succession.Reach.UNREACHABLE
-        if clock.now() - contact.answered_at < RECENT_ANSWER_S:
-            return succession.Reach.REACHED
-        return succession.Reach.UNKNOWN
+        return self._contacts.reach(endpoint)
 
     def is_failing(self, endpoint: str) -> bool:
         """Returns whether the last attempt to reach an endpoint failed."""
-        contact = self._contacts.get(endpoint)
-        return contact is None or contact.failing_since > 0
+        return self._contacts.is_failing(endpoint)
 
     def is_unreachable(self, endpoint: str) -> bool:
         """Returns whether an endpoint has failed for longer than allowed."""
-        contact = self._contacts.get(endpoint)
-        if contact is None:
-            return True
-        now = clock.now()
-        if contact.refusing_since:
-            return now - contact.refusing_since > REFUSED_TIMEOUT_S
-        if not contact.failing_since:
-            return False
-        return now - contact.answered_at > SILENCE_TIMEOUT_S
+        return self._contacts.is_unreachable(endpoint)
