Split the events by subject

The events of callers and requests are now in core/request_events.py, those of endpoints in core/endpoint_events.py, and those of the platform's key-value store in core/store_events.py. The union Event and all others stay. Names, fields, defaults and descriptions of all 53 classes and the members of Event are the same as before, so the log format is unchanged. Three tests refer to events in their new modules.

--- a/bronzehold/connection/caller_closing.py
+++ b/bronzehold/connection/caller_closing.py
@@ -12,8 +12,8 @@
 from bronzehold.connection import caller_host
 from bronzehold.core import clock
 from bronzehold.core import errors
-from bronzehold.core import events
 from bronzehold.core import ports
+from bronzehold.core import request_events
 
 # A stop closes a connection that has been quiet for this long.
 QUIET_S = 0.04
@@ -163,7 +163,7 @@
         self._announced = failure
         self._link.announce(failure)
         self._process.timeline.add_frequent(
-            events.CallerNotified(
+            request_events.CallerNotified(
                 session=self._session,
                 in_transaction=self._waiting_since is None,
             )
--- a/bronzehold/connection/forward_server.py
+++ b/bronzehold/connection/forward_server.py
@@ -19,8 +19,8 @@
 from bronzehold.connection import platform_session
 from bronzehold.core import clock
 from bronzehold.core import errors
-from bronzehold.core import events
 from bronzehold.core import ports
+from bronzehold.core import request_events
 from bronzehold.core import statements
 from bronzehold.process import byte_budget
 from bronzehold.process import connection_limit
@@ -111,7 +111,7 @@
         if call is None:
             return False
         self._process.timeline.add_frequent(
-            events.RequestCut(
+            request_events.RequestCut(
                 request=call.request.id,
                 session=self._session.name,
                 group=call.route.service,
@@ -252,7 +252,7 @@
     def _log_failure(self, call: codec.Call, failure: errors.Failure) -> None:
         took_s = clock.now() - call.request.arrived
         self._process.timeline.add_frequent(
-            events.ForwardedRequestFailed(
+            request_events.ForwardedRequestFailed(
                 request=call.request.id,
                 session=self._session.name,
                 group=call.route.service,
--- a/bronzehold/connection/platform_caller.py
+++ b/bronzehold/connection/platform_caller.py
@@ -17,8 +17,8 @@
 from bronzehold.connection import request_record
 from bronzehold.core import clock
 from bronzehold.core import errors
-from bronzehold.core import events
 from bronzehold.core import ports
+from bronzehold.core import request_events
 from bronzehold.core import routes
 from bronzehold.core import statements
 from bronzehold.version import access
@@ -234,7 +234,7 @@
             case _:
                 self._closing.refuse()
                 self._process.timeline.add_frequent(
-                    events.KeyRefused(
+                    request_events.KeyRefused(
                         session=self._session.name,
                         database=self._database,
                         version=version,
--- a/bronzehold/connection/request_record.py
+++ b/bronzehold/connection/request_record.py
@@ -6,7 +6,7 @@
 from bronzehold.connection import forwarding_runner
 from bronzehold.core import clock
 from bronzehold.core import errors
-from bronzehold.core import events
+from bronzehold.core import request_events
 from bronzehold.core import routes
 from bronzehold.core import statements
 from bronzehold.process import metrics
@@ -88,9 +88,11 @@
         target_s = origin.route.target_latency_s if origin.route else 0.0
         self._served_count += 1
         if elapsed_s > target_s:
-            self._log_served(events.RequestSlow, req, origin, elapsed_s)
+            self._log_served(request_events.RequestSlow, req, origin, elapsed_s)
         elif self._served_count % LOG_SAMPLE_INTERVAL == 1:
-            self._log_served(events.RequestServed, req, origin, elapsed_s)
+            self._log_served(
+                request_events.RequestServed, req, origin, elapsed_s
+            )
 
     def record_cut(
         self,
@@ -109,7 +111,7 @@
             in_transaction: Whether a transaction was open before it.
         """
         self._process.timeline.add_frequent(
-            events.RequestCut(
+            request_events.RequestCut(
                 request=req.id,
                 session=self._session,
                 group=service,
@@ -123,7 +125,7 @@
 
     def _log_served(
         self,
-        kind: type[events.RequestSlow],
+        kind: type[request_events.RequestSlow],
         req: statements.Request,
         origin: Origin,
         elapsed_s: float,
@@ -162,7 +164,7 @@
         proof = served.group.proofs.newest() if served else None
         age = clock.now() - proof.at if proof else -0.001
         self._process.timeline.add_frequent(
-            events.RequestFailed(
+            request_events.RequestFailed(
                 **self._common_fields(req, origin, elapsed_s),
                 failure=type(failure).__name__,
                 detail=errors.report(failure).message,
--- a/bronzehold/core/events.py
+++ b/bronzehold/core/events.py
@@ -1,11 +1,16 @@
 """The events that a proxy process records in its timeline and its log.
 
 process.timeline writes the names of these classes and of their fields to the
-log, so they are part of the log format.
+log, so they are part of the log format. Those of requests, endpoints and the
+platform's store are in modules of their own.
 """
 
 import dataclasses
 
+from bronzehold.core import endpoint_events
+from bronzehold.core import request_events
+from bronzehold.core import store_events
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class ProxyStarted:
@@ -56,45 +61,6 @@
     ended: int = 0
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class CallerNotified:
-    """A planned stop has told a caller without a request that it closes.
-
-    Attributes:
-        session: Name of the session.
-        in_transaction: Whether a transaction was open; it is rolled back.
-    """
-
-    session: str
-    in_transaction: bool
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class RequestCut:
-    """A request that was read ends without a whole answer to its sender.
-
-    Attributes:
-        request: Request id.
-        session: Name of the session, "" for a request of another proxy.
-        group: Name of the group.
-        work: Kind of statement.
-        endpoint: Name of the endpoint that was tried last, "" if there was
-            none.
-        in_transaction: Whether a transaction was open before the request.
-        took_ms: Time since the request was read, in ms.
-        cause: The error that ended it, or that the process exits.
-    """
-
-    request: str
-    session: str
-    group: str
-    work: str
-    endpoint: str
-    in_transaction: bool
-    took_ms: int
-    cause: str
-
-
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class ConfigAdopted:
     """This proxy has applied a configuration.
@@ -285,83 +251,6 @@
     peer: str
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class PlatformAway:
-    """The platform's key-value service does not answer."""
-
-    why: str
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class PlatformBack:
-    """The platform's key-value service answers again."""
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class StoreEraChanged:
-    """The store has returned from an older copy, or its era is now known.
-
-    Attributes:
-        old: The highest era seen before, 0 for none.
-        new: The era.
-        forgotten: What this process knew of older eras and does not use again.
-    """
-
-    old: int
-    new: int
-    forgotten: str
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class StoreAnswerDiscarded:
-    """A call to the store was not sent, or its answer was not used.
-
-    Attributes:
-        call: The call.
-        answered: The era of the answer, or the highest era seen if the call was
-            not sent.
-        expected: The era that the call was based on.
-    """
-
-    call: str
-    answered: int
-    expected: int
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class StoreEntryDiscarded:
-    """An entry in the store is older than one already acted on.
-
-    Attributes:
-        key: Key of the entry.
-        era: Era in which it was read.
-        found: Version that the store holds.
-        known: Version in force here.
-    """
-
-    key: str
-    era: int
-    found: str
-    known: str
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class TokenRecordRestored:
-    """A holder has written the record of its fencing token again.
-
-    Attributes:
-        group: Name of the group.
-        token: The fencing token.
-        found: The fencing token of the record that was replaced, 0 for none.
-        era: Era of the store.
-    """
-
-    group: str
-    token: int
-    found: int
-    era: int
-
-
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class PrimaryFound:
     """This proxy has found the primary of a group.
@@ -390,132 +279,6 @@
     why: str
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class EndpointListed:
-    """An endpoint has registered itself or has changed its listing."""
-
-    group: str
-    endpoint: str
-    zone: str
-    leaving: bool
-    leads: bool
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class EndpointGone:
-    """An endpoint is no longer listed."""
-
-    group: str
-    endpoint: str
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class EndpointFails:
-    """An endpoint does not answer, or refuses a connection.
-
-    Attributes:
-        group: Name of the group.
-        endpoint: Id of the endpoint.
-        leads: Whether it is the primary, as far as this proxy knows.
-        refused: Whether it refused a connection.
-        silent_ms: Time in ms since its last answer.
-    """
-
-    group: str
-    endpoint: str
-    leads: bool
-    refused: bool
-    silent_ms: int
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class EndpointAnswers:
-    """An endpoint that failed answers again.
-
-    Attributes:
-        group: Name of the group.
-        endpoint: Id of the endpoint.
-        after_ms: Time in ms since it began to fail.
-    """
-
-    group: str
-    endpoint: str
-    after_ms: int
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class EndpointSlow:
-    """An endpoint is slow, or fails more statements, than its siblings.
-
-    Reads that may run elsewhere leave it, except for a few.
-
-    Attributes:
-        group: Name of the group.
-        endpoint: Id of the endpoint.
-        cause: "slow" or "failing".
-        leads: Whether it is the primary, as far as this proxy knows.
-        ratio: Its slowness relative to its best sibling.
-        service_ms: Usual duration of its statements in ms, without the
-            network's part.
-        failed_share: Fraction of its recent statements that failed.
-        best_failed_share: The same of its best sibling.
-        capacity: Limit on statements in flight.
-        responses: Number of statements that the decision rests on.
-        measured_ms: Age of the last of them in ms.
-        from_peers: Whether it rests on the reports of peers.
-    """
-
-    group: str
-    endpoint: str
-    cause: str
-    leads: bool
-    ratio: float
-    service_ms: float
-    failed_share: float
-    best_failed_share: float
-    capacity: int
-    responses: int
-    measured_ms: int
-    from_peers: bool
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class EndpointRecovered:
-    """An endpoint that was slow or failing is like its siblings again.
-
-    Attributes:
-        group: Name of the group.
-        endpoint: Id of the endpoint.
-        after_ms: Time in ms since the EndpointSlow event.
-        ratio: Its slowness relative to its best sibling.
-        failed_share: Fraction of its recent statements that failed.
-        measured_ms: Age of its last statement in ms.
-        why: "measured", "not measured" if no statement has run there for long,
-            "role changed", or "gone".
-    """
-
-    group: str
-    endpoint: str
-    after_ms: int
-    ratio: float
-    failed_share: float
-    measured_ms: int
-    why: str
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class ListingRefused:
-    """A listing in the store is invalid and was ignored.
-
-    Attributes:
-        key: Key of the listing.
-        why: Problems found in it.
-    """
-
-    key: str
-    why: str
-
-
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class TokenWon:
     """This proxy has acquired the fencing token of a group.
@@ -570,124 +333,6 @@
     endpoints: tuple[str, ...]
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class RequestFailed:
-    """A statement failed.
-
-    Attributes:
-        request: Id that the caller gave the statement.
-        session: Session of the caller.
-        database: Database name that the caller connected to.
-        group: Service of the route.
-        work: Type of the statement.
-        failure: Type of the failure; see errors.Failure.
-        detail: Message of the failure.
-        endpoint: Last endpoint that was tried.
-        tried: Failed attempts, each with the endpoint, the reason and the time
-            in ms since the statement arrived.
-        via: Proxy that the statement was forwarded to, "" if none.
-        took_ms: Duration of the statement in ms.
-        primary: Primary known at the time of the failure, "" if none.
-        term: Term of the primary.
-        proof_age_ms: Age of the newest proof in ms, -1 if there is none.
-        version: Version of the configuration in force.
-        workspace: Workspace of the caller, "" for none.
-    """
-
-    request: str
-    session: str
-    database: str
-    group: str
-    work: str
-    failure: str
-    detail: str
-    endpoint: str
-    tried: str
-    via: str
-    took_ms: int
-    primary: str
-    term: int
-    proof_age_ms: int
-    version: int
-    workspace: str = ""
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class RequestSlow:
-    """A statement was served, but took longer than the target of its route.
-
-    Attributes:
-        request: Id that the caller gave the statement.
-        session: Session of the caller.
-        database: Database name that the caller connected to.
-        group: Service of the route.
-        work: Type of the statement.
-        endpoint: Endpoint that ran the statement.
-        tried: Failed attempts, as in RequestFailed.
-        via: Proxy that the statement was forwarded to, "" if none.
-        took_ms: Duration of the statement in ms.
-        version: Version of the configuration in force.
-        workspace: Workspace of the caller, "" for none.
-    """
-
-    request: str
-    session: str
-    database: str
-    group: str
-    work: str
-    endpoint: str
-    tried: str
-    via: str
-    took_ms: int
-    version: int
-    workspace: str = ""
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class RequestServed(RequestSlow):
-    """A sample of the statements that were served within their target."""
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class KeyRefused:
-    """A caller's key is unknown or was revoked; nothing of it ran.
-
-    Attributes:
-        session: Session of the caller, "" if it was refused at its start.
-        database: Database name that the caller connected to.
-        version: Version of the configuration that does not hold the key.
-        in_transaction: Whether an open transaction was rolled back.
-    """
-
-    session: str
-    database: str
-    version: int
-    in_transaction: bool
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class ForwardedRequestFailed:
-    """A statement that another proxy forwarded to this one failed here.
-
-    Attributes:
-        request: Id that the caller gave the statement.
-        session: Session of the caller; it begins with the name of its proxy.
-        group: Service of the route.
-        endpoint: Last endpoint that was tried.
-        failure: Type of the failure; see errors.Failure.
-        detail: Message of the failure.
-        took_ms: Time in ms since this proxy received the statement.
-    """
-
-    request: str
-    session: str
-    group: str
-    endpoint: str
-    failure: str
-    detail: str
-    took_ms: int
-
-
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class ServingSetChanged:
     """Other proxies serve a service than before, as this proxy sees it.
@@ -701,19 +346,6 @@
     proxies: str
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class ForwardFailed:
-    """A proxy did not take a statement, so it gets none for a while.
-
-    Attributes:
-        peer: Name of the proxy.
-        why: Cause of the failure.
-    """
-
-    peer: str
-    why: str
-
-
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class LimiterRoleChanged:
     """This proxy holds another share of a workspace's limit than before.
@@ -813,7 +445,7 @@
     | ProxyStopping
     | CallersPortClosed
     | ProxyStopped
-    | RequestCut
+    | request_events.RequestCut
     | ConfigAdopted
     | ConfigRefused
     | GrantGained
@@ -829,32 +461,32 @@
     | EntriesDiscarded
     | PeerSeen
     | PeerSilent
-    | PlatformAway
-    | PlatformBack
-    | StoreEraChanged
-    | StoreAnswerDiscarded
-    | StoreEntryDiscarded
-    | TokenRecordRestored
+    | store_events.PlatformAway
+    | store_events.PlatformBack
+    | store_events.StoreEraChanged
+    | store_events.StoreAnswerDiscarded
+    | store_events.StoreEntryDiscarded
+    | store_events.TokenRecordRestored
     | TaskFailed
     | PrimaryFound
     | PrimaryLost
-    | EndpointListed
-    | EndpointGone
-    | EndpointFails
-    | EndpointAnswers
-    | EndpointSlow
-    | EndpointRecovered
-    | ListingRefused
+    | endpoint_events.EndpointListed
+    | endpoint_events.EndpointGone
+    | endpoint_events.EndpointFails
+    | endpoint_events.EndpointAnswers
+    | endpoint_events.EndpointSlow
+    | endpoint_events.EndpointRecovered
+    | endpoint_events.ListingRefused
     | TokenWon
     | TokenLost
     | PromotionOrdered
     | SuccessorAwaited
-    | RequestFailed
-    | RequestSlow
-    | RequestServed
-    | ForwardedRequestFailed
+    | request_events.RequestFailed
+    | request_events.RequestSlow
+    | request_events.RequestServed
+    | request_events.ForwardedRequestFailed
     | ServingSetChanged
-    | ForwardFailed
+    | request_events.ForwardFailed
     | LimiterRoleChanged
     | LimiterUnanswered
     | EventsNotLogged
--- a/bronzehold/platform/listener.py
+++ b/bronzehold/platform/listener.py
@@ -17,8 +17,8 @@
 from bronzehold.connection import platform_caller
 from bronzehold.core import clock
 from bronzehold.core import errors
-from bronzehold.core import events
 from bronzehold.core import ports
+from bronzehold.core import request_events
 from bronzehold.core import sockets
 from bronzehold.core import statements
 from bronzehold.platform import caller_reader
@@ -277,7 +277,7 @@
             return self._reject(errors.ServiceUnknown(service=database))
         if isinstance(access.check(table, route, key), access.Denied):
             self._process.timeline.add_frequent(
-                events.KeyRefused(
+                request_events.KeyRefused(
                     session="",
                     database=database,
                     version=table.version,
--- a/bronzehold/process/capacities.py
+++ b/bronzehold/process/capacities.py
@@ -11,7 +11,7 @@
 import threading
 
 from bronzehold.core import clock
-from bronzehold.core import events
+from bronzehold.core import endpoint_events
 from bronzehold.process import capacity as capacity_lib
 from bronzehold.process import pool as pool_lib
 from bronzehold.process import timeline as timeline_lib
@@ -236,9 +236,9 @@
         mark: comparison.Mark,
         measurement: capacity_lib.Measurement,
         observed: comparison.Observation,
-    ) -> events.EndpointSlow:
+    ) -> endpoint_events.EndpointSlow:
         failing = mark.cause is comparison.Cause.FAILING
-        return events.EndpointSlow(
+        return endpoint_events.EndpointSlow(
             group=self._group,
             endpoint=name,
             cause=mark.cause.value,
@@ -263,8 +263,8 @@
 
     def _recovered_event(
         self, name: str, mark: comparison.Mark, why: str
-    ) -> events.EndpointRecovered:
-        return events.EndpointRecovered(
+    ) -> endpoint_events.EndpointRecovered:
+        return endpoint_events.EndpointRecovered(
             group=self._group,
             endpoint=name,
             after_ms=int((mark.until - mark.since) * 1000),
--- a/bronzehold/process/capacities_test.py
+++ b/bronzehold/process/capacities_test.py
@@ -14,7 +14,7 @@
 import pytest
 
 from bronzehold.core import clock
-from bronzehold.core import events
+from bronzehold.core import endpoint_events
 from bronzehold.process import capacities as capacities_lib
 from bronzehold.process import capacity as capacity_lib
 from bronzehold.process import pool as pool_lib
@@ -286,7 +286,7 @@
     assert _falls_under_a_tenth(model, "replica1", 30, proxy=1) <= 2.0
     assert model.share_sent("replica1", 33, 60) < 0.1
     assert model.share_on_time(32, 60) > 0.98
-    (first, *_) = model.events(events.EndpointSlow)
+    (first, *_) = model.events(endpoint_events.EndpointSlow)
     assert first.endpoint == "replica1"
     assert first.cause == "slow"
 
@@ -306,7 +306,7 @@
         ]
     assert min(sizes) >= SLOTS / 2
     assert sum(sizes) / len(sizes) > SLOTS * 0.98
-    assert not model.events(events.EndpointSlow)
+    assert not model.events(endpoint_events.EndpointSlow)
     for proxy, near in ((1, "replica1"), (2, "replica2")):
         assert model.share_sent(near, 10, 120, proxy=proxy) > 0.97
     assert model.share_on_time(10, 120) > 0.999
@@ -361,7 +361,7 @@
     )
     model.run(90)
     assert model.share_on_time(33, 90) > 0.98
-    assert len(model.events(events.EndpointSlow, "replica1")) < 20
+    assert len(model.events(endpoint_events.EndpointSlow, "replica1")) < 20
     assert model.share_sent("replica1", 60, 90) < 0.2
 
 
@@ -382,7 +382,7 @@
     model.run(60)
     assert _falls_under_a_tenth(model, "replica1", 30, proxy=1) <= 2.0
     assert model.share_sent("replica1", 33, 60) < 0.1
-    first = model.events(events.EndpointSlow)[0]
+    first = model.events(endpoint_events.EndpointSlow)[0]
     assert (first.endpoint, first.cause) == ("replica1", "failing")
 
 
@@ -393,7 +393,7 @@
     model.run(80)
     assert model.share_sent("replica1", 33, 50, proxy=1) < 0.1
     assert model.share_sent("replica1", 60, 80, proxy=1) > 0.9
-    assert model.events(events.EndpointRecovered, "replica1")
+    assert model.events(endpoint_events.EndpointRecovered, "replica1")
 
 
 def test_new_primary_does_not_inherit_its_history(make):
@@ -413,5 +413,5 @@
         assert measured.slowness < 1.5
         assert measured.size >= SLOTS
         assert model.capacities[proxy].cause("replica1") is None
-    recovered = model.events(events.EndpointRecovered, "replica1")
+    recovered = model.events(endpoint_events.EndpointRecovered, "replica1")
     assert any(e.why == "role changed" for e in recovered)
--- a/bronzehold/process/capacity_reports_test.py
+++ b/bronzehold/process/capacity_reports_test.py
@@ -3,7 +3,7 @@
 import pytest
 
 from bronzehold.core import clock
-from bronzehold.core import events
+from bronzehold.core import endpoint_events
 from bronzehold.core import routes
 from bronzehold.process import capacities as capacities_lib
 from bronzehold.process import capacity as capacity_lib
@@ -126,7 +126,7 @@
     hearer.update()
     assert hearer.capacities.cause("b") is not None
     (event,) = [e.event for e in hearer.timeline.entries_after(0)]
-    assert isinstance(event, events.EndpointSlow)
+    assert isinstance(event, endpoint_events.EndpointSlow)
     assert event.from_peers
 
 
--- a/bronzehold/process/endpoint_contacts.py
+++ b/bronzehold/process/endpoint_contacts.py
@@ -7,7 +7,7 @@
 import dataclasses
 
 from bronzehold.core import clock
-from bronzehold.core import events
+from bronzehold.core import endpoint_events
 from bronzehold.core import routes
 from bronzehold.core import statements
 from bronzehold.process import timeline as timeline_lib
@@ -101,7 +101,7 @@
         contact.answered_at = clock.now()
         if contact.failing_since:
             self._timeline.add_frequent(
-                events.EndpointAnswers(
+                endpoint_events.EndpointAnswers(
                     group=self._group,
                     endpoint=endpoint,
                     after_ms=int(
@@ -134,7 +134,7 @@
         if not contact.failing_since:
             contact.failing_since = now
             self._timeline.add_frequent(
-                events.EndpointFails(
+                endpoint_events.EndpointFails(
                     group=self._group,
                     endpoint=endpoint,
                     leads=leads,
--- a/bronzehold/process/platform_process.py
+++ b/bronzehold/process/platform_process.py
@@ -10,6 +10,7 @@
 import threading
 
 from bronzehold.core import clock
+from bronzehold.core import endpoint_events
 from bronzehold.core import events
 from bronzehold.core import ports
 from bronzehold.core import routes
@@ -163,7 +164,7 @@
         for name, listing in listings.items():
             if old.get(name) != listing:
                 self.timeline.add(
-                    events.EndpointListed(
+                    endpoint_events.EndpointListed(
                         group=listing.service,
                         endpoint=name,
                         zone=listing.zone,
@@ -173,7 +174,9 @@
                 )
         for name in old.keys() - listings.keys():
             self.timeline.add(
-                events.EndpointGone(group=old[name].service, endpoint=name)
+                endpoint_events.EndpointGone(
+                    group=old[name].service, endpoint=name
+                )
             )
 
     def _apply(self) -> None:
--- a/bronzehold/process/serving.py
+++ b/bronzehold/process/serving.py
@@ -14,6 +14,7 @@
 
 from bronzehold.core import clock
 from bronzehold.core import events
+from bronzehold.core import request_events
 from bronzehold.core import routes
 from bronzehold.process import timeline as timeline_lib
 from bronzehold.version import members as members_lib
@@ -321,7 +322,7 @@
             self._suspected_at[name] = clock.now()
         if is_new:
             self._timeline.add_frequent(
-                events.ForwardFailed(peer=name, why=reason)
+                request_events.ForwardFailed(peer=name, why=reason)
             )
 
     def note_heard(self, name: str, uptime_s: float = math.inf) -> None:
--- a/bronzehold/process/store_era.py
+++ b/bronzehold/process/store_era.py
@@ -9,8 +9,8 @@
 import collections.abc
 import threading
 
-from bronzehold.core import events
 from bronzehold.core import ports
+from bronzehold.core import store_events
 from bronzehold.process import timeline as timeline_lib
 
 
@@ -55,7 +55,7 @@
             # while others still hold what belongs to the old one.
             forgotten = [forget(era) for forget in self._listeners]
         self._timeline.add(
-            events.StoreEraChanged(
+            store_events.StoreEraChanged(
                 old=old, new=era, forgotten=", ".join(filter(None, forgotten))
             )
         )
@@ -73,7 +73,7 @@
             expected: The era that the call was based on.
         """
         self._timeline.add_frequent(
-            events.StoreAnswerDiscarded(
+            store_events.StoreAnswerDiscarded(
                 call=call, answered=answered, expected=expected
             )
         )
--- a/bronzehold/process/store_mirror.py
+++ b/bronzehold/process/store_mirror.py
@@ -17,9 +17,11 @@
 import typing
 
 from bronzehold.core import clock
+from bronzehold.core import endpoint_events
 from bronzehold.core import events
 from bronzehold.core import ports
 from bronzehold.core import routes
+from bronzehold.core import store_events
 from bronzehold.core import validation
 from bronzehold.process import listing_order
 from bronzehold.process import platform_process
@@ -196,7 +198,7 @@
     def _record_unreachable(self, why: str) -> None:
         if not self._unreachable:
             self._unreachable = True
-            self._process.timeline.add(events.PlatformAway(why=why))
+            self._process.timeline.add(store_events.PlatformAway(why=why))
 
     def _record_reachable(self) -> None:
         if self._unreachable:
@@ -204,7 +206,7 @@
             # Entries that disappeared meanwhile get the full time to return.
             now = clock.now()
             self._missing = dict.fromkeys(self._missing, now)
-            self._process.timeline.add(events.PlatformBack())
+            self._process.timeline.add(store_events.PlatformBack())
 
     # Applying changes.
 
@@ -275,7 +277,7 @@
             return
         self._unused_positions[item.key] = item.position
         self._process.timeline.add(
-            events.StoreEntryDiscarded(
+            store_events.StoreEntryDiscarded(
                 key=item.key, era=item.era, found=found, known=known
             )
         )
@@ -297,7 +299,9 @@
             if self._unused_positions.get(item.key) != item.position:
                 self._unused_positions[item.key] = item.position
                 self._process.timeline.add(
-                    events.ListingRefused(key=item.key, why=listing.why)
+                    endpoint_events.ListingRefused(
+                        key=item.key, why=listing.why
+                    )
                 )
             return
         if self._era.current():
--- a/bronzehold/process/store_sync.py
+++ b/bronzehold/process/store_sync.py
@@ -12,9 +12,9 @@
 import threading
 
 from bronzehold.core import addresses
-from bronzehold.core import events
 from bronzehold.core import json_text
 from bronzehold.core import settings
+from bronzehold.core import store_events
 from bronzehold.process import catalog as catalog_lib
 from bronzehold.process import etcd_store
 from bronzehold.process import peer_table
@@ -86,13 +86,13 @@
         with self._lock:
             changed, self._unreachable = not self._unreachable, True
         if changed and not self._tasks.stop.is_set():
-            self._timeline.add(events.PlatformAway(why=reason[:80]))
+            self._timeline.add(store_events.PlatformAway(why=reason[:80]))
 
     def _record_reachable(self) -> None:
         with self._lock:
             changed, self._unreachable = self._unreachable, False
         if changed:
-            self._timeline.add(events.PlatformBack())
+            self._timeline.add(store_events.PlatformBack())
 
     # Registration.
 
--- a/bronzehold/process/timeline.py
+++ b/bronzehold/process/timeline.py
@@ -14,6 +14,8 @@
 from pythonjsonlogger import json as jsonlogger
 
 from bronzehold.core import events
+from bronzehold.core import request_events
+from bronzehold.core import store_events
 
 MAX_KEPT_EVENTS = 4096
 # Rate limit of frequent events. The burst is about the number of requests that
@@ -142,9 +144,9 @@
             | events.ChangeFailed()
             | events.ConfigRefused()
             | events.EntriesDiscarded()
-            | events.PlatformAway()
+            | store_events.PlatformAway()
             | events.PeerSilent()
-            | events.RequestCut()
+            | request_events.RequestCut()
         ):
             return logging.WARNING
         case _:
--- a/bronzehold/process/tokens.py
+++ b/bronzehold/process/tokens.py
@@ -20,6 +20,7 @@
 from bronzehold.core import integers
 from bronzehold.core import json_text
 from bronzehold.core import ports
+from bronzehold.core import store_events
 from bronzehold.process import timeline as timeline_lib
 from bronzehold.version import fencing
 
@@ -273,7 +274,7 @@
             is_restored = isinstance(outcome, ports.Swapped)
             if is_restored:
                 self._timeline.add(
-                    events.TokenRecordRestored(
+                    store_events.TokenRecordRestored(
                         group=service,
                         token=token.number,
                         found=record.number if record else 0,
--- a/tests/slow_endpoint_test.py
+++ b/tests/slow_endpoint_test.py
@@ -3,7 +3,7 @@
 import threading
 import time
 
-from bronzehold.core import events
+from bronzehold.core import endpoint_events
 from bronzehold.platform import local as platform_local
 
 WORK_S = 0.01
@@ -60,14 +60,14 @@
         before = _reads(deployment, 0, time.monotonic())
         slow.faults.change(added_s=6 * WORK_S)
         platform_local.wait_until(
-            lambda: _has_event(deployment, events.EndpointSlow)
+            lambda: _has_event(deployment, endpoint_events.EndpointSlow)
         )
         marked_at = time.monotonic()
         time.sleep(2.0)
         while_slow = _reads(deployment, marked_at + 0.2, time.monotonic())
         slow.faults.change(added_s=0.0)
         platform_local.wait_until(
-            lambda: _has_event(deployment, events.EndpointRecovered)
+            lambda: _has_event(deployment, endpoint_events.EndpointRecovered)
         )
         recovered_at = time.monotonic()
         time.sleep(1.0)
