Wording of comments and messages of the limits and workspaces

Some comments, docstrings and error messages were figurative or unclear, such as 'limits nothing', 'wears off', 'for want of memory' and 'has a key of another one'. They now use plain terms. Behaviour is unchanged; the messages about workspaces and the store's era name what is wrong more precisely.

--- a/bronzehold/connection/caller.py
+++ b/bronzehold/connection/caller.py
@@ -35,7 +35,7 @@
 ANSWER_COPIES = 2
 # Part of a large answer that a caller has to take within that time.
 SEND_PART_BYTES = 65536
-# A caller that takes nothing for this long may be closed when there are too
+# A caller that accepts no data for this long may be closed when there are too
 # many connections. A network that drops packets resumes sooner.
 NOT_TAKING_S = 1.0
 
@@ -98,8 +98,8 @@
         self._phase = _Phase.ANSWERING
         self._phase_since = clock.now()
         self._outside_block = True
-        # Since when the caller takes nothing of an answer; None if no answer is
-        # being sent.
+        # Since when the caller accepts no data of an answer; None if no answer
+        # is being sent.
         self._sending_since: float | None = None
         self._stopping = False
         self._told = False
--- a/bronzehold/connection/caller_frames.py
+++ b/bronzehold/connection/caller_frames.py
@@ -43,7 +43,7 @@
         """Notes that the request is complete and will run.
 
         Raises:
-            frames.ClosedError: The connection was closed for want of memory.
+            frames.ClosedError: The connection was closed for lack of memory.
             byte_budget.ShortError: Answers overdraw the memory.
         """
         self._account.hold(
@@ -51,7 +51,7 @@
             byte_budget.Phase.RUNNING,
         )
         if self._account.is_aborted:
-            raise frames.ClosedError("closed for want of memory")
+            raise frames.ClosedError("closed for lack of memory")
         self._account.await_room()
 
     def read_frame(self) -> frames.Frame:
--- a/bronzehold/connection/caller_slot.py
+++ b/bronzehold/connection/caller_slot.py
@@ -48,7 +48,7 @@
             end(self._sock, failure)
 
     def _abort(self, phase: byte_budget.Phase) -> None:
-        """Ends a transfer that keeps memory from others."""
+        """Ends a stalled transfer, to free its memory."""
         if phase is byte_budget.Phase.RECEIVING:
             end(self._sock, errors.MemoryShort(purpose="the message"))
         else:
--- a/bronzehold/connection/forward_server.py
+++ b/bronzehold/connection/forward_server.py
@@ -82,7 +82,7 @@
             self._runner.end_block(blocks.Idle())
 
     def _abort(self, _phase: byte_budget.Phase) -> None:
-        """Ends a transfer that keeps memory from others."""
+        """Ends a stalled transfer, to free its memory."""
         with contextlib.suppress(OSError):
             self._sock.shutdown(socket.SHUT_RDWR)
 
--- a/bronzehold/connection/operation_token.py
+++ b/bronzehold/connection/operation_token.py
@@ -1,7 +1,7 @@
 """The token of a caller's operation under the limit of its workspace.
 
 An operation is a statement outside of a transaction, or a whole transaction. It
-takes a token before it reaches an endpoint and gives it back if it has not run.
+takes a token before it reaches an endpoint and returns it if it has not run.
 """
 
 from bronzehold.core import clock
@@ -62,7 +62,7 @@
         self._is_used = True
 
     def end(self) -> None:
-        """Ends the operation; a token that was not used is given back."""
+        """Ends the operation; a token that was not used is refunded."""
         spent, self._spent = self._spent, None
         is_used, self._is_used = self._is_used, False
         if spent is not None and not is_used:
--- a/bronzehold/platform/caller_reader.py
+++ b/bronzehold/platform/caller_reader.py
@@ -60,7 +60,7 @@
         )
         if self._account.is_aborted:
             # The caller may have been told that it was not run.
-            raise StalledError("closed for want of memory")
+            raise StalledError("closed for lack of memory")
         return line
 
     def _receive(
--- a/bronzehold/platform/listener.py
+++ b/bronzehold/platform/listener.py
@@ -34,7 +34,7 @@
 STARTUP_TIMEOUT_S = 5.0
 # A caller that accepts no data for this long is treated as disconnected.
 SEND_TIMEOUT_S = 10.0
-# A caller that takes nothing for this long may be closed when there
+# A caller that accepts no data for this long may be closed when there
 # are too many connections. A network that drops packets resumes sooner.
 NOT_TAKING_S = 1.0
 # Part of a large answer that a caller has to take within that time.
@@ -61,8 +61,8 @@
         # answer is announced.
         self._announced: bytes | None = None
         self.closes_next = False
-        # Since when the caller takes nothing of an answer; None if no answer is
-        # being sent.
+        # Since when the caller accepts no data of an answer; None if no answer
+        # is being sent.
         self._sending_since: float | None = None
         self._account = account or byte_budget.UNLIMITED.open_account(
             lambda _: None
@@ -124,7 +124,7 @@
         self._send(ready)
 
     def is_sending_for(self, seconds: float) -> bool:
-        """Returns whether the caller has taken nothing for some seconds."""
+        """Returns whether the caller has accepted no data for some time."""
         since = self._sending_since
         return since is not None and clock.now() - since >= seconds
 
@@ -317,7 +317,7 @@
             self._caller.end_if_revoked()
 
     def _abort(self, phase: byte_budget.Phase) -> None:
-        """Ends a transfer that keeps memory from others."""
+        """Ends a stalled transfer, to free its memory."""
         if phase is byte_budget.Phase.RECEIVING:
             send_last(self._sock, errors.MemoryShort(purpose="the message"))
         with contextlib.suppress(OSError):
--- a/bronzehold/platform/listener_test.py
+++ b/bronzehold/platform/listener_test.py
@@ -149,7 +149,7 @@
 
 
 def test_session_ends_if_its_key_is_valid_again_after_the_announcement():
-    """Guards against a session that refuses its valid key for good.
+    """Guards against a session that never accepts its valid key again.
 
     The close after a revocation was announced, and the key put back into the
     configuration before it. Nothing then closed the connection.
--- a/bronzehold/platform/store.py
+++ b/bronzehold/platform/store.py
@@ -43,7 +43,7 @@
         try:
             return integers.parse(self._era_text.strip())
         except ValueError as exc:
-            raise ports.StoreError("an era that is no number") from exc
+            raise ports.StoreError("an era that is not a number") from exc
 
     def text(self) -> str:
         return self._body.decode("utf8", "replace")
--- a/bronzehold/platform/workspaces.py
+++ b/bronzehold/platform/workspaces.py
@@ -35,13 +35,17 @@
         fields = fields_lib.Fields(source=source, value=entry)
         workspace = _decode_workspace(fields)
         if workspace.name in workspaces:
-            raise fields.problem("name", "is the name of another one, too")
+            raise fields.problem(
+                "name", "is also the name of another workspace"
+            )
         workspaces[workspace.name] = workspace
         for key in _decode_keys(fields):
             if workspace_by_key.setdefault(key, workspace.name) != (
                 workspace.name
             ):
-                raise fields.problem("api_keys", "has a key of another one")
+                raise fields.problem(
+                    "api_keys", "has a key of another workspace"
+                )
     return workspaces, workspace_by_key
 
 
@@ -63,7 +67,9 @@
 def _decode_keys(fields: fields_lib.Fields) -> list[str]:
     keys = fields.list("api_keys") if fields.has("api_keys") else []
     if not all(isinstance(key, str) and key for key in keys):
-        raise fields.problem("api_keys", "has a key that is no text")
+        raise fields.problem(
+            "api_keys", "has a key that is empty or not a string"
+        )
     return keys
 
 
--- a/bronzehold/process/capacity.py
+++ b/bronzehold/process/capacity.py
@@ -52,7 +52,7 @@
 BASELINE_WEIGHT = 0.02
 MAX_BASELINE_RATIO = 4.0
 # Relative growth of the usual duration with each response while the endpoint
-# has a queue, so that it follows an endpoint that has become slower for good.
+# has a queue, so that it follows an endpoint that has become slower permanently.
 BASELINE_GROWTH = 0.001
 # Below this slowness the usual duration is too high and follows at any load.
 FASTER_SLOWNESS = 0.7
@@ -286,7 +286,7 @@
         self._since_cut += 1
         if self._slowness <= CUT_SLOWNESS:
             self._peak_slowness = 0.0
-            # A cut below the configured slots wears off in any case; more than
+            # A cut below the configured slots is undone in any case; more than
             # them are only tried for requests that wait.
             self._grow(float(max_size if has_waiters else self._slots))
             return
--- a/bronzehold/process/limiter_order.py
+++ b/bronzehold/process/limiter_order.py
@@ -13,7 +13,7 @@
 from bronzehold.version import members as members_lib
 
 # A limiter that did not answer is not asked for this long, so that few
-# operations wait in vain for one that is frozen or cut off.
+# operations wait for one that is frozen or cut off.
 SKIP_S = 1.0
 # A proxy that is stopping, or where no process accepts connections, is no
 # limiter for at least this long, and until it is heard again: the last digests
@@ -147,7 +147,7 @@
         return now < self._skip_until.get(name, -math.inf)
 
     def mark_ended(self, name: str, now: float) -> None:
-        """Records that a proxy limits nothing, since it has ended or stops."""
+        """Records that a proxy is no limiter, since it has ended or stops."""
         if name != self._own.name:
             if name not in self._ended_at:
                 self._orders.clear()
--- a/bronzehold/process/rate_limiter.py
+++ b/bronzehold/process/rate_limiter.py
@@ -404,7 +404,7 @@
         Args:
             share: The share of the workspace.
             count: Number of operations.
-            refusal: The reply if no other region has tokens to spare.
+            refusal: The reply if no other region has unused tokens.
         """
         if share.role is not workspace_share.Role.LIMITER:
             return refusal
--- a/bronzehold/process/serving.py
+++ b/bronzehold/process/serving.py
@@ -256,7 +256,7 @@
         """Returns the proxies to forward a workspace's statements to.
 
         A connection to an endpoint belongs to one workspace, so the statements
-        of a workspace meet at one serving proxy of each region. The next one in
+        of a workspace run on one serving proxy of each region. The next one in
         the order takes its place when it fails.
 
         Args:
--- a/bronzehold/process/token_bucket.py
+++ b/bronzehold/process/token_bucket.py
@@ -1,6 +1,6 @@
 """Counts the operations that a proxy may let through.
 
-The classes know no clock: each call gets the time, in seconds of clock.now().
+The classes read no clock: each call gets the time, in seconds of clock.now().
 They are not safe for use from several threads.
 """
 
@@ -39,7 +39,7 @@
 
     def tokens(self, now: float) -> float:
         """Returns the number of tokens."""
-        # A thread may bring a time from before another thread's refill.
+        # A thread may have read the clock before another thread's refill.
         elapsed_s = max(0.0, now - self._refilled_at)
         self._tokens = min(
             self.share.capacity,
--- a/bronzehold/process/token_loans.py
+++ b/bronzehold/process/token_loans.py
@@ -2,7 +2,7 @@
 
 Each region has an equal part of a limit, but the callers of a workspace are
 spread unevenly. A limiter that has run out of tokens asks those of the other
-regions for what they have to spare. A lent token is taken from one bucket and
+regions for unused ones. A lent token is taken from one bucket and
 expires soon, so that all regions together stay within the limit.
 """
 
@@ -117,7 +117,7 @@
 
 
 def lend(bucket: workspace_share.Bucket, count: int, now: float) -> int:
-    """Takes tokens that a region has to spare from its bucket.
+    """Takes unused tokens of a region from its bucket.
 
     Args:
         bucket: The bucket of the region's limiter.
--- a/bronzehold/process/token_messages.py
+++ b/bronzehold/process/token_messages.py
@@ -11,7 +11,7 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Usage:
-    """What a limiter has granted of late.
+    """What a limiter has granted recently.
 
     Attributes:
         limiter: Text that tells the process of the limiter from all others.
@@ -38,7 +38,7 @@
         count: Number of tokens.
         skipped: Names of the proxies earlier in the order that were not asked
             or did not answer.
-        ended: Of these, the ones that limit nothing: no process accepts
+        ended: Of these, the ones that are no limiters: no process accepts
             connections there, or it is stopping.
         borrows: Whether the sender is the limiter of another region.
         usage: The last report that the sender has of a limiter.
@@ -62,7 +62,7 @@
     Attributes:
         granted: Number of tokens granted.
         retry_after_s: If there are none, the time until there is one.
-        is_leaving: Whether the proxy is stopping and limits nothing any more.
+        is_leaving: Whether the proxy is stopping and no longer a limiter.
         usage: What the limiter has granted of late.
     """
 
--- a/bronzehold/process/window_budget.py
+++ b/bronzehold/process/window_budget.py
@@ -2,9 +2,9 @@
 
 A token bucket bounds what is granted at once, and a count what is granted in a
 window. A limiter that takes over from another does not know what that one has
-granted: the proxies that ask it bring the reports that they got with their last
-answers. Without a report, its bucket starts nearly empty, which is safe in any
-case. The class is not safe for use from several threads.
+granted: the requests of other proxies contain the reports that they got with
+their last answers. Without a report, its bucket starts nearly empty, which is
+safe in any case. The class is not safe for use from several threads.
 """
 
 import collections
@@ -185,8 +185,8 @@
 class _Reports:
     """The operations that other limiters have reported.
 
-    Several proxies bring reports of the same operations, so the highest count
-    of each slot holds.
+    Several proxies report the same operations, so the highest count of each
+    slot is used.
     """
 
     def __init__(self):
--- a/bronzehold/request/comparison.py
+++ b/bronzehold/request/comparison.py
@@ -212,8 +212,8 @@
 def _as_reference(sibling: Observation, slowness: float, now: float) -> float:
     """Returns a sibling's slowness, 1 if it is unknown.
 
-    One that fails or refuses statements does not set the pace, however quick
-    its answers are.
+    One that fails or refuses statements is no reference, however quick its
+    answers are.
     """
     if sibling.failed_share >= FAILING_EXCESS:
         return max(slowness, SLOW_RATIO)
