The key is checked against the configuration of the route that is used

A statement or BEGIN looked up its key in one configuration and its route in a possibly newer one. If the newer one made a public route private in between, the statement ran without a key and without a workspace, so it was not limited either. A BEGIN kept that route for its transaction.

The check is repeated on the route that was found. Both new tests failed before: BEGIN was completed, and the statement got past the check.

--- a/bronzehold/connection/platform_caller.py
+++ b/bronzehold/connection/platform_caller.py
@@ -441,6 +441,14 @@
         route = self._process.find_route(self._database)
         if route is None:
             raise _failure_error(errors.ServiceUnknown(service=self._database))
+        # The route may be of a newer configuration than the check of the key.
+        table = self._process.table()
+        match access.check(table, route, self._key):
+            case access.Granted() as granted:
+                self._access = granted
+                self._version = table.version
+            case _:
+                raise _failure_error(errors.KeyDenied())
         return route
 
     def _context(self, req: statements.Request) -> blocks.StatementContext:
--- a/bronzehold/platform/listener_test.py
+++ b/bronzehold/platform/listener_test.py
@@ -178,3 +178,58 @@
     task.join(2.0)
     assert not task.is_alive()
     assert remote_sock.recv(1000).startswith(b"ERROR DENIED")
+
+
+class RaceProcess(KeyProcess):
+    """A process whose route stops being public beside a statement's checks."""
+
+    def __init__(self):
+        super().__init__()
+        self.used = []
+        route = dataclasses.replace(self.known.routes["d"], public=True)
+        self.current = dataclasses.replace(
+            self.known, version=1, routes={"d": route}
+        )
+
+    def find_route(self, database):
+        self.current = dataclasses.replace(self.known, version=2)
+        return self.current.routes.get(database)
+
+    def service(self, name):
+        self.used.append(name)
+
+
+def test_route_that_is_no_longer_public_is_not_used_without_a_key():
+    """Guards against a key check and a route of different configurations."""
+    process = RaceProcess()
+    conn, remote_sock = _pair()
+    caller = platform_caller.Caller(
+        link=conn,
+        database="d",
+        key="unknown",
+        process=process,
+        name="c",
+        links=None,
+    )
+    remote_sock.sendall(b"QUERY 1 READ a\r\n")
+    conn.stop_receiving()
+    caller.serve()
+    assert remote_sock.recv(1000).startswith(b"ERROR DENIED")
+    assert not process.used
+
+
+def test_begin_on_a_route_that_is_no_longer_public_is_denied():
+    process = RaceProcess()
+    conn, remote_sock = _pair()
+    caller = platform_caller.Caller(
+        link=conn,
+        database="d",
+        key="unknown",
+        process=process,
+        name="c",
+        links=None,
+    )
+    remote_sock.sendall(b"QUERY 1 BEGIN\r\n")
+    conn.stop_receiving()
+    caller.serve()
+    assert remote_sock.recv(1000).startswith(b"ERROR DENIED")
--- a/bronzehold/process/capacity.py
+++ b/bronzehold/process/capacity.py
@@ -52,7 +52,7 @@
 BASELINE_WEIGHT = 0.02
 MAX_BASELINE_RATIO = 4.0
 # Relative growth of the usual duration with each response while the endpoint
-# has a queue, so that it follows an endpoint that has become slower permanently.
+# has a queue, so that it follows an endpoint that became slower permanently.
 BASELINE_GROWTH = 0.001
 # Below this slowness the usual duration is too high and follows at any load.
 FASTER_SLOWNESS = 0.7
