Soak: a scenario with keys and limits of workspaces

No run of the hosted soak had workspaces, so nothing checked withdrawn keys, the owners of connections or the limits over several proxy processes.

The scenario `workspaces` runs six proxies, two in each region, with callers that present keys. Its faults are withdrawn keys, a workspace over its limit, slow endpoints, a store that turns proxies away, and paused and killed proxies. Four checks compare what callers sent and were told with what endpoints ran: the owner of each statement, withdrawn keys after 6 s, the operations in any 5 s, and refusals.

--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -17,6 +17,8 @@
 from bronzehold.platform import wire
 
 RECONNECT_DELAY_S = 0.01
+# The key of callers that are given none.
+DEFAULT_KEY = "test"
 # The exceptions that report a lost connection.
 CONNECTION_ERRORS = (OSError, ports.TransportError, local.UnexpectedAnswerError)
 # Error codes of statements that may have been executed.
@@ -57,10 +59,10 @@
 
 
 def _connect_hastily(
-    address: tuple[str, int], database: str, name: str
+    address: tuple[str, int], database: str, name: str, key: str
 ) -> local.Session:
     sock = socket.create_connection(address, local.ANSWER_TIMEOUT_S)
-    sock.sendall(f"STARTUP {database} test\r\n".encode())
+    sock.sendall(f"STARTUP {database} {key}\r\n".encode())
     return _HastySession(sock=sock, lines=wire.LineReader(sock=sock), name=name)
 
 
@@ -83,11 +85,14 @@
         kind: Kind,
         name: str,
         seed: int,
+        access_keys: collections.abc.Sequence[str] = (DEFAULT_KEY,),
     ):
         self._proxies = proxies
         self._records = records
         self._kind = kind
         self._name = name
+        self._access_keys = access_keys
+        self._access_key = access_keys[0]
         self._session_count = 0
         self._key_count = 0
         self._database = ""
@@ -136,10 +141,14 @@
         self._database = self.random.choice(list(local.DATABASES))
         self._session_count += 1
         self._proxy = proxy.name
+        if len(self._access_keys) > 1:
+            self._access_key = self.random.choice(self._access_keys)
         hastily = self._kind.connects_each_time
         connect = _connect_hastily if hastily else local.connect
         name = f"c{self._name}.{self._session_count}"
-        return connect(proxy.caller_address, self._database, name)
+        return connect(
+            proxy.caller_address, self._database, name, self._access_key
+        )
 
     def _choose_proxy(self) -> deployment_lib.Proxy:
         if len(self._proxies) == 1:
@@ -192,9 +201,18 @@
             proxy=self._proxy,
             database=self._database,
             transaction_began=transaction_began,
+            access_key=self._access_key,
         )
 
 
+def finish(callers: collections.abc.Sequence[Caller]) -> None:
+    """Ends callers and waits for them."""
+    for caller in callers:
+        caller.finish()
+    for caller in callers:
+        caller.thread.join(2 * local.ANSWER_TIMEOUT_S)
+
+
 def execute(
     session: local.Session,
     text: str,
@@ -203,6 +221,7 @@
     proxy: str,
     database: str,
     transaction_began: float | None = None,
+    access_key: str = DEFAULT_KEY,
 ) -> records_lib.Statement:
     """Sends a statement and records it with its answer.
 
@@ -214,6 +233,7 @@
         database: The database name, which selects the route.
         transaction_began: The time at which the transaction began, in seconds
             of time.monotonic(); None outside a transaction.
+        access_key: The key that the session presented.
 
     Raises:
         OSError: The connection was lost. The statement is recorded.
@@ -230,6 +250,7 @@
         "proxy": proxy,
         "sent": time.monotonic(),
         "transaction_began": transaction_began,
+        "access_key": access_key,
     }
     try:
         answer = session.execute(text)
--- a/bench/soak/checks_test.py
+++ b/bench/soak/checks_test.py
@@ -2,6 +2,7 @@
 
 from bench.soak import checks
 from bench.soak import records as records_lib
+from bench.soak import workspace_checks
 from bronzehold.core import statements
 from bronzehold.platform import standin_group
 
@@ -49,6 +50,7 @@
         "position": _position(number),
         "in_transaction": False,
         "executed_at": 0.0,
+        "client": "",
     }
     return standin_group.ExecutedStatement(**{**plain, **fields})
 
@@ -253,3 +255,102 @@
     assert not checks.check_won_tokens(once)
     (violation,) = checks.check_won_tokens([*once, line % (1, 1)])
     assert violation == "token 1 of g was acquired by each of ['p0', 'p1']"
+
+
+LIMITED = records_lib.Workspace(
+    name="w1", keys=("k1",), rate_per_s=2.0, burst=10.0
+)
+OTHER = records_lib.Workspace(name="w2", keys=("k2",))
+
+
+def _check_workspaces(executions, requested, withdrawals=()):
+    return workspace_checks.check(
+        executions, requested, [LIMITED, OTHER], withdrawals
+    )
+
+
+def _operations(count, interval_s, **fields):
+    """Returns executions at regular times, and their statements."""
+    ids = [f"s.{number}" for number in range(count)]
+    executions = [
+        _run(1, request_id=i, client="w1", executed_at=n * interval_s)
+        for n, i in enumerate(ids)
+    ]
+    return executions, [
+        _statement(id=i, access_key="k1", **fields) for i in ids
+    ]
+
+
+def test_statement_that_ran_in_another_workspace_is_found():
+    requested = [_statement(access_key="k2")]
+    assert not _check_workspaces([_run(1, client="w2")], requested)
+    (violation,) = _check_workspaces([_run(1, client="w1")], requested)
+    assert "ran on e1 as 'w1'" in violation
+
+
+def test_connection_of_no_workspace_is_found():
+    (violation,) = _check_workspaces([_run(1)], [_statement(access_key="k2")])
+    assert "ran on e1 as ''" in violation
+
+
+@pytest.mark.parametrize(
+    ("executed_at", "found"),
+    [(19.0, False), (25.9, False), (26.1, True), (29.9, True), (30.1, False)],
+)
+def test_statement_with_a_withdrawn_key_is_found(executed_at, found):
+    withdrawal = records_lib.Withdrawal(key="k2", began=20.0, ended=30.0)
+    violations = _check_workspaces(
+        [_run(1, client="w2", executed_at=executed_at)],
+        [_statement(access_key="k2")],
+        [withdrawal],
+    )
+    assert bool(violations) is found
+
+
+def test_withdrawal_of_another_key_permits_a_statement():
+    withdrawal = records_lib.Withdrawal(key="k1", began=0.0, ended=30.0)
+    run = _run(1, client="w2", executed_at=10.0)
+    assert not _check_workspaces(
+        [run], [_statement(access_key="k2")], [withdrawal]
+    )
+
+
+@pytest.mark.parametrize("code", ["DENIED", "BUSY"])
+def test_refused_statement_that_ran_is_found(code):
+    refused = _statement(access_key="k2", outcome=OUTCOME.NOT_RUN, code=code)
+    (violation,) = _check_workspaces([_run(1, client="w2")], [refused])
+    assert f"answered {code}" in violation
+
+
+def test_operations_up_to_the_bound_are_permitted():
+    # The bound is (2 x 5 + 10) x 1.1 + 20 = 42 operations in 5 s.
+    assert not _check_workspaces(*_operations(42, 0.01))
+
+
+def test_operations_over_the_bound_are_found():
+    (violation,) = _check_workspaces(*_operations(43, 0.01))
+    assert "w1 ran 43 operations" in violation
+
+
+def test_operations_of_different_windows_are_not_added_up():
+    assert not _check_workspaces(*_operations(100, 0.13))
+    assert _check_workspaces(*_operations(100, 0.11))
+
+
+def test_transaction_is_one_operation():
+    assert not _check_workspaces(*_operations(43, 0.01, transaction_began=1.0))
+
+
+def test_statement_that_ran_twice_is_one_operation():
+    executions, requested = _operations(42, 0.01)
+    assert not _check_workspaces([*executions, executions[0]], requested)
+
+
+def test_workspace_without_a_limit_may_run_any_number():
+    requested = [_statement(id=f"s.{n}", access_key="k2") for n in range(1000)]
+    executions = [_run(1, request_id=s.id, client="w2") for s in requested]
+    assert not _check_workspaces(executions, requested)
+
+
+def test_configuration_without_workspaces_is_not_checked():
+    assert not workspace_checks.check([_run(1)], [_statement()], [], [])
--- a/bench/soak/deployment.py
+++ b/bench/soak/deployment.py
@@ -4,6 +4,7 @@
 which the `faults` module injects network faults.
 """
 
+import collections.abc
 import contextlib
 import json
 import os
@@ -11,9 +12,11 @@
 import signal
 import subprocess
 import sys
+import threading
 import urllib.error
 import urllib.request
 
+from bench.soak import records as records_lib
 from bench.soak import relay as relay_lib
 from bronzehold.platform import local
 from bronzehold.tools import local as tools_local
@@ -124,6 +127,7 @@
     Attributes:
         relays: The relay of each endpoint, by endpoint name.
         processes: The proxies.
+        workspaces: The workspaces of the configuration, if it has any.
     """
 
     def __init__(
@@ -133,9 +137,13 @@
         proxies: int,
         seed: int,
         stop_s: float = STOP_TIMEOUT_S,
+        workspaces: collections.abc.Sequence[records_lib.Workspace] = (),
         **fields,
     ):
         self._seed = seed
+        self.workspaces = workspaces
+        self._withdrawn_keys: set[str] = set()
+        self._configure_lock = threading.RLock()
         self.relays: dict[str, relay_lib.Relay] = {}
         super().__init__(proxies=0, **fields)
         self.processes = [
@@ -161,10 +169,39 @@
                 limit that the endpoints have.
             **fields: Further arguments of local.Deployment.configure.
         """
-        super().configure(
-            max_connections=max_connections or self.group.settings.connections,
-            **fields,
-        )
+        with self._configure_lock:
+            super().configure(
+                max_connections=max_connections
+                or self.group.settings.connections,
+                workspaces=self._workspace_entries() or None,
+                **fields,
+            )
+
+    def _workspace_entries(self) -> list[dict]:
+        entries = []
+        for workspace in self.workspaces:
+            keys = [k for k in workspace.keys if k not in self._withdrawn_keys]
+            entry = {"name": workspace.name, "api_keys": keys}
+            if workspace.rate_per_s is not None:
+                entry["rate_per_s"] = workspace.rate_per_s
+                entry["burst"] = workspace.burst
+            entries.append(entry)
+        return entries
+
+    def withdraw_key(self, key: str) -> bool:
+        """Writes a configuration without a key; False if it has none."""
+        with self._configure_lock:
+            if key in self._withdrawn_keys:
+                return False
+            self._withdrawn_keys.add(key)
+            self.configure()
+            return True
+
+    def add_key_again(self, key: str) -> None:
+        """Writes a configuration with a key that was withdrawn."""
+        with self._configure_lock:
+            self._withdrawn_keys.remove(key)
+            self.configure()
 
     def address(self, name: str) -> str:
         """Returns the address of the relay in front of an endpoint."""
--- a/bench/soak/fault_journal.py
+++ b/bench/soak/fault_journal.py
@@ -17,6 +17,7 @@
     Attributes:
         injected: The descriptions of all faults so far, with their times.
         exits: The exits of proxies that the run has caused.
+        withdrawals: The withdrawals of keys that have ended.
     """
 
     def __init__(self):
@@ -24,6 +25,7 @@
         self._lock = threading.Lock()
         self.injected: list[str] = []
         self.exits: list[records_lib.ProxyExit] = []
+        self.withdrawals: list[records_lib.Withdrawal] = []
 
     def record(self, description: str) -> None:
         """Adds the description of a fault."""
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -14,6 +14,7 @@
 from bench.soak import odd_entries
 from bench.soak import process_faults
 from bench.soak import relay as relay_lib
+from bench.soak import workspaces as workspaces_lib
 
 # Longest time between the starts of two faults. With this value, about half of
 # the faults overlap with another one.
@@ -34,9 +35,11 @@
         deployment: deployment_lib.Deployment,
         processes: process_faults.ProcessFaults,
         journal: fault_journal.FaultJournal,
+        workspaces: workspaces_lib.WorkspaceFaults,
         seed: int,
     ):
         self._deployment = deployment
+        self._workspaces = workspaces
         self._processes = processes
         self._journal = journal
         self._random = random.Random(seed)
@@ -50,8 +53,9 @@
         odd = threading.Thread(
             target=self._write_odd_entries, args=(end,), daemon=True
         )
-        odd.start()
-        self._threads.append(odd)
+        if not self._deployment.workspaces:
+            odd.start()
+            self._threads.append(odd)
         while time.monotonic() < end:
             inject = self._random.choice(self._fault_types())
             # Each fault gets its own generator, seeded here, so that the
@@ -67,6 +71,18 @@
             thread.join()
 
     def _fault_types(self) -> tuple[collections.abc.Callable, ...]:
+        if self._deployment.workspaces:
+            # Endpoints and links do not freeze here: what they hold back would
+            # run later than it was sent, and count in a later window.
+            return (
+                self._workspaces.withdraw_key,
+                self._workspaces.withdraw_key,
+                self._workspaces.exceed_limit,
+                self._workspaces.slow_endpoint,
+                self._workspaces.refuse_at_store,
+                self._processes.pause,
+                self._processes.kill,
+            )
         returns: tuple[collections.abc.Callable, ...] = ()
         if self._deployment.store.era is not None:
             returns = (self._return_store,) * RETURN_WEIGHT
--- a/bench/soak/operations.py
+++ b/bench/soak/operations.py
@@ -124,6 +124,10 @@
 MIXED = callers_lib.Kind(
     name="mixed", operate=_mix, shortest_pause_s=0.01, longest_pause_s=0.01
 )
+# The same with hardly a pause, for callers that exceed a limit.
+EXCEEDING = callers_lib.Kind(
+    name="exceeding", operate=_mix, shortest_pause_s=0.0, longest_pause_s=0.005
+)
 # Transactions that stay open for seconds.
 HOLDING = callers_lib.Kind(
     name="holding", operate=_hold, shortest_pause_s=0.0, longest_pause_s=0.0
--- a/bench/soak/records.py
+++ b/bench/soak/records.py
@@ -44,6 +44,7 @@
         rows: The rows of the answer.
         mac: The authentication code of the answer.
         code: The error code of the answer, "" if it has none.
+        access_key: The key that the session presented.
     """
 
     id: str
@@ -58,6 +59,7 @@
     rows: tuple[str, ...] = ()
     mac: str = ""
     code: str = ""
+    access_key: str = ""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -79,6 +81,40 @@
     outcome: Outcome
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Workspace:
+    """A workspace of the configuration.
+
+    Attributes:
+        name: The name of the workspace.
+        keys: The keys of its callers.
+        rate_per_s: The operations per second of its limit, None for no limit.
+        burst: The burst of its limit.
+    """
+
+    name: str
+    keys: tuple[str, ...]
+    rate_per_s: float | None = None
+    burst: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Withdrawal:
+    """A time during which a key was not in the configuration.
+
+    Attributes:
+        key: The key.
+        began: The time at which the configuration without the key had been
+            written, in seconds of time.monotonic().
+        ended: The time before the key was added again, in seconds of
+            time.monotonic().
+    """
+
+    key: str
+    began: float
+    ended: float
+
+
 class Exit(enum.Enum):
     """Why a proxy process exited.
 
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -24,8 +24,9 @@
 from bench.soak import recovery
 from bench.soak import scenarios
 from bench.soak import stop_series
+from bench.soak import workspace_checks
+from bench.soak import workspaces as workspaces_lib
 from bronzehold.core import events
-from bronzehold.platform import local
 
 # Time without faults after the callers start.
 WARM_UP_S = 1.0
@@ -74,10 +75,12 @@
             caller.thread.start()
         time.sleep(WARM_UP_S)
         journal = fault_journal.FaultJournal()
-        _inject_faults(scenario, deployment, journal, seed, seconds)
+        _inject_faults(
+            scenario, deployment, journal, records, seed=seed, seconds=seconds
+        )
         violations = recovery.find_unrecovered(deployment, records)
         violations += recovery.find_outdated(deployment)
-        _finish(callers)
+        callers_lib.finish(callers)
         violations += _check(deployment, records, journal)
     finally:
         deployment.close()
@@ -95,14 +98,23 @@
     scenario: scenarios.Scenario,
     deployment: deployment_lib.Deployment,
     journal: fault_journal.FaultJournal,
+    records: records_lib.Records,
+    *,
     seed: int,
     seconds: float,
 ) -> None:
     processes = process_faults.ProcessFaults(
         deployment=deployment, journal=journal
     )
+    workspaces = workspaces_lib.WorkspaceFaults(
+        deployment=deployment, journal=journal, records=records
+    )
     faults = faults_lib.FaultInjector(
-        deployment=deployment, processes=processes, journal=journal, seed=seed
+        deployment=deployment,
+        processes=processes,
+        journal=journal,
+        workspaces=workspaces,
+        seed=seed,
     )
     stops = threading.Thread(
         target=stop_series.run, args=(processes, seed, seconds), daemon=True
@@ -115,13 +127,6 @@
         stops.join()
 
 
-def _finish(callers: list[callers_lib.Caller]) -> None:
-    for caller in callers:
-        caller.finish()
-    for caller in callers:
-        caller.thread.join(2 * local.ANSWER_TIMEOUT_S)
-
-
 def _check(
     deployment: deployment_lib.Deployment,
     records: records_lib.Records,
@@ -139,6 +144,12 @@
                 journal.exits,
                 promoted=group.term > 1,
             ),
+            *workspace_checks.check(
+                list(group.executed),
+                records.statements,
+                deployment.workspaces,
+                journal.withdrawals,
+            ),
             *checks.check_exits(journal.exits, limit_s),
             *checks.check_won_tokens(
                 line
@@ -166,7 +177,7 @@
     *,
     seed: int = 1,
     seconds: float = 30.0,
-    proxies: int = 3,
+    proxies: int = 0,
     seeds: int = 1,
     scenario: str = "all",
     verbose: bool = False,
@@ -176,18 +187,20 @@
     Args:
         seed: The first seed.
         seconds: Duration of the faults in each run.
-        proxies: Number of proxy processes.
+        proxies: Number of proxy processes, 0 for that of the scenario.
         seeds: Number of consecutive seeds, one run each.
         scenario: The kind of the runs: "faults" for random faults, "stops" for
             planned stops of several proxies, "all" for both, "returns" for
-            random faults and a store that returns from older copies.
+            random faults and a store that returns from older copies,
+            "workspaces" for keys and limits of workspaces.
         verbose: Whether to print the unanswered statements that did not run.
     """
     failed = 0
     for current_seed in range(seed, seed + seeds):
         folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{current_seed}-"))
         chosen = scenarios.BY_NAME[scenario]
-        report = run_seed(current_seed, seconds, proxies, folder, chosen)
+        count = proxies or chosen.proxies
+        report = run_seed(current_seed, seconds, count, folder, chosen)
         print(  # noqa: T201
             f"seed {current_seed}: {report.served} served,"
             f" {len(report.faults)} faults,"
--- a/bench/soak/scenarios.py
+++ b/bench/soak/scenarios.py
@@ -7,6 +7,7 @@
 from bench.soak import deployment as deployment_lib
 from bench.soak import operations
 from bench.soak import records as records_lib
+from bench.soak import workspaces
 
 # Number of callers that a load balancer distributes.
 DISTRIBUTED_CALLERS = 8
@@ -32,6 +33,9 @@
         faults: Whether random faults occur.
         stops: Whether proxies are stopped in groups.
         returns: Whether the store has eras and returns from older copies.
+        workspaces: Whether callers have keys of workspaces, with faults of
+            their own in place of the others.
+        proxies: The number of proxies.
     """
 
     kinds: tuple[tuple[callers_lib.Kind, int], ...] = ()
@@ -39,6 +43,8 @@
     faults: bool = False
     stops: bool = False
     returns: bool = False
+    workspaces: bool = False
+    proxies: int = 3
 
 
 _STAYING = (
@@ -52,13 +58,25 @@
     kinds=_STAYING, distributed=DISTRIBUTED_CALLERS, faults=True, stops=True
 )
 RETURNS = Scenario(distributed=DISTRIBUTED_CALLERS, faults=True, returns=True)
-BY_NAME = {"faults": FAULTS, "stops": STOPS, "all": ALL, "returns": RETURNS}
+# Two proxies in each region, so that limiters and homes hand over.
+WORKSPACES = Scenario(
+    distributed=DISTRIBUTED_CALLERS, faults=True, workspaces=True, proxies=6
+)
+BY_NAME = {
+    "faults": FAULTS,
+    "stops": STOPS,
+    "all": ALL,
+    "returns": RETURNS,
+    "workspaces": WORKSPACES,
+}
 
 
 def deployment_fields(scenario: Scenario, seed: int) -> dict:
     """Returns the settings of a deployment, drawn from the seed."""
     if scenario.returns:
         return {"store_era": 1}
+    if scenario.workspaces:
+        return {"workspaces": workspaces.draw(seed)}
     if not scenario.stops:
         return {}
     rng = random.Random(f"{seed}/deployment")
@@ -90,7 +108,12 @@
     ]
     return [
         callers_lib.Caller(
-            proxies=proxies, records=records, kind=kind, name=name, seed=seed
+            proxies=proxies,
+            records=records,
+            kind=kind,
+            name=name,
+            seed=seed,
+            access_keys=workspaces.keys(deployment.workspaces),
         )
         for kind, name, proxies in [*distributed, *staying]
     ]
