Limits: after a start of all, limiters act after half a second

Change: a region in which all have just started settles after two rounds of digests, since no other limiter can be active.

--- a/bronzehold/process/serving.py
+++ b/bronzehold/process/serving.py
@@ -39,6 +39,8 @@
 MIN_CONTACT_S = 0.75
 ABSENT_PART = 0.65
 MIN_ABSENT_S = 1.0
+# The same after a start of all of the region: two rounds of digests.
+START_SETTLE_S = 0.5
 # A proxy that has just started has no contact to its region yet, while others
 # hear it already. It is not present in the region before this time, unless all
 # of the region have just started.
@@ -395,13 +397,17 @@
             if not has_contact and (self._had_contact or not is_starting):
                 self._contact_since = now
             contact_since = self._contact_since
-        settled = now - contact_since >= SETTLE_PART * silence_s
         present = [
             m
             for n, m in members.items()
             if n in known and ages.get(n, 0.0) < absent_s
         ]
         settled_members = [m for m in present if self._is_settled(m.name, now)]
+        # If all have just started, there is no other limiter to wait for.
+        settle_s = (
+            SETTLE_PART * silence_s if settled_members else START_SETTLE_S
+        )
+        settled = now - contact_since >= settle_s
         return RegionView(
             present=tuple(settled_members or present),
             known=tuple(sorted(known)),
