Limits: a workspace far above its limit does not occupy its limiter

Cause: at 7 times the rate of a large workspace each proxy asked its limiter again after some 10 ms, and requests waited up to 60 ms for a loan that another one was asking for.

--- a/bronzehold/process/region_loans.py
+++ b/bronzehold/process/region_loans.py
@@ -60,7 +60,10 @@
         """
         if share.role is not workspace_share.Role.LIMITER:
             return refusal
-        if not share.loan_lock.acquire(timeout=token_loans.ASK_TIMEOUT_S):
+        may_borrow = self._borrower.may_borrow(share.limit.name, clock.now())
+        if not may_borrow and not share.borrowed:
+            return refusal
+        if not share.loan_lock.acquire(timeout=token_loans.LOAN_WAIT_S):
             return refusal
         try:
             with self._shares.locked():
