Revert "Limits: a workspace far above its limit does not occupy its limiter"

A refusal that is remembered for 50 ms leaves tokens of the limit unused, and loans that are not waited for are not used.

--- a/bronzehold/process/rate_limiter.py
+++ b/bronzehold/process/rate_limiter.py
@@ -45,9 +45,6 @@
 # again and again while endpoints refuse would otherwise add up, and all run
 # when the endpoints accept again.
 MAX_REFUND_AGE_S = 0.5
-# A refusal is remembered for this long at least, so that a workspace far above
-# a high limit does not ask its limiter for each operation.
-MIN_REFUSAL_S = 0.05
 # A refusal is remembered until its time, and at most this long: the limit may
 # be raised, or another proxy become the limiter.
 MAX_REFUSAL_S = 1.0
@@ -338,7 +335,6 @@
         share.turn_at = now + min(
             retry_after_s, workspace_shares.MAX_RETRY_AFTER_S
         )
-        share.turn_at = max(share.turn_at, now + MIN_REFUSAL_S)
         share.refused_until = min(share.turn_at, now + longest_s)
         return self._limited(share, now)
 
--- a/bronzehold/process/region_loans.py
+++ b/bronzehold/process/region_loans.py
@@ -60,10 +60,7 @@
         """
         if share.role is not workspace_share.Role.LIMITER:
             return refusal
-        may_borrow = self._borrower.may_borrow(share.limit.name, clock.now())
-        if not may_borrow and not share.borrowed:
-            return refusal
-        if not share.loan_lock.acquire(timeout=token_loans.LOAN_WAIT_S):
+        if not share.loan_lock.acquire(timeout=token_loans.ASK_TIMEOUT_S):
             return refusal
         try:
             with self._shares.locked():
--- a/bronzehold/process/token_bucket.py
+++ b/bronzehold/process/token_bucket.py
@@ -123,9 +123,6 @@
             collections.deque()
         )
 
-    def __bool__(self) -> bool:
-        return bool(self._tokens)
-
     def add(self, count: int, *, granted_at: float, expires_at: float) -> None:
         """Adds tokens."""
         self._tokens.extend([(granted_at, expires_at)] * count)
--- a/bronzehold/process/token_loans.py
+++ b/bronzehold/process/token_loans.py
@@ -18,9 +18,6 @@
 # A limiter in another region answers within a round trip between regions. While
 # limiters are asked, an operation waits, so this is the time for all of them.
 ASK_TIMEOUT_S = 0.06
-# An operation waits this long while another one borrows: about a round trip
-# between regions. Beyond the limit, operations would pile up otherwise.
-LOAN_WAIT_S = 0.02
 # A region that has lent nothing is asked again after this time.
 RETRY_S = 0.25
 # Tokens for the demand of this time are borrowed at once, and they expire after
@@ -68,13 +65,6 @@
         # When a region may be asked again, by workspace and region.
         self._retry_at: dict[tuple[str, str], float] = {}
 
-    def may_borrow(self, workspace: str, now: float) -> bool:
-        """Returns whether a region may be asked for tokens of a workspace."""
-        return any(
-            now >= self._retry_at.get((workspace, region), -math.inf)
-            for region in self._zones
-        )
-
     def borrow(
         self, request: messages.TokenRequest, now: float
     ) -> messages.TokenReply:
