--- a/review/lib2/database.py
+++ b/review/lib2/database.py
@@ -127,6 +127,8 @@
         name: Name of the service.
         endpoints: The servers, by id.
         changed: Guards all state; notified of each change of a log.
+        acknowledged: Positions of the acknowledged commits, by statement id.
+        arrivals: The statements that reached a server, but COMMIT.
         losses: For each promotion, the acknowledged commits that the promoted
             server lacks.
         on_role_change: Called after each promotion.
@@ -150,6 +152,8 @@
         self.sync_replicas = sync_replicas
         self.losses: list[tuple[str, list[str]]] = []
         self.acknowledged: dict[str, tuple[int, int]] = {}
+        # Server, statement id and time of each statement that reached one.
+        self.arrivals: list[tuple[str, str, float]] = []
         self.record = record
         self.on_role_change: collections.abc.Callable[[], None] = lambda: None
         self._lag_s = lag_s
@@ -372,6 +376,9 @@
         )
 
     def _run(self, request_id: str, command: str, rest: str) -> None:
+        self._database.arrivals.append(
+            (self._server.name, request_id, time.monotonic())
+        )
         is_write = command == "WRITE"
         if command == "EXECUTE":
             name, _, rest = rest.partition(" ")
