Events: those of changes of primary have their own module

Names and fields are part of the log format and stay as they are; the two tests that name a moved class import it from its new module.

--- a/bronzehold/core/events.py
+++ b/bronzehold/core/events.py
@@ -8,6 +8,7 @@
 import dataclasses
 
 from bronzehold.core import endpoint_events
+from bronzehold.core import promotion_events
 from bronzehold.core import request_events
 from bronzehold.core import store_events
 
@@ -279,60 +280,6 @@
     why: str
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class TokenWon:
-    """This proxy has acquired the fencing token of a group.
-
-    Its holder alone may change the primary of the group.
-    """
-
-    group: str
-    token: int
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class TokenLost:
-    """Another proxy has acquired the fencing token of a group."""
-
-    group: str
-    token: int
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class PromotionOrdered:
-    """The platform was ordered to promote an endpoint to primary.
-
-    Attributes:
-        group: Name of the group.
-        token: Fencing token of the order.
-        primary: Id of the endpoint to promote.
-        position: Last known log position of the endpoint, "" if it is already
-            the primary.
-        why: Reason for the order.
-        outcome: Type of the outcome; see ports.OrderOutcome.
-    """
-
-    group: str
-    token: int
-    primary: str
-    position: str
-    why: str
-    outcome: str
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class SuccessorAwaited:
-    """A lost primary is not replaced yet: no endpoint is known to have all.
-
-    Attributes:
-        group: Name of the group, whose commits a replica confirms.
-        endpoints: The listed endpoints that have not reported their logs.
-    """
-
-    group: str
-    endpoints: tuple[str, ...]
-
-
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class ServingSetChanged:
     """Other proxies serve a service than before, as this proxy sees it.
@@ -477,10 +424,10 @@
     | endpoint_events.EndpointSlow
     | endpoint_events.EndpointRecovered
     | endpoint_events.ListingRefused
-    | TokenWon
-    | TokenLost
-    | PromotionOrdered
-    | SuccessorAwaited
+    | promotion_events.TokenWon
+    | promotion_events.TokenLost
+    | promotion_events.PromotionOrdered
+    | promotion_events.SuccessorAwaited
     | request_events.RequestFailed
     | request_events.RequestSlow
     | request_events.RequestServed
--- a/bronzehold/process/promotions.py
+++ b/bronzehold/process/promotions.py
@@ -11,8 +11,8 @@
 import dataclasses
 
 from bronzehold.core import clock
-from bronzehold.core import events
 from bronzehold.core import ports
+from bronzehold.core import promotion_events
 from bronzehold.process import claims as claims_lib
 from bronzehold.process import gossip as gossip_lib
 from bronzehold.process import group_views
@@ -289,7 +289,7 @@
             token=token.number,
         )
         self._process.timeline.add(
-            events.PromotionOrdered(
+            promotion_events.PromotionOrdered(
                 group=name,
                 token=token.number,
                 primary=target,
--- a/bronzehold/process/successors.py
+++ b/bronzehold/process/successors.py
@@ -13,6 +13,7 @@
 
 from bronzehold.core import clock
 from bronzehold.core import events
+from bronzehold.core import promotion_events
 from bronzehold.core import statements
 from bronzehold.process import platform_service
 from bronzehold.process import timeline as timeline_lib
@@ -90,7 +91,9 @@
         missing = tuple(sorted(names - set(found)))
         if missing and self._awaited.get(group) != missing:
             self._timeline.add(
-                events.SuccessorAwaited(group=group, endpoints=missing)
+                promotion_events.SuccessorAwaited(
+                    group=group, endpoints=missing
+                )
             )
         self._awaited[group] = missing
         return not missing
--- a/bronzehold/process/successors_test.py
+++ b/bronzehold/process/successors_test.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from bronzehold.core import events
+from bronzehold.core import promotion_events
 from bronzehold.core import routes
 from bronzehold.core import statements
 from bronzehold.process import successors as successors_lib
@@ -163,7 +163,9 @@
     service.replicas["c"].is_busy = True
     successors.choose(service, "a")
     successors.choose(service, "a")
-    assert logged == [events.SuccessorAwaited(group="g", endpoints=("c",))]
+    assert logged == [
+        promotion_events.SuccessorAwaited(group="g", endpoints=("c",))
+    ]
 
 
 def test_endpoint_whose_status_fails_does_not_hold_up_the_choice(
--- a/bronzehold/process/tokens.py
+++ b/bronzehold/process/tokens.py
@@ -16,10 +16,10 @@
 import threading
 
 from bronzehold.core import clock
-from bronzehold.core import events
 from bronzehold.core import integers
 from bronzehold.core import json_text
 from bronzehold.core import ports
+from bronzehold.core import promotion_events
 from bronzehold.core import store_events
 from bronzehold.process import timeline as timeline_lib
 from bronzehold.version import fencing
@@ -120,7 +120,7 @@
         was_holder = old.holder == self.holder_id
         if was_holder and not is_own:
             self._timeline.add(
-                events.TokenLost(group=service, token=token.number)
+                promotion_events.TokenLost(group=service, token=token.number)
             )
 
     def note_peer_number(self, service: str, number: int) -> None:
@@ -211,7 +211,9 @@
         match outcome:
             case ports.Swapped():
                 self.apply_record(service, value, item.era)
-                self._timeline.add(events.TokenWon(group=service, token=number))
+                self._timeline.add(
+                    promotion_events.TokenWon(group=service, token=number)
+                )
 
     def _apply_item(self, service: str, item: ports.Item) -> Token | None:
         """Applies a record that was read and returns its token."""
--- a/tests/store_era_test.py
+++ b/tests/store_era_test.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from bronzehold.core import events
+from bronzehold.core import promotion_events
 from bronzehold.platform import local as platform_local
 from bronzehold.process import tokens as tokens_lib
 from tests import helpers
@@ -199,7 +199,7 @@
         entry.event.token
         for proxy in seen
         for entry in proxy.timeline._entries
-        if isinstance(entry.event, events.TokenWon)
+        if isinstance(entry.event, promotion_events.TokenWon)
     ]
     assert len(won) >= 4
     assert len(set(won)) == len(won)
