--- a/bronzehold/core/promotion_events.py
+++ b/bronzehold/core/promotion_events.py
@@ -12,10 +12,16 @@
     """This proxy has acquired the fencing token of a group.
 
     Its holder alone may change the primary of the group.
+
+    Attributes:
+        group: Name of the group.
+        token: Fencing token.
+        why: The state of the earlier holder, or the reason for a renewal.
     """
 
     group: str
     token: int
+    why: str
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -38,6 +44,7 @@
             the primary.
         why: Reason for the order.
         outcome: Type of the outcome; see ports.OrderOutcome.
+        error: Error of the call if it was not answered, else "".
     """
 
     group: str
@@ -46,6 +53,7 @@
     position: str
     why: str
     outcome: str
+    error: str
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/bronzehold/core/settings.py
+++ b/bronzehold/core/settings.py
@@ -130,6 +130,8 @@
         seeds: "host:port" of instances where peers may run; peer_port replaces
             the port.
         stop_s: Maximum duration of a planned stop in seconds.
+        drain_ms: Time in ms within which a leaving primary must be replaced,
+            from the report that it leaves.
         log_level: Level of the JSON logs.
         key_max_age_ms: Time in ms without a confirmation of the configuration
             after which keys of workspaces are not trusted any more, 0 for no
@@ -160,6 +162,7 @@
     promoter: str
     seeds: tuple[str, ...]
     stop_s: float
+    drain_ms: int = 5000
     log_level: str = "INFO"
     key_max_age_ms: int = 0
     limit_window_s: float = 5.0
--- a/bronzehold/platform/instance.py
+++ b/bronzehold/platform/instance.py
@@ -22,6 +22,7 @@
 from bronzehold.process import exposition
 from bronzehold.process import gossip as gossip_lib
 from bronzehold.process import platform_process
+from bronzehold.process import promotion_orders
 from bronzehold.process import promotions as promotions_lib
 from bronzehold.process import rate_limiter as rate_limiter_lib
 from bronzehold.process import registration as registration_lib
@@ -37,6 +38,9 @@
 
 MEMBERS_PREFIX = "bronzehold/proxies/"
 INCARNATION_BYTES = 4
+# A proxy whose orders were not answered takes no token from another one for
+# this multiple of the time within which a leaving primary must be replaced.
+ORDER_FAILURE_MEMORY = 4
 
 
 class Instance:
@@ -136,11 +140,20 @@
             store=store_client,
             timeline=self.timeline,
         )
+        drain_s = cfg.drain_ms * data.MILLISECOND
+        self.orders = promotion_orders.PromotionOrders(
+            holder=cfg.name,
+            tokens=self.tokens,
+            promoter=promoter.Promoter(address=cfg.promoter),
+            timeline=self.timeline,
+            failure_memory_s=ORDER_FAILURE_MEMORY * drain_s,
+        )
         self.promotions = promotions_lib.Promotions(
             process=self.process,
             tokens=self.tokens,
-            promoter=promoter.Promoter(address=cfg.promoter),
+            orders=self.orders,
             gossip=self.gossip,
+            drain_s=drain_s,
             request_members=self.news.request_read,
         )
         self.mirror = mirror_lib.StoreMirror(
@@ -169,6 +182,7 @@
             gossip=self.gossip,
             mirror=self.mirror,
             tokens=self.tokens,
+            orders=self.orders,
             serving=self.serving,
             news=self.news,
         )
--- a/bronzehold/platform/settings_file.py
+++ b/bronzehold/platform/settings_file.py
@@ -69,6 +69,7 @@
     "promoter": lambda f: f.address("promoter"),
     "seeds": lambda f: tuple(f.list("seeds")),
     "stop_s": lambda f: f.number("stop_s"),
+    "drain_ms": lambda f: int(_positive(f, "drain_ms", 5000)),
     "log_level": lambda f: f.text("log_level", "INFO"),
     "key_max_age_ms": lambda f: _limit(f, "key_max_age_ms"),
     "limit_window_s": lambda f: _positive(f, "limit_window_s", 5.0),
--- a/bronzehold/platform/settings_file_test.py
+++ b/bronzehold/platform/settings_file_test.py
@@ -45,6 +45,15 @@
         _load(tmp_path, json.dumps({**VALID, "memory_mb": -1}))
 
 
+def test_drain_time_is_optional_and_positive(tmp_path):
+    """Guards against a holder that is replaced before its first order."""
+    assert _load(tmp_path, json.dumps(VALID)).drain_ms == 5000
+    cfg = _load(tmp_path, json.dumps({**VALID, "drain_ms": 9000}))
+    assert cfg.drain_ms == 9000
+    with pytest.raises(validation.ProblemsError):
+        _load(tmp_path, json.dumps({**VALID, "drain_ms": 0}))
+
+
 def test_all_problems_are_reported_together(tmp_path):
     invalid = {**VALID, "callers": "nowhere", "peer_port": "3", "stop_s": None}
     with pytest.raises(validation.ProblemsError) as caught:
--- a/bronzehold/process/digest_exchange.py
+++ b/bronzehold/process/digest_exchange.py
@@ -6,6 +6,7 @@
 """
 
 from bronzehold.core import clock
+from bronzehold.core import data
 from bronzehold.core import ports
 from bronzehold.core import statements
 from bronzehold.process import capacity_reports
@@ -13,6 +14,7 @@
 from bronzehold.process import group_views
 from bronzehold.process import platform_process
 from bronzehold.process import platform_service
+from bronzehold.process import promotion_orders
 from bronzehold.process import serving as serving_lib
 from bronzehold.process import store_mirror as mirror_lib
 from bronzehold.process import store_news as news_lib
@@ -41,6 +43,7 @@
         gossip: gossip_lib.Gossip,
         mirror: mirror_lib.StoreMirror,
         tokens: tokens_lib.Tokens,
+        orders: promotion_orders.PromotionOrders,
         serving: serving_lib.Serving,
         news: news_lib.StoreNews,
     ):
@@ -49,6 +52,7 @@
         self._gossip = gossip
         self._mirror = mirror
         self._tokens = tokens
+        self._orders = orders
         self._serving = serving
         self._holds: dict[str, str] = {}
         self._newest_version = 1
@@ -79,15 +83,25 @@
     def _has_urgent_changes(self) -> bool:
         """Returns whether the next digest must go to all peers.
 
-        This is so while writes are held or a primary is unreachable for a proxy
-        that serves the group.
+        This is so while writes are held, an order of this proxy is not answered
+        or a primary is unreachable for a proxy that serves the group.
         """
         return any(
             service.group.hold_attempt()
+            or self._has_unanswered_orders(service)
             or (service.serves() and service.group.primary_unreachable())
             for service in self._process.services()
         )
 
+    def _has_unanswered_orders(
+        self, service: platform_service.PlatformService
+    ) -> bool:
+        """Returns whether this proxy may be unable to use a token."""
+        name = service.limits.name
+        return self._tokens.holds(name) and self._orders.is_latest_unanswered(
+            name
+        )
+
     def needs_entries(self) -> bool:
         """Returns whether to ask peers for the configuration and endpoints.
 
@@ -114,7 +128,7 @@
         digest.leaving.extend(self._mirror.leaving())
         self._fill_store_report(digest, echoed_at)
         for service in self._process.services():
-            if _has_news(service):
+            if self._has_news(service):
                 digest.groups.append(self._group_view(service, echoed_at))
             digest.crowded.extend(service.crowded())
         capacity_reports.fill(digest, self._process.services())
@@ -143,6 +157,10 @@
             holder=token.holder,
             held_for=group.hold_attempt(),
             quiet=group.drained(),
+            orders_unanswered_ms=int(
+                self._orders.unanswered_s(service.limits.name)
+                / data.MILLISECOND
+            ),
         )
         proof = group.proofs.newest()
         if proof is not None:
@@ -153,6 +171,23 @@
             )
         return view
 
+    def _has_news(self, service: platform_service.PlatformService) -> bool:
+        """Returns whether a digest has to hold this proxy's view of a group.
+
+        A proxy that does not serve the group has its view from others, unless
+        it was asked to probe the primary, takes part in a planned change or
+        cannot use the group's token.
+        """
+        group = service.group
+        return (
+            service.serves()
+            or bool(group.hold_attempt())
+            or group.has_writes_in_flight()
+            or self._orders.is_latest_unanswered(service.limits.name)
+            or group_views.own_view(service).reach
+            is not succession.Reach.UNKNOWN
+        )
+
     def _pack_entries(self) -> bytes:
         return gossip_lib.pack_entries(self._mirror.raw_entries())
 
@@ -208,7 +243,10 @@
         received: gossip_lib.ReceivedDigest,
     ) -> None:
         group = service.group
-        self._tokens.note_peer_number(service.limits.name, view.token)
+        name = service.limits.name
+        self._tokens.note_peer_number(name, view.token)
+        if view.holder == _process_id(received.digest):
+            self._tokens.note_peer_holds(name, view.token)
         if view.leader and view.reach == pb.HEARD:
             group.apply_peer_leader(view.leader, view.term)
             group.note_peer_reached(view.leader)
@@ -217,7 +255,7 @@
             # next digest reports that to the peers.
             service.wake_probe(view.leader)
         primary_lost = view.reach == pb.GONE or not view.leader
-        if primary_lost and self._tokens.holds(service.limits.name):
+        if primary_lost and self._tokens.holds(name):
             # The peers rely on this proxy, which holds the promotion token, as
             # long as they receive its digests.
             self._gossip.reply(received)
@@ -249,16 +287,6 @@
             group.release_writes(self._holds.pop(name))
 
 
-def _has_news(service: platform_service.PlatformService) -> bool:
-    """Returns whether a digest has to hold this proxy's view of a group.
-
-    A proxy that does not serve the group has its view from others, unless it
-    was asked to probe the primary or takes part in a planned change.
-    """
-    group = service.group
-    return (
-        service.serves()
-        or bool(group.hold_attempt())
-        or group.has_writes_in_flight()
-        or group_views.own_view(service).reach is not succession.Reach.UNKNOWN
-    )
+def _process_id(digest: pb.Digest) -> str:
+    """Returns the name under which the sender's process holds tokens."""
+    return f"{digest.proxy}/{digest.incarnation}"
--- a/bronzehold/process/digest_exchange_test.py
+++ b/bronzehold/process/digest_exchange_test.py
@@ -52,10 +52,14 @@
     def __init__(self):
         self.holds_group = True
         self.peer_numbers = []
+        self.held_by_peers = []
 
     def note_peer_number(self, service, number):
         self.peer_numbers.append((service, number))
 
+    def note_peer_holds(self, service, number):
+        self.held_by_peers.append((service, number))
+
     def known(self, service):
         del service
         return tokens_lib.NO_TOKEN
@@ -65,6 +69,18 @@
         return self.holds_group
 
 
+class FakeOrders:
+    """Orders that are all answered."""
+
+    def unanswered_s(self, service):
+        del service
+        return 0.0
+
+    def is_latest_unanswered(self, service):
+        del service
+        return False
+
+
 class FakeService:
     """A service without endpoints."""
 
@@ -147,12 +163,15 @@
             gossip=self.gossip,
             mirror=self.mirror,
             tokens=self.tokens,
+            orders=FakeOrders(),
             serving=FakeServing(),
             news=self.news,
         )
 
-    def receive(self, version, *groups):
-        digest = pb.Digest(proxy="p", version=version, groups=groups)
+    def receive(self, version, *groups, incarnation=""):
+        digest = pb.Digest(
+            proxy="p", version=version, groups=groups, incarnation=incarnation
+        )
         received = gossip_lib.ReceivedDigest(
             digest=digest, received_at=self.at, time_base=None
         )
@@ -413,3 +432,13 @@
     except message.DecodeError:
         return
     gossip_lib.unpack_entries(digest.entries)
+
+
+@pytest.mark.parametrize(
+    ("holder", "is_held"), [("p/1", True), ("p/0", False), ("q/1", False)]
+)
+def test_token_counts_as_held_by_the_sender_only(harness, holder, is_held):
+    """Guards against a report of an earlier process or of a third proxy."""
+    view = pb.GroupView(service="g", token=5, holder=holder)
+    harness.receive(3, view, incarnation="1")
+    assert harness.tokens.held_by_peers == ([("g", 5)] if is_held else [])
--- a/bronzehold/process/platform_group.py
+++ b/bronzehold/process/platform_group.py
@@ -231,8 +231,7 @@
         """Holds new writes back while a planned change is in progress.
 
         Args:
-            attempt: The name of the change; of two concurrent ones, the one
-                that sorts first takes precedence.
+            attempt: The name of the change; see WriteHold.hold.
             until: The time when the hold expires, in seconds of clock.now().
         """
         with self.cond:
--- a/bronzehold/process/platform_group_test.py
+++ b/bronzehold/process/platform_group_test.py
@@ -117,6 +117,20 @@
     assert not group.is_failing("b")
 
 
+def test_hold_of_a_later_token_takes_precedence(time):
+    """Guards against LOST: writes ran while a change of primary was ordered.
+
+    The hold of a holder that had been replaced kept that of the next one away,
+    and expired before the order of the latter was carried out.
+    """
+    group = _group_with_primary(time)
+    group.hold_writes("p1/1/9", time.at + 0.8)
+    group.hold_writes("p2/1/10", time.at + 2.0)
+    group.hold_writes("p1/1/9", time.at + 0.8)
+    time.at += 1.0
+    assert group.hold_attempt() == "p2/1/10"
+
+
 def test_held_writes_wait_until_the_hold_expires(time):
     group = _group_with_primary(time)
     assert group.start_write(time.at) is not None
--- a/bronzehold/process/promotions.py
+++ b/bronzehold/process/promotions.py
@@ -1,7 +1,8 @@
 """Fails over the primaries of groups whose primary the platform fences.
 
 In each group one proxy, the holder of its fencing token (see tokens.py), may
-order a change of primary. A holder keeps its token until it is gone.
+order a change of primary. A holder keeps its token until it is gone or cannot
+use it (see claims.py).
 
 `succession` decides from the views of all proxies whether a change is needed;
 this module collects the views and carries the change out.
@@ -12,14 +13,16 @@
 
 from bronzehold.core import clock
 from bronzehold.core import ports
-from bronzehold.core import promotion_events
 from bronzehold.process import claims as claims_lib
+from bronzehold.process import fences as fences_lib
 from bronzehold.process import gossip as gossip_lib
 from bronzehold.process import group_views
 from bronzehold.process import platform_process
 from bronzehold.process import platform_service
+from bronzehold.process import promotion_orders
 from bronzehold.process import successors as successors_lib
 from bronzehold.process import tokens as tokens_lib
+from bronzehold.process import write_drain
 from bronzehold.version import succession
 
 GROUP_EVALUATION_INTERVAL_S = 0.1
@@ -30,17 +33,13 @@
 EVIDENCE_RECOVERY_S = 1.0
 # A group without a leader for longer than this has an endpoint promoted.
 LEADERLESS_TIMEOUT_S = 1.5
-# Writes in flight get this long to end before a planned change.
-DRAIN_TIMEOUT_S = 0.5
 # A change that has no effect after this is given up. The platform takes some
 # hundred milliseconds to change a primary.
 CHANGE_TIMEOUT_S = 2.5
 ORDER_RETRY_S = 0.7
-WRITE_HOLD_S = 0.8
 # Writes wait at most this long for a planned change: the platform takes up to a
 # second, and callers have deadlines of some seconds.
 MAX_WRITE_HOLD_S = 1.4
-FENCE_RETRY_S = 1.0
 # Interval at which the replicas of a synchronous group are asked whether one is
 # paused without a change in progress.
 PAUSE_CHECK_INTERVAL_S = 5.0
@@ -55,19 +54,18 @@
     Attributes:
         term: The term that the change ends.
         target: The endpoint to promote.
+        attempt: The name under which writes are held, "" if they are not.
         started_at: The time of the first order, in seconds of clock.now().
         ordered_at: The time of the latest order, in seconds of clock.now().
         last_order_answered: True if the platform answered the latest order.
-        has_unanswered_orders: True if the platform left any order unanswered;
-            it may still carry that order out later.
     """
 
     term: int
     target: str
+    attempt: str
     started_at: float
     ordered_at: float
     last_order_answered: bool = True
-    has_unanswered_orders: bool = False
 
 
 class Promotions:
@@ -76,8 +74,10 @@
     Args:
         process: The process.
         tokens: The fencing tokens of the groups.
-        promoter: The platform's interface for promotions.
+        orders: The orders of this proxy.
         gossip: The exchange of digests.
+        drain_s: The time within which a leaving primary must be replaced, in
+            seconds.
         request_members: Lets the registrations of the proxies be read soon.
     """
 
@@ -86,25 +86,35 @@
         *,
         process: platform_process.PlatformProcess,
         tokens: tokens_lib.Tokens,
-        promoter: ports.Promoter,
+        orders: promotion_orders.PromotionOrders,
         gossip: gossip_lib.Gossip,
+        drain_s: float,
         request_members: collections.abc.Callable[[], None],
     ):
         self._process = process
         self._request_members = request_members
         self._tokens = tokens
-        self._promoter = promoter
+        self._orders = orders
         self._gossip = gossip
         self._claims = claims_lib.Claims(
-            own=process.name, tokens=tokens, gossip=gossip
+            own=process.name,
+            tokens=tokens,
+            orders=orders,
+            gossip=gossip,
+            drain_s=drain_s,
+        )
+        self._fences = fences_lib.Fences(tokens=tokens, orders=orders)
+        self._drain = write_drain.WriteDrain(
+            gossip=gossip, stop=process.tasks.stop
         )
-        self._fence_due_at: dict[str, float] = {}
         self._published_views: dict[str, succession.View] = {}
         self._changes: dict[str, PrimaryChange] = {}
         # A process that has just started knows neither peers nor endpoints, so
         # its first evaluation waits.
         self._evaluate_from = clock.now() + EVIDENCE_RECOVERY_S
-        self._successors = successors_lib.Successors(timeline=process.timeline)
+        self._successors = successors_lib.Successors(
+            timeline=process.timeline, stop=process.tasks.stop
+        )
         self._pause_check_due_at: dict[str, float] = {}
         self._hand_over_due_at: dict[str, float] = {}
 
@@ -152,20 +162,24 @@
         if clock.now() < self._evaluate_from or self._gossip.stopping:
             return
         if not self._tokens.holds(name):
-            self._changes.pop(name, None)
+            self._drop_change(service)
+            self._fences.drop(name)
             self._pause_check_due_at.pop(name, None)
-            self._claims.claim(service)
+            if self._claims.claim(service) is claims_lib.Claim.FROM_FAILING:
+                self._fences.require(name)
             return
         change = self._changes.get(name)
         if change is not None:
             self._continue_change(service, change)
             return
-        if name in self._fence_due_at:
-            self._fence_old_orders(service)
-        match self._decide(service):
+        decision = self._decide(service)
+        is_urgent = isinstance(decision, succession.Replace)
+        if self._fences.is_required(name) and not is_urgent:
+            self._fences.send(service)
+        match decision:
             case succession.Replace(reason=reason):
                 self._replace_primary(service, reason)
-            case succession.HandOver():
+            case succession.HandOver() if self._fences.may_hold_writes(service):
                 self._hand_over_primary(service)
             case succession.Keep() if service.group.primary_unreachable():
                 # A proxy that is gone counts against a majority as long as its
@@ -187,14 +201,14 @@
         now = clock.now()
         if not self._is_primary_reached(service):
             return
-        if name in self._fence_due_at:
+        if self._fences.is_required(name):
             return
         self._successors.resume(service)
         if now < self._pause_check_due_at.get(name, 0.0):
             return
         self._pause_check_due_at[name] = now + PAUSE_CHECK_INTERVAL_S
         if self._successors.find_paused(service):
-            self._fence_due_at[name] = now
+            self._fences.require(name)
 
     def _peer_views(
         self, service: platform_service.PlatformService
@@ -255,19 +269,40 @@
         service: platform_service.PlatformService,
         successor: succession.Candidate,
         reason: str,
+        attempt: str = "",
     ) -> None:
         name = service.limits.name
         now = clock.now()
+        # What remains open after the change is fenced then.
+        self._fences.drop(name)
         self._changes[name] = PrimaryChange(
             term=service.group.term(),
             target=successor.endpoint,
+            attempt=attempt,
             started_at=now,
             ordered_at=now,
         )
-        self._send_order(
+        self._order_target(
             service, successor.endpoint, reason, str(successor.received)
         )
 
+    def _order_target(
+        self,
+        service: platform_service.PlatformService,
+        target: str,
+        reason: str,
+        position: str,
+    ) -> None:
+        """Orders the target of a change under a token that allows for it."""
+        name = service.limits.name
+        if self._orders.needs_later_token(name, target):
+            # Without the store, the order is sent with the present token, and
+            # the open one is fenced after the change.
+            self._tokens.acquire(
+                name, renew=True, reason="an order of another endpoint is open"
+            )
+        self._send_order(service, target, reason, position)
+
     def _send_order(
         self,
         service: platform_service.PlatformService,
@@ -276,50 +311,25 @@
         position: str,
     ) -> ports.OrderOutcome:
         name = service.limits.name
-        token = self._tokens.known(name)
-        if not self._tokens.can_use(name, token):
-            # Another proxy has acquired a later token since this change was
-            # decided; its token must not be used.
-            self._changes.pop(name, None)
-            return ports.Outranked()
-        outcome = self._promoter.promote(
-            service=name,
-            endpoint=target,
-            holder=self._process.name,
-            token=token.number,
-        )
-        self._process.timeline.add(
-            promotion_events.PromotionOrdered(
-                group=name,
-                token=token.number,
-                primary=target,
-                position=position,
-                why=reason,
-                outcome=type(outcome).__name__,
-            )
+        outcome = self._orders.send(
+            name, target, reason=reason, position=position
         )
+        change = self._changes.get(name)
         match outcome:
-            case ports.Outranked():
-                self._tokens.note_outranked(name, token)
-                self._changes.pop(name, None)
-            case ports.NotRunning():
-                self._changes.pop(name, None)
-            case ports.Unanswered():
-                self._note_unanswered(name)
-            case ports.Ordered():
-                self._note_answered(name)
+            case ports.Outranked() | ports.NotRunning():
+                self._drop_change(service)
+            case ports.Unanswered() if change is not None:
+                change.last_order_answered = False
+            case ports.Ordered() if change is not None:
+                change.last_order_answered = True
         return outcome
 
-    def _note_unanswered(self, name: str) -> None:
-        change = self._changes.get(name)
-        if change is not None:
-            change.last_order_answered = False
-            change.has_unanswered_orders = True
-
-    def _note_answered(self, name: str) -> None:
-        change = self._changes.get(name)
-        if change is not None:
-            change.last_order_answered = True
+    def _drop_change(self, service: platform_service.PlatformService) -> None:
+        """Ends the change in progress, whose order cannot be carried out."""
+        change = self._changes.pop(service.limits.name, None)
+        if change is not None and change.attempt:
+            service.group.release_writes(change.attempt)
+            self._gossip.send_now()
 
     def _continue_change(
         self, service: platform_service.PlatformService, change: PrimaryChange
@@ -331,56 +341,30 @@
         if leader is not None and leader.term > change.term:
             self._changes.pop(name, None)
             self._successors.note_promoted(name)
-            group.release_writes(self._attempt_id(name))
+            group.release_writes(change.attempt)
             self._gossip.send_now()
-            if change.has_unanswered_orders:
-                self._fence_due_at[name] = now
+            if self._orders.open(name):
+                self._fences.require(name)
             return
         if now - change.started_at > CHANGE_TIMEOUT_S:
             self._changes.pop(name, None)
-            group.release_writes(self._attempt_id(name))
-            if service.limits.synchronous:
+            group.release_writes(change.attempt)
+            if service.limits.synchronous or self._orders.open(name):
                 # The order may still be carried out. The replicas stay paused
                 # until it is fenced: the chosen one has to hold all that is
                 # acknowledged.
-                self._fence_due_at[name] = now
+                self._fences.require(name)
             return
         if now - change.started_at < MAX_WRITE_HOLD_S:
-            group.renew_hold(self._attempt_id(name), now + WRITE_HOLD_S)
+            group.renew_hold(change.attempt, now + write_drain.HOLD_S)
         else:
             # The order was probably lost and the old primary still leads.
-            group.release_writes(self._attempt_id(name))
+            group.release_writes(change.attempt)
         service.wake_probe(change.target)
         wait_s = ORDER_RETRY_S if change.last_order_answered else 0.0
         if now - change.ordered_at > wait_s:
             change.ordered_at = now
-            self._send_order(service, change.target, "no effect yet", "")
-
-    def _fence_old_orders(
-        self, service: platform_service.PlatformService
-    ) -> None:
-        """Invalidates earlier orders that the platform never answered.
-
-        The platform may carry out such an order seconds later and so undo a
-        newer change. It rejects the order once it has seen a higher token, so
-        this proxy acquires one and orders the present leader under it.
-        """
-        name = service.limits.name
-        now = clock.now()
-        leader = service.group.leader()
-        if leader is None or now < self._fence_due_at[name]:
-            return
-        self._fence_due_at[name] = now + FENCE_RETRY_S
-        old_number = self._tokens.known(name).number
-        self._tokens.acquire(name, renew=True)
-        if self._tokens.known(
-            name
-        ).number == old_number or not self._tokens.holds(name):
-            return
-        reason = "fence older orders"
-        outcome = self._send_order(service, leader.endpoint, reason, "")
-        if not isinstance(outcome, ports.Unanswered):
-            del self._fence_due_at[name]
+            self._order_target(service, change.target, "no effect yet", "")
 
     # Planned changes.
 
@@ -401,14 +385,8 @@
         if leader is None or clock.now() < self._hand_over_due_at.get(name, 0):
             return
         attempt = self._attempt_id(name)
-        group.hold_writes(attempt, clock.now() + DRAIN_TIMEOUT_S + WRITE_HOLD_S)
-        self._gossip.send_now()
-        deadline = clock.now() + DRAIN_TIMEOUT_S
-        while clock.now() < deadline and not self._all_drained(
-            service, attempt
-        ):
-            self._process.tasks.stop.wait(0.02)
-        successor = self._wait_for_successor(service, leader.endpoint)
+        self._drain.run(service, attempt)
+        successor = self._successors.best_caught_up(service, leader.endpoint)
         if service.limits.synchronous:
             # The logs have caught up as far as they would; now they are
             # compared while nothing can be acknowledged.
@@ -420,34 +398,6 @@
                 retry_at = clock.now() + HAND_OVER_RETRY_S
                 self._hand_over_due_at[name] = retry_at
             return
-        self._begin_change(service, successor, "the primary is leaving")
-
-    def _all_drained(
-        self, service: platform_service.PlatformService, attempt: str
-    ) -> bool:
-        if not service.group.drained():
-            return False
-        for heard in self._gossip.live_peers().values():
-            for view in heard.digest.groups:
-                if view.service == service.limits.name and not (
-                    view.quiet and view.held_for == attempt
-                ):
-                    return False
-        return True
-
-    def _wait_for_successor(
-        self, service: platform_service.PlatformService, leader: str
-    ) -> succession.Candidate | None:
-        """Returns the best successor, if possible one that has caught up.
-
-        The logs are compared with the primary's up to three times.
-        """
-        status = service.probe(leader)
-        for _ in range(3):
-            successor = self._successors.best(service, leader)
-            if status is None or successor is None:
-                return successor
-            if successor.received >= status.received:
-                return successor
-            self._process.tasks.stop.wait(0.03)
-        return successor
+        self._begin_change(
+            service, successor, "the primary is leaving", attempt
+        )
--- a/bronzehold/process/promotions_test.py
+++ b/bronzehold/process/promotions_test.py
@@ -7,9 +7,11 @@
 from bronzehold.core import routes
 from bronzehold.core import statements
 from bronzehold.process import claims as claims_lib
+from bronzehold.process import fences as fences_lib
 from bronzehold.process import gossip as gossip_lib
 from bronzehold.process import group_views
 from bronzehold.process import platform_service
+from bronzehold.process import promotion_orders
 from bronzehold.process import promotions as promotions_lib
 from bronzehold.process import serving as serving_lib
 from bronzehold.process import shutdown as shutdown_lib
@@ -21,6 +23,8 @@
 from bronzehold.version import succession
 from tests import helpers
 
+DRAIN_S = 7.0
+
 
 class FakeProcess:
     name = "me"
@@ -94,11 +98,19 @@
         self.tokens = tokens_lib.Tokens(
             proxy="me", incarnation="1", store=self.store, timeline=timeline
         )
+        self.orders = promotion_orders.PromotionOrders(
+            holder="me",
+            tokens=self.tokens,
+            promoter=self.promoter,
+            timeline=timeline,
+            failure_memory_s=4 * DRAIN_S,
+        )
         self.promotions = promotions_lib.Promotions(
             process=FakeProcess(),
             tokens=self.tokens,
-            promoter=self.promoter,
+            orders=self.orders,
             gossip=self.gossip,
+            drain_s=DRAIN_S,
             request_members=self._request_members,
         )
         env = platform_service.Environment(
@@ -385,8 +397,8 @@
     harness.promotions._check_group(harness.service)
     harness.promotions._check_group(harness.service)
     assert ("c", statements.ResumeReplication) not in sent
-    monkeypatch.setattr(promotions_lib, "FENCE_RETRY_S", 0.0)
-    harness.promotions._fence_due_at["g"] = 0.0
+    monkeypatch.setattr(fences_lib, "RETRY_S", 0.0)
+    harness.promotions._fences._fences["g"].due_at = 0.0
     harness.promoter.outcome = ports.Ordered()
     harness.promotions._check_group(harness.service)
     assert [call["endpoint"] for call in harness.promoter.calls] == ["a", "a"]
@@ -467,3 +479,83 @@
     now += 1.0
     harness.promotions._claims.claim(harness.service)
     assert not harness.tokens.held()
+
+
+def _report_unanswered(harness, seconds, *peers):
+    """Adds live peers whose orders are not answered."""
+    for name in peers:
+        digest = pb.Digest(proxy=name, incarnation="1")
+        digest.groups.add(service="g", orders_unanswered_ms=int(seconds * 1000))
+        harness.gossip.heard[name] = gossip_lib.ReceivedDigest(
+            digest=digest, received_at=clock.now(), time_base=None
+        )
+
+
+@pytest.mark.parametrize(
+    ("unanswered_s", "failing_peers", "is_claimed"),
+    [
+        (0.5, ["you"], False),
+        (DRAIN_S / 5, ["you"], True),
+        (DRAIN_S / 5, ["you", "p2"], True),
+        (DRAIN_S / 5, ["you", "p2", "p3"], False),
+        (2 * DRAIN_S / 5, ["you", "p2", "p3"], True),
+        (2 * DRAIN_S / 5, ["you", "p2", "p3", "p4"], False),
+    ],
+)
+def test_token_of_a_holder_without_answers_is_taken_over(
+    harness, unanswered_s, failing_peers, is_claimed
+):
+    """Guards against DRAIN: a holder kept a token that it could not use.
+
+    The more proxies get no answers, the longer the others wait.
+    """
+    harness.lose_token_to_peer(2)
+    _report_unanswered(harness, unanswered_s, *failing_peers)
+    harness.promotions._claims.claim(harness.service)
+    assert bool(harness.tokens.held()) == is_claimed
+
+
+def test_proxy_without_answers_takes_no_token_from_a_live_holder(harness):
+    """Guards against a token that goes to and fro between two proxies."""
+    harness.tokens.acquire("g")
+    harness.promoter.outcome = ports.Unanswered(reason="timeout")
+    for _ in range(2):
+        harness.orders.send("g", "b", reason="test")
+    harness.lose_token_to_peer(2)
+    _report_unanswered(harness, DRAIN_S, "you")
+    harness.promotions._claims.claim(harness.service)
+    assert not harness.tokens.held()
+    # A holder that is gone is replaced all the same.
+    harness.gossip.heard = {}
+    harness.promotions._claims.claim(harness.service)
+    assert harness.tokens.held()
+
+
+def test_new_holder_holds_no_writes_before_an_order_was_answered(harness):
+    """Guards against a write pause at each attempt of an outage."""
+    _list_endpoints(harness, "a", "b", "c")
+    harness.lose_token_to_peer(2)
+    _report_unanswered(harness, DRAIN_S, "you")
+    harness.promotions._evaluate_from = 0.0
+    harness.promoter.outcome = ports.Unanswered(reason="timeout")
+    harness.promotions._check_group(harness.service)
+    assert harness.tokens.held()
+    fences = harness.promotions._fences
+    fences.send(harness.service)
+    assert not fences.may_hold_writes(harness.service)
+    harness.promoter.outcome = ports.Ordered()
+    fences._fences["g"].due_at = 0.0
+    fences.send(harness.service)
+    assert fences.may_hold_writes(harness.service)
+    assert {call["endpoint"] for call in harness.promoter.calls} == {"a"}
+
+
+def test_peer_that_holds_a_later_token_ends_the_use_of_an_earlier_one(harness):
+    """Guards against two holders: one that the store turns away goes on."""
+    harness.tokens.acquire("g")
+    harness.tokens.note_peer_holds("g", 1)
+    assert harness.tokens.held() == {"g": 1}
+    harness.tokens.note_peer_holds("g", 2)
+    assert not harness.tokens.held()
+    harness.start_change()
+    assert not harness.promoter.calls
--- a/bronzehold/process/successors.py
+++ b/bronzehold/process/successors.py
@@ -10,6 +10,7 @@
 
 import collections.abc
 from concurrent import futures
+import threading
 
 from bronzehold.core import clock
 from bronzehold.core import events
@@ -20,6 +21,9 @@
 from bronzehold.version import succession
 
 STATUS_TIMEOUT_S = 0.45
+# Comparisons of the logs with that of a primary whose writes are held.
+MAX_COMPARISONS = 3
+COMPARISON_INTERVAL_S = 0.03
 RESUME_RETRY_S = 1.0
 WORKERS = 4
 
@@ -29,10 +33,14 @@
 
     Args:
         timeline: The event log of the process.
+        stop: Set when the process stops.
     """
 
-    def __init__(self, *, timeline: timeline_lib.Timeline):
+    def __init__(
+        self, *, timeline: timeline_lib.Timeline, stop: threading.Event
+    ):
         self._timeline = timeline
+        self._stop = stop
         self._executor = futures.ThreadPoolExecutor(WORKERS)
         # Replicas that may be paused, by service.
         self._paused: dict[str, set[str]] = {}
@@ -52,6 +60,27 @@
         names = _others(service, leader)
         return _choose(service, self._ask(service, names))
 
+    def best_caught_up(
+        self, service: platform_service.PlatformService, leader: str
+    ) -> succession.Candidate | None:
+        """Returns the best endpoint, if possible one that has caught up.
+
+        The logs are compared with the primary's several times.
+
+        Args:
+            service: The service.
+            leader: The primary.
+        """
+        status = service.probe(leader)
+        for _ in range(MAX_COMPARISONS):
+            successor = self.best(service, leader)
+            if status is None or successor is None:
+                return successor
+            if successor.received >= status.received:
+                return successor
+            self._stop.wait(COMPARISON_INTERVAL_S)
+        return successor
+
     def choose(
         self, service: platform_service.PlatformService, leader: str
     ) -> succession.Candidate | None:
--- a/bronzehold/process/successors_test.py
+++ b/bronzehold/process/successors_test.py
@@ -1,4 +1,5 @@
 import dataclasses
+import threading
 
 import pytest
 
@@ -78,7 +79,7 @@
 def _successors(monkeypatch):
     monkeypatch.setattr(successors_lib, "RESUME_RETRY_S", 0.0)
     timeline = timeline_lib.Timeline(proxy="me", zone="z")
-    return successors_lib.Successors(timeline=timeline)
+    return successors_lib.Successors(timeline=timeline, stop=threading.Event())
 
 
 def test_asynchronous_group_takes_the_best_of_those_that_answer(successors):
@@ -158,7 +159,9 @@
     timeline = timeline_lib.Timeline(proxy="me", zone="z")
     logged = []
     monkeypatch.setattr(timeline, "add", logged.append)
-    successors = successors_lib.Successors(timeline=timeline)
+    successors = successors_lib.Successors(
+        timeline=timeline, stop=threading.Event()
+    )
     service = FakeService(synchronous=True)
     service.replicas["c"].is_busy = True
     successors.choose(service, "a")
--- a/bronzehold/process/tokens.py
+++ b/bronzehold/process/tokens.py
@@ -74,6 +74,8 @@
         self._proven: dict[str, int] = {}
         # The highest number that a peer has reported, by service.
         self._peer_numbers: dict[str, int] = {}
+        # The highest number that a peer has reported to hold, by service.
+        self._held_by_peer: dict[str, int] = {}
         # Services whose record may be older than this process's token.
         self._lost_records: set[str] = set()
         self._learned_at: dict[str, float] = {}
@@ -128,6 +130,15 @@
         if number > self._peer_numbers.get(service, 0):
             self._peer_numbers[service] = number
 
+    def note_peer_holds(self, service: str, number: int) -> None:
+        """Records the number of a group's token that a peer holds itself.
+
+        A lower token of this proxy was taken over, although this proxy may not
+        have read the record since.
+        """
+        if number > self._held_by_peer.get(service, 0):
+            self._held_by_peer[service] = number
+
     def known(self, service: str) -> Token:
         """Returns the latest known token of a group, NO_TOKEN if none."""
         return self._tokens.get(service, NO_TOKEN)
@@ -173,10 +184,15 @@
         """
         is_holder = token.holder == self.holder_id
         is_proven = self._proven.get(service, 0) == token.number
-        is_outranked = self._outranked.get(service, 0) >= token.number
+        is_outranked = (
+            self._outranked.get(service, 0) >= token.number
+            or self._held_by_peer.get(service, 0) > token.number
+        )
         return is_holder and is_proven and not is_outranked
 
-    def acquire(self, service: str, *, renew: bool = False) -> None:
+    def acquire(
+        self, service: str, *, renew: bool = False, reason: str = ""
+    ) -> None:
         """Takes a group's token over, with the next higher number.
 
         A token that another proxy has acquired since this one last read the
@@ -185,6 +201,7 @@
         Args:
             service: The name of the group's service.
             renew: Whether to take a higher token also if this proxy holds one.
+            reason: The reason, for the event log.
         """
         key = RECORDS_PREFIX + service
         expected = self.known(service)
@@ -212,7 +229,9 @@
             case ports.Swapped():
                 self.apply_record(service, value, item.era)
                 self._timeline.add(
-                    promotion_events.TokenWon(group=service, token=number)
+                    promotion_events.TokenWon(
+                        group=service, token=number, why=reason
+                    )
                 )
 
     def _apply_item(self, service: str, item: ports.Item) -> Token | None:
--- a/bronzehold/process/write_hold.py
+++ b/bronzehold/process/write_hold.py
@@ -22,14 +22,15 @@
         """Holds new writes back while a planned change is in progress.
 
         Args:
-            attempt: The name of the change; of two concurrent ones, the one
-                that sorts first takes precedence.
+            attempt: The name of the change, which ends in "/" and the fencing
+                token. Of two concurrent ones, that of the later token takes
+                precedence, then the one that sorts first.
             until: The time when the hold expires, in seconds of clock.now().
 
         Returns:
             Whether writes are held for this change.
         """
-        if self.is_held() and attempt > self._attempt:
+        if self.is_held() and _rank(attempt) > _rank(self._attempt):
             return False
         self._attempt = attempt
         self._expires_at = until
@@ -58,3 +59,10 @@
     def is_drained(self) -> bool:
         """Returns whether writes are held and none is in flight."""
         return self.is_held() and self.in_flight == 0
+
+
+def _rank(attempt: str) -> tuple[int, str]:
+    """Returns a key that sorts the change that takes precedence first."""
+    _, _, token = attempt.rpartition("/")
+    is_number = token.isascii() and token.isdigit()
+    return -int(token) if is_number else 0, attempt
