--- a/bronzehold/core/events.py
+++ b/bronzehold/core/events.py
@@ -428,6 +428,9 @@
     | promotion_events.TokenLost
     | promotion_events.PromotionOrdered
     | promotion_events.SuccessorAwaited
+    | promotion_events.SuccessorChosen
+    | promotion_events.WritesHeld
+    | promotion_events.WritesReleased
     | request_events.RequestFailed
     | request_events.RequestSlow
     | request_events.RequestServed
--- a/bronzehold/core/promotion_events.py
+++ b/bronzehold/core/promotion_events.py
@@ -67,3 +67,47 @@
 
     group: str
     endpoints: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class SuccessorChosen:
+    """All replicas of a group were paused and compared, and one was chosen.
+
+    Attributes:
+        group: Name of the group, whose commits a replica confirms.
+        primary: Id of the endpoint that was chosen.
+        positions: The log position of each endpoint, as "ID=POSITION".
+    """
+
+    group: str
+    primary: str
+    positions: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class WritesHeld:
+    """This proxy starts no writes of a group while its primary changes.
+
+    Attributes:
+        group: Name of the group.
+        attempt: Name of the change: the process that makes it and its token.
+        until_decided: Whether writes wait until the outcome is known; else the
+            hold expires by itself.
+    """
+
+    group: str
+    attempt: str
+    until_decided: bool
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class WritesReleased:
+    """This proxy starts writes of a group again.
+
+    Attributes:
+        group: Name of the group.
+        why: The reason; a hold that expires is not logged.
+    """
+
+    group: str
+    why: str
--- a/bronzehold/platform/instance.py
+++ b/bronzehold/platform/instance.py
@@ -20,6 +20,7 @@
 from bronzehold.platform import store
 from bronzehold.process import digest_exchange as exchange_lib
 from bronzehold.process import exposition
+from bronzehold.process import fences as fences_lib
 from bronzehold.process import gossip as gossip_lib
 from bronzehold.process import platform_process
 from bronzehold.process import promotion_orders
@@ -148,10 +149,12 @@
             timeline=self.timeline,
             failure_memory_s=ORDER_FAILURE_MEMORY * drain_s,
         )
+        self.fences = fences_lib.Fences(tokens=self.tokens, orders=self.orders)
         self.promotions = promotions_lib.Promotions(
             process=self.process,
             tokens=self.tokens,
             orders=self.orders,
+            fences=self.fences,
             gossip=self.gossip,
             drain_s=drain_s,
             request_members=self.news.request_read,
@@ -183,6 +186,7 @@
             mirror=self.mirror,
             tokens=self.tokens,
             orders=self.orders,
+            fences=self.fences,
             serving=self.serving,
             news=self.news,
         )
--- a/bronzehold/platform/local.py
+++ b/bronzehold/platform/local.py
@@ -148,8 +148,14 @@
     """
 
     def __init__(
-        self, *, proxies: int = 2, store_era: int | None = None, **fields
+        self,
+        *,
+        proxies: int = 2,
+        store_era: int | None = None,
+        drain_ms: int = 5000,
+        **fields,
     ):
+        self._drain_ms = drain_ms
         zones = {f"e{n}": f"z{n}" for n in (1, 2, 3)}
         self.group = standin_group.Group(
             settings=standin_group.GroupSettings(
@@ -200,6 +206,7 @@
             promoter=self.store.address,
             seeds=("127.0.0.1:1", "127.0.0.2:1"),
             stop_s=6.0,
+            drain_ms=self._drain_ms,
         )
         proxy = instance.Instance(cfg=cfg)
         proxy.start()
@@ -251,13 +258,25 @@
         table = {
             "version": self.version,
             "routes": routes,
-            "services": [{"name": SERVICE, "max_connections": max_connections}],
+            "services": [
+                {
+                    "name": SERVICE,
+                    "max_connections": max_connections,
+                    "sync_replicas": self.group.settings.sync_replicas,
+                }
+            ],
             "limits": {"tx_idle_ms": 3000},
         }
         if workspaces is not None:
             table["tenants"] = workspaces
         self._write("op/config", table)
 
+    def add_endpoint(self, name: str, zone: str) -> None:
+        """Starts a further replica and lists it."""
+        self.group.add_endpoint(name, zone)
+        self._born[name] = 1
+        self.publish_listings(draining=self._draining)
+
     def address(self, name: str) -> str:
         """Returns the address at which proxies connect to an endpoint."""
         return self.group.endpoints[name].address
--- a/bronzehold/platform/standin_group.py
+++ b/bronzehold/platform/standin_group.py
@@ -38,6 +38,8 @@
         work_s: Duration of a read or write in its slot, in seconds.
         lag_s: Delay after which an entry is replicated, in seconds.
         promote_s: Duration of a promotion, in seconds.
+        sync_replicas: Number of replicas that must have received a commit
+            before it is acknowledged.
     """
 
     service: str
@@ -48,6 +50,7 @@
     work_s: float = 0.0
     lag_s: float = 0.005
     promote_s: float = 0.1
+    sync_replicas: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -99,6 +102,9 @@
         term: Term of the present primary.
         executed: All statements executed by any endpoint, in order.
         endpoints: The endpoints, by id.
+        acknowledged: Positions of the acknowledged commits.
+        lost: Positions of the acknowledged commits that an endpoint lacked
+            when it was promoted.
         on_role_change: Called after each promotion.
     """
 
@@ -112,6 +118,8 @@
             for name, zone in settings.zones.items()
         }
         next(iter(self.endpoints.values())).is_primary = True
+        self.acknowledged: set[statements.LogPosition] = set()
+        self.lost: set[statements.LogPosition] = set()
         self._closed = threading.Event()
         self.on_role_change: collections.abc.Callable[[], None] = lambda: None
 
@@ -121,6 +129,21 @@
             endpoint.listen()
         threading.Thread(target=self._replicate, daemon=True).start()
 
+    def add_endpoint(self, name: str, zone: str) -> None:
+        """Starts a replica with an empty log."""
+        endpoint = Endpoint(group=self, name=name, zone=zone)
+        endpoint.listen()
+        with self.lock:
+            self.endpoints = {**self.endpoints, name: endpoint}
+
+    def is_confirmed(self, position: statements.LogPosition) -> bool:
+        """Returns whether enough replicas have received a commit."""
+        count = sum(
+            e.running and not e.is_primary and e.has_position(position)
+            for e in self.endpoints.values()
+        )
+        return count >= self.settings.sync_replicas
+
     def close(self) -> None:
         """Stops the replication and all endpoints."""
         self._closed.set()
@@ -153,6 +176,11 @@
                 return
             self.term += 1
             last_held = chosen.last_position()
+            missing = {
+                p for p in self.acknowledged if not chosen.has_position(p)
+            }
+            self.lost |= missing
+            self.acknowledged -= missing
             for endpoint in self.endpoints.values():
                 endpoint.is_primary = endpoint is chosen
                 endpoint.log = [
@@ -276,8 +304,8 @@
                     return value
         return ""
 
-    def append(self, writes: list[tuple[str, str]]) -> None:
-        """Appends an entry with the given writes to the log."""
+    def append(self, writes: list[tuple[str, str]]) -> statements.LogPosition:
+        """Appends an entry with the given writes; returns its position."""
         last = self.last_position()
         position = statements.LogPosition(
             term=self.primary_term, number=last.number + 1
@@ -289,6 +317,24 @@
                 committed_at=time.monotonic(),
             )
         )
+        return position
+
+    def confirm(self, position: statements.LogPosition) -> bool:
+        """Waits until enough replicas have received a commit.
+
+        Returns:
+            False if the endpoint has ended or was replaced before that.
+        """
+        term = self.primary_term
+        while self.running:
+            with self.group.lock:
+                if not self.is_primary or self.primary_term != term:
+                    return False
+                if self.group.is_confirmed(position):
+                    self.group.acknowledged.add(position)
+                    return True
+            time.sleep(REPLICATION_INTERVAL_S)
+        return False
 
     def record(
         self,
--- a/bronzehold/platform/standin_session.py
+++ b/bronzehold/platform/standin_session.py
@@ -4,6 +4,7 @@
 import time
 import typing
 
+from bronzehold.core import statements
 from bronzehold.platform import wire
 
 if typing.TYPE_CHECKING:
@@ -157,10 +158,11 @@
                 self._send_error("READONLY", self._endpoint.name)
                 return
             self._record(request_id, text)
+            position = None
             if self._writes:
-                self._endpoint.append(self._writes)
+                position = self._endpoint.append(self._writes)
             self._state, self._writes = "I", []
-        self._send_outcome(request_id)
+        self._send_commit(request_id, position)
 
     def _run_statement(
         self, request_id: str, command: str, rest: str, text: str
@@ -189,6 +191,7 @@
     ) -> None:
         endpoint = self._endpoint
         item, _, value = rest.partition(" ")
+        position = None
         with self._group.lock:
             if self._lost_primary_role() or (
                 is_write and not endpoint.is_primary
@@ -200,8 +203,21 @@
             if is_write and self._state == "T":
                 self._writes.append((item, value))
             elif is_write:
-                endpoint.append([(item, value)])
-        self._send_outcome(request_id, *rows)
+                position = endpoint.append([(item, value)])
+        self._send_commit(request_id, position, *rows)
+
+    def _send_commit(
+        self,
+        request_id: str,
+        position: statements.LogPosition | None,
+        *rows: str,
+    ) -> None:
+        """Answers a statement once what it committed, if any, is confirmed."""
+        if position is None or self._endpoint.confirm(position):
+            self._send_outcome(request_id, *rows)
+        else:
+            # The outcome is not known here, so the connection ends.
+            self._sock.shutdown(socket.SHUT_RDWR)
 
     def _record(self, request_id: str, text: str) -> None:
         self._endpoint.record(
--- a/bronzehold/process/digest_exchange.py
+++ b/bronzehold/process/digest_exchange.py
@@ -10,6 +10,7 @@
 from bronzehold.core import ports
 from bronzehold.core import statements
 from bronzehold.process import capacity_reports
+from bronzehold.process import fences as fences_lib
 from bronzehold.process import gossip as gossip_lib
 from bronzehold.process import group_views
 from bronzehold.process import platform_process
@@ -19,14 +20,13 @@
 from bronzehold.process import store_mirror as mirror_lib
 from bronzehold.process import store_news as news_lib
 from bronzehold.process import tokens as tokens_lib
+from bronzehold.process import write_drain
+from bronzehold.process import write_hold
 from bronzehold.proto import gossip_pb2 as pb
 from bronzehold.version import freshness
 from bronzehold.version import members as members_lib
 from bronzehold.version import succession
 
-# Time for which writes are held after a digest that asks for it; each further
-# digest extends it.
-WRITE_HOLD_S = 0.8
 # Time for the store to deliver a configuration version that a peer already has,
 # before peers are asked for it. It is several times the store's usual response
 # time and well below the limit for a configuration change to take effect.
@@ -44,6 +44,7 @@
         mirror: mirror_lib.StoreMirror,
         tokens: tokens_lib.Tokens,
         orders: promotion_orders.PromotionOrders,
+        fences: fences_lib.Fences,
         serving: serving_lib.Serving,
         news: news_lib.StoreNews,
     ):
@@ -53,6 +54,9 @@
         self._mirror = mirror
         self._tokens = tokens
         self._orders = orders
+        self._fences = fences
+        # The highest token under which a fence was accepted, by service.
+        self._fenced_tokens: dict[str, int] = {}
         self._serving = serving
         self._holds: dict[str, str] = {}
         self._newest_version = 1
@@ -147,20 +151,24 @@
     ) -> pb.GroupView:
         own = group_views.own_view(service)
         group = service.group
-        token = self._tokens.known(service.limits.name)
+        name = service.limits.name
+        token = self._tokens.known(name)
+        hold = group.write_hold()
         view = pb.GroupView(
-            service=service.limits.name,
+            service=name,
             leader=own.leader,
             term=own.term,
             reach=group_views.NUMBER_BY_REACH[own.reach],
             token=token.number,
             holder=token.holder,
-            held_for=group.hold_attempt(),
+            held_for=hold.attempt,
+            held_until_decided=hold.until_decided,
+            hold_target=hold.target,
             quiet=group.drained(),
             orders_unanswered_ms=int(
-                self._orders.unanswered_s(service.limits.name)
-                / data.MILLISECOND
+                self._orders.unanswered_s(name) / data.MILLISECOND
             ),
+            fenced_token=self._fences.accepted_token(name),
         )
         proof = group.proofs.newest()
         if proof is not None:
@@ -175,8 +183,8 @@
         """Returns whether a digest has to hold this proxy's view of a group.
 
         A proxy that does not serve the group has its view from others, unless
-        it was asked to probe the primary, takes part in a planned change or
-        cannot use the group's token.
+        it was asked to probe the primary, takes part in a planned change, or
+        cannot use the group's token, or has fenced orders that peers wait for.
         """
         group = service.group
         return (
@@ -184,6 +192,7 @@
             or bool(group.hold_attempt())
             or group.has_writes_in_flight()
             or self._orders.is_latest_unanswered(service.limits.name)
+            or self._fences.accepted_token(service.limits.name) > 0
             or group_views.own_view(service).reach
             is not succession.Reach.UNKNOWN
         )
@@ -269,22 +278,53 @@
             )
             if at <= clock.now() and view.proof_term >= group.term():
                 group.proofs.add(freshness.Proof(position=position, at=at))
-        self._apply_hold(service, view, received.digest.proxy)
+        self._apply_hold(service, view, received.digest)
 
     def _apply_hold(
         self,
         service: platform_service.PlatformService,
         view: pb.GroupView,
-        proxy: str,
+        digest: pb.Digest,
     ) -> None:
         group = service.group
         name = service.limits.name
-        if view.held_for and view.held_for.startswith(f"{proxy}/"):
-            group.hold_writes(view.held_for, clock.now() + WRITE_HOLD_S)
+        if view.fenced_token > self._fenced_tokens.get(name, 0):
+            self._fenced_tokens[name] = view.fenced_token
+            group.release_fenced(view.fenced_token)
+        if view.held_for and view.held_for.startswith(f"{digest.proxy}/"):
+            hold = write_hold.Hold(
+                attempt=view.held_for,
+                expires_at=clock.now() + write_drain.HOLD_S,
+                until_decided=view.held_until_decided,
+                target=view.hold_target,
+            )
+            if hold.until_decided and self._is_fenced(name, hold):
+                return
+            group.hold_writes(hold)
             self._holds[name] = view.held_for
             self._gossip.send_now()
-        elif self._holds.get(name, "").startswith(f"{proxy}/"):
-            group.release_writes(self._holds.pop(name))
+        elif self._holds.get(name, "").startswith(f"{digest.proxy}/"):
+            self._release(service, digest)
+
+    def _is_fenced(self, name: str, hold: write_hold.Hold) -> bool:
+        """Returns whether the orders of a change are fenced already."""
+        return hold.token() < self._fenced_tokens.get(name, 0)
+
+    def _release(
+        self, service: platform_service.PlatformService, digest: pb.Digest
+    ) -> None:
+        """Ends the hold of a peer that holds no writes back any more.
+
+        A process that has just started does not know of the orders that an
+        earlier process of its name has left open.
+        """
+        name = service.limits.name
+        attempt = self._holds[name]
+        is_restarted = not attempt.startswith(f"{_process_id(digest)}/")
+        if is_restarted and service.group.write_hold().until_decided:
+            return
+        del self._holds[name]
+        service.group.release_writes(attempt)
 
 
 def _process_id(digest: pb.Digest) -> str:
--- a/bronzehold/process/digest_exchange_test.py
+++ b/bronzehold/process/digest_exchange_test.py
@@ -14,6 +14,7 @@
 from bronzehold.process import store_news as news_lib
 from bronzehold.process import timeline as timeline_lib
 from bronzehold.process import tokens as tokens_lib
+from bronzehold.process import write_hold
 from bronzehold.proto import gossip_pb2 as pb
 from tests import helpers
 
@@ -81,6 +82,14 @@
         return False
 
 
+class FakeFences:
+    """Fences of which none was needed."""
+
+    def accepted_token(self, service):
+        del service
+        return 0
+
+
 class FakeService:
     """A service without endpoints."""
 
@@ -164,6 +173,7 @@
             mirror=self.mirror,
             tokens=self.tokens,
             orders=FakeOrders(),
+            fences=FakeFences(),
             serving=FakeServing(),
             news=self.news,
         )
@@ -357,7 +367,9 @@
 def test_proxy_outside_of_the_set_takes_part_in_a_planned_change(harness):
     outside = _GroupService(serves=False)
     harness.at += 10.0
-    outside.group.hold_writes("p/1", harness.at + 1.0)
+    outside.group.hold_writes(
+        write_hold.Hold(attempt="p/1", expires_at=harness.at + 1.0)
+    )
     assert _views(harness, outside) == ["g"]
 
 
@@ -442,3 +454,52 @@
     view = pb.GroupView(service="g", token=5, holder=holder)
     harness.receive(3, view, incarnation="1")
     assert harness.tokens.held_by_peers == ([("g", 5)] if is_held else [])
+
+
+def _held_view(incarnation, **fields):
+    return pb.GroupView(
+        service="g", held_for=f"p/{incarnation}/4", token=4, **fields
+    )
+
+
+def _group(harness):
+    return harness.process.fake_service.group
+
+
+def _hear_undecided_hold(harness):
+    view = _held_view("1", held_until_decided=True, hold_target="b")
+    harness.receive(3, view, incarnation="1")
+    harness.at += 60.0
+
+
+def test_hold_until_the_outcome_outlasts_the_digests_of_its_holder(harness):
+    """Guards against LOST: a holder ended while its order was open."""
+    _hear_undecided_hold(harness)
+    assert _group(harness).hold_attempt() == "p/1/4"
+    # A process that starts again under the name knows nothing of the order.
+    harness.receive(3, pb.GroupView(service="g"), incarnation="2")
+    assert _group(harness).hold_attempt() == "p/1/4"
+    harness.receive(3, pb.GroupView(service="g", fenced_token=4))
+    assert _group(harness).hold_attempt() == "p/1/4"
+    harness.receive(3, pb.GroupView(service="g", fenced_token=5))
+    assert not _group(harness).hold_attempt()
+
+
+def test_holder_itself_ends_its_hold(harness):
+    _hear_undecided_hold(harness)
+    harness.receive(3, pb.GroupView(service="g"), incarnation="1")
+    assert not _group(harness).hold_attempt()
+
+
+def test_hold_whose_order_was_fenced_before_is_not_taken_up(harness):
+    """Guards against writes that wait for good: a digest came late."""
+    harness.receive(3, pb.GroupView(service="g", fenced_token=5))
+    _hear_undecided_hold(harness)
+    assert not _group(harness).hold_attempt()
+
+
+def test_hold_without_an_outcome_expires(harness):
+    harness.receive(3, _held_view("1"), incarnation="1")
+    assert _group(harness).hold_attempt()
+    harness.at += 60.0
+    assert not _group(harness).hold_attempt()
--- a/bronzehold/process/fences.py
+++ b/bronzehold/process/fences.py
@@ -47,6 +47,8 @@
         self._tokens = tokens
         self._orders = orders
         self._fences: dict[str, Fence] = {}
+        # The token of the latest fence that was accepted, by service.
+        self._accepted: dict[str, int] = {}
 
     def require(self, name: str) -> None:
         """Makes a group need a fence, from now on."""
@@ -56,28 +58,49 @@
         """Makes a group need no fence."""
         self._fences.pop(name, None)
 
+    def accepted_token(self, name: str) -> int:
+        """Returns the token of the latest fence of a group, 0 if none.
+
+        Only fences that other proxies may wait for are reported: those of
+        groups whose replicas confirm commits.
+        """
+        return self._accepted.get(name, 0)
+
     def is_required(self, name: str) -> bool:
         """Returns whether a group needs a fence."""
         return name in self._fences
 
-    def send(self, service: platform_service.PlatformService) -> None:
-        """Orders the present primary if that is due."""
+    def send(self, service: platform_service.PlatformService) -> bool:
+        """Orders the present primary if that is due.
+
+        Returns:
+            Whether the platform has accepted the order.
+        """
         name = service.limits.name
         now = clock.now()
         fence = self._fences[name]
         leader = service.group.leader()
         if leader is None or now < fence.due_at:
-            return
+            return False
         fence.due_at = now + RETRY_S
         if self._tokens.known(name).number != fence.token:
             fence.token = self._token_above_open_orders(name)
         if not fence.token:
-            return
+            return False
         outcome = self._orders.send(
             name, leader.endpoint, reason="fence older orders"
         )
-        if not isinstance(outcome, ports.Unanswered):
-            del self._fences[name]
+        match outcome:
+            case ports.Ordered():
+                del self._fences[name]
+                if service.limits.synchronous:
+                    self._accepted[name] = fence.token
+                return True
+            case ports.NotRunning() if not service.limits.synchronous:
+                del self._fences[name]
+            case ports.Outranked():
+                del self._fences[name]
+        return False
 
     def _token_above_open_orders(self, name: str) -> int:
         """Returns a token that no open order has, 0 if there is none yet."""
@@ -98,8 +121,14 @@
         They would wait in vain for an order that is not answered. If the latest
         one was not, a fence has to be accepted first. Without a token for that,
         the change is tried nevertheless.
+
+        Where replicas confirm commits, the hold lasts until the outcome of the
+        order is known. There, a fence has to be accepted right before it.
         """
         name = service.limits.name
+        if service.limits.synchronous:
+            self.require(name)
+            return self.send(service)
         if self._orders.is_latest_unanswered(name) and name not in self._fences:
             self.require(name)
             self.send(service)
--- a/bronzehold/process/platform_group.py
+++ b/bronzehold/process/platform_group.py
@@ -13,6 +13,7 @@
 
 from bronzehold.core import clock
 from bronzehold.core import events
+from bronzehold.core import promotion_events
 from bronzehold.core import routes
 from bronzehold.core import statements
 from bronzehold.process import endpoint_contacts
@@ -194,6 +195,8 @@
             0.0 if self._leader else clock.now() - self._leaderless_since
         )
         self._leader = leader
+        if term > self._term and self._hold.release_decided(leader=endpoint):
+            self._note_released(f"{endpoint} leads term {term}")
         self._term = term
         self._timeline.add(
             events.PrimaryFound(
@@ -227,16 +230,20 @@
 
     # Planned changes.
 
-    def hold_writes(self, attempt: str, until: float) -> None:
-        """Holds new writes back while a planned change is in progress.
-
-        Args:
-            attempt: The name of the change; see WriteHold.hold.
-            until: The time when the hold expires, in seconds of clock.now().
-        """
+    def hold_writes(self, hold: write_hold.Hold) -> None:
+        """Holds new writes back while a change of primary is in progress."""
         with self.cond:
-            if self._hold.hold(attempt, until):
+            is_new = self._hold.attempt() != hold.attempt
+            if self._hold.start(hold):
                 self.cond.notify_all()
+                if is_new:
+                    self._timeline.add(
+                        promotion_events.WritesHeld(
+                            group=self.name,
+                            attempt=hold.attempt,
+                            until_decided=hold.until_decided,
+                        )
+                    )
 
     def renew_hold(self, attempt: str, until: float) -> None:
         """Extends the hold if writes are held for this change."""
@@ -247,12 +254,32 @@
         """Releases writes if they are held for this change."""
         with self.cond:
             if self._hold.release(attempt):
-                self.cond.notify_all()
+                self._note_released("the change has ended")
+
+    def release_fenced(self, token: int) -> None:
+        """Releases writes that wait for an order that has been fenced.
+
+        Args:
+            token: The fencing token of the fence.
+        """
+        with self.cond:
+            if self._hold.release_fenced(token):
+                self._note_released(f"fenced under token {token}")
+
+    def _note_released(self, reason: str) -> None:
+        self._timeline.add(
+            promotion_events.WritesReleased(group=self.name, why=reason)
+        )
+        self.cond.notify_all()
+
+    def write_hold(self) -> write_hold.Hold:
+        """Returns the hold of writes in force."""
+        with self.cond:
+            return self._hold.current()
 
     def hold_attempt(self) -> str:
         """Returns the change that writes are held for, "" if none."""
-        with self.cond:
-            return self._hold.attempt()
+        return self.write_hold().attempt
 
     def drained(self) -> bool:
         """Returns whether writes are held and none is in flight."""
--- a/bronzehold/process/platform_group_test.py
+++ b/bronzehold/process/platform_group_test.py
@@ -6,6 +6,7 @@
 from bronzehold.core import statements
 from bronzehold.process import platform_group
 from bronzehold.process import timeline as timeline_lib
+from bronzehold.process import write_hold
 from bronzehold.version import succession
 from tests import helpers
 
@@ -53,6 +54,12 @@
     return group
 
 
+def _hold(group, attempt, until, **fields):
+    group.hold_writes(
+        write_hold.Hold(attempt=attempt, expires_at=until, **fields)
+    )
+
+
 def test_primary_is_the_leader_of_the_highest_term(time):
     group = _group_with_primary(time)
     assert group.leader() == platform_group.Leader(endpoint="a", term=1)
@@ -124,9 +131,9 @@
     and expired before the order of the latter was carried out.
     """
     group = _group_with_primary(time)
-    group.hold_writes("p1/1/9", time.at + 0.8)
-    group.hold_writes("p2/1/10", time.at + 2.0)
-    group.hold_writes("p1/1/9", time.at + 0.8)
+    _hold(group, "p1/1/9", time.at + 0.8)
+    _hold(group, "p2/1/10", time.at + 2.0)
+    _hold(group, "p1/1/9", time.at + 0.8)
     time.at += 1.0
     assert group.hold_attempt() == "p2/1/10"
 
@@ -134,19 +141,68 @@
 def test_held_writes_wait_until_the_hold_expires(time):
     group = _group_with_primary(time)
     assert group.start_write(time.at) is not None
-    group.hold_writes("p1/1", time.at + 0.8)
+    _hold(group, "p1/1", time.at + 0.8)
     assert not group.drained()
     assert group.start_write(time.at) is None
     group.end_write()
     assert group.drained()
     # Of two concurrent changes, all proxies choose the one that sorts first.
-    group.hold_writes("p2/1", time.at + 9)
+    _hold(group, "p2/1", time.at + 9)
     assert group.hold_attempt() == "p1/1"
     time.at += 1
     assert not group.hold_attempt()
     assert group.start_write(time.at) is not None
 
 
+def _hold_for_promotion(time, target="b"):
+    group = _group_with_primary(time)
+    _hold(group, "p1/1/4", time.at, until_decided=True, target=target)
+    time.at += 60.0
+    return group
+
+
+def test_hold_lasts_until_the_outcome_is_known(time):
+    """Guards against LOST: writes went on while an order was still open."""
+    group = _hold_for_promotion(time)
+    assert group.hold_attempt() == "p1/1/4"
+    assert group.start_write(time.at) is None
+    group.release_writes("p1/1/4")
+    assert not group.hold_attempt()
+
+
+@pytest.mark.parametrize(
+    ("target", "leader", "is_released"),
+    [("b", "b", True), ("b", "c", False), ("", "b", False)],
+)
+def test_promotion_of_the_target_decides_a_change(
+    time, target, leader, is_released
+):
+    """Guards against LOST: another order than the last one was carried out."""
+    group = _hold_for_promotion(time, target)
+    group.note_status(leader, _status(leads=True, term=2), time.at)
+    assert bool(group.hold_attempt()) != is_released
+
+
+@pytest.mark.parametrize(
+    ("token", "is_released"), [(3, False), (4, False), (5, True)]
+)
+def test_fence_of_a_later_token_decides_a_change(time, token, is_released):
+    group = _hold_for_promotion(time)
+    group.release_fenced(token)
+    assert bool(group.hold_attempt()) != is_released
+
+
+def test_hold_until_the_outcome_gives_way_to_its_like_only(time):
+    """Guards against LOST: a hold that expires replaced one that does not."""
+    group = _hold_for_promotion(time)
+    _hold(group, "p2/1/5", time.at + 0.8)
+    assert group.hold_attempt() == "p1/1/4"
+    _hold(group, "p2/1/5", time.at + 0.8, until_decided=True)
+    assert group.hold_attempt() == "p2/1/5"
+    _hold(group, "p1/1/4", time.at + 0.8, until_decided=True)
+    assert group.hold_attempt() == "p2/1/5"
+
+
 def test_waiting_write_starts_once_a_primary_is_found():
     group = _group()
     found = []
--- a/bronzehold/process/promotions.py
+++ b/bronzehold/process/promotions.py
@@ -23,6 +23,7 @@
 from bronzehold.process import successors as successors_lib
 from bronzehold.process import tokens as tokens_lib
 from bronzehold.process import write_drain
+from bronzehold.process import write_hold
 from bronzehold.version import succession
 
 GROUP_EVALUATION_INTERVAL_S = 0.1
@@ -51,21 +52,26 @@
 class PrimaryChange:
     """One change of primary in progress.
 
+    All times are in seconds of clock.now().
+
     Attributes:
         term: The term that the change ends.
+        replaced: The endpoint to replace, "" if none is known.
         target: The endpoint to promote.
         attempt: The name under which writes are held, "" if they are not.
-        started_at: The time of the first order, in seconds of clock.now().
-        ordered_at: The time of the latest order, in seconds of clock.now().
-        last_order_answered: True if the platform answered the latest order.
+        started_at: The time of the first order.
+        ordered_at: The time of the latest order.
+        accepted_at: The time at which the platform accepted the latest order,
+            0 if that is not known.
     """
 
     term: int
+    replaced: str
     target: str
     attempt: str
     started_at: float
     ordered_at: float
-    last_order_answered: bool = True
+    accepted_at: float = 0.0
 
 
 class Promotions:
@@ -75,6 +81,7 @@
         process: The process.
         tokens: The fencing tokens of the groups.
         orders: The orders of this proxy.
+        fences: The fences of these orders.
         gossip: The exchange of digests.
         drain_s: The time within which a leaving primary must be replaced, in
             seconds.
@@ -87,6 +94,7 @@
         process: platform_process.PlatformProcess,
         tokens: tokens_lib.Tokens,
         orders: promotion_orders.PromotionOrders,
+        fences: fences_lib.Fences,
         gossip: gossip_lib.Gossip,
         drain_s: float,
         request_members: collections.abc.Callable[[], None],
@@ -103,7 +111,7 @@
             gossip=gossip,
             drain_s=drain_s,
         )
-        self._fences = fences_lib.Fences(tokens=tokens, orders=orders)
+        self._fences = fences
         self._drain = write_drain.WriteDrain(
             gossip=gossip, stop=process.tasks.stop
         )
@@ -165,21 +173,23 @@
             self._drop_change(service)
             self._fences.drop(name)
             self._pause_check_due_at.pop(name, None)
-            if self._claims.claim(service) is claims_lib.Claim.FROM_FAILING:
-                self._fences.require(name)
+            self._claim(service)
             return
         change = self._changes.get(name)
         if change is not None:
             self._continue_change(service, change)
             return
+        if service.group.write_hold().until_decided:
+            # The change was given up, or another holder has left it.
+            self._fences.require(name)
         decision = self._decide(service)
         is_urgent = isinstance(decision, succession.Replace)
         if self._fences.is_required(name) and not is_urgent:
-            self._fences.send(service)
+            self._fence(service)
         match decision:
             case succession.Replace(reason=reason):
                 self._replace_primary(service, reason)
-            case succession.HandOver() if self._fences.may_hold_writes(service):
+            case succession.HandOver() if self._may_hand_over(service):
                 self._hand_over_primary(service)
             case succession.Keep() if service.group.primary_unreachable():
                 # A proxy that is gone counts against a majority as long as its
@@ -188,6 +198,29 @@
             case succession.Keep() if service.limits.synchronous:
                 self._resume_replicas(service)
 
+    def _claim(self, service: platform_service.PlatformService) -> None:
+        """Claims the token if it is not in use.
+
+        The earlier holder may have left orders open. Where replicas confirm
+        commits, they are fenced at once; otherwise the next order does that.
+        """
+        claim = self._claims.claim(service)
+        if claim is claims_lib.Claim.FROM_FAILING or (
+            claim is not claims_lib.Claim.NONE and service.limits.synchronous
+        ):
+            self._fences.require(service.limits.name)
+
+    def _fence(self, service: platform_service.PlatformService) -> None:
+        """Fences open orders; writes that have waited for that go on."""
+        if not self._fences.send(service):
+            return
+        group = service.group
+        if group.write_hold().until_decided:
+            self._successors.find_paused(service)
+            self._successors.resume(service)
+            group.release_writes(group.hold_attempt())
+            self._gossip.send_now()
+
     def _resume_replicas(
         self, service: platform_service.PlatformService
     ) -> None:
@@ -257,19 +290,22 @@
     def _replace_primary(
         self, service: platform_service.PlatformService, reason: str
     ) -> None:
+        name = service.limits.name
         leader = service.group.leader()
-        successor = self._successors.choose(
-            service, leader.endpoint if leader else ""
-        )
-        if successor is not None:
-            self._begin_change(service, successor, reason)
+        replaced = leader.endpoint if leader else ""
+        successor = self._successors.choose(service, replaced)
+        if successor is None:
+            return
+        attempt = self._attempt_id(name) if service.limits.synchronous else ""
+        self._begin_change(service, successor, replaced, reason, attempt)
 
     def _begin_change(
         self,
         service: platform_service.PlatformService,
         successor: succession.Candidate,
+        replaced: str,
         reason: str,
-        attempt: str = "",
+        attempt: str,
     ) -> None:
         name = service.limits.name
         now = clock.now()
@@ -277,6 +313,7 @@
         self._fences.drop(name)
         self._changes[name] = PrimaryChange(
             term=service.group.term(),
+            replaced=replaced,
             target=successor.endpoint,
             attempt=attempt,
             started_at=now,
@@ -293,16 +330,44 @@
         reason: str,
         position: str,
     ) -> None:
-        """Orders the target of a change under a token that allows for it."""
+        """Orders the target of a change under a token that allows for it.
+
+        Without the store, a change may have no such token. Where replicas
+        confirm commits, it waits for one. Elsewhere the order is sent with the
+        present token, and the open one is fenced after the change.
+        """
         name = service.limits.name
+        is_synchronous = service.limits.synchronous
         if self._orders.needs_later_token(name, target):
-            # Without the store, the order is sent with the present token, and
-            # the open one is fenced after the change.
             self._tokens.acquire(
                 name, renew=True, reason="an order of another endpoint is open"
             )
+            if is_synchronous and self._orders.needs_later_token(name, target):
+                return
+        if is_synchronous:
+            self._hold_until_decided(service, target)
         self._send_order(service, target, reason, position)
 
+    def _hold_until_decided(
+        self, service: platform_service.PlatformService, target: str
+    ) -> None:
+        """Holds writes until the outcome of the change in progress is known.
+
+        What is acknowledged after the choice of the target could be missing in
+        its log: a replica that starts meanwhile is not paused.
+        """
+        name = service.limits.name
+        open_targets = {order.endpoint for order in self._orders.open(name)}
+        service.group.hold_writes(
+            write_hold.Hold(
+                attempt=self._changes[name].attempt,
+                expires_at=clock.now() + write_drain.HOLD_S,
+                until_decided=True,
+                target=target if open_targets <= {target} else "",
+            )
+        )
+        self._gossip.send_now()
+
     def _send_order(
         self,
         service: platform_service.PlatformService,
@@ -319,58 +384,108 @@
             case ports.Outranked() | ports.NotRunning():
                 self._drop_change(service)
             case ports.Unanswered() if change is not None:
-                change.last_order_answered = False
+                change.accepted_at = 0.0
             case ports.Ordered() if change is not None:
-                change.last_order_answered = True
+                change.accepted_at = clock.now()
         return outcome
 
     def _drop_change(self, service: platform_service.PlatformService) -> None:
-        """Ends the change in progress, whose order cannot be carried out."""
-        change = self._changes.pop(service.limits.name, None)
-        if change is not None and change.attempt:
+        """Ends the change in progress without its effect.
+
+        Where replicas confirm commits, writes wait until its orders are fenced.
+        """
+        name = service.limits.name
+        change = self._changes.pop(name, None)
+        if change is None:
+            return
+        if service.limits.synchronous or self._orders.open(name):
+            self._fences.require(name)
+        if not service.limits.synchronous:
             service.group.release_writes(change.attempt)
             self._gossip.send_now()
 
     def _continue_change(
         self, service: platform_service.PlatformService, change: PrimaryChange
     ) -> None:
-        name = service.limits.name
         group = service.group
         now = clock.now()
         leader = group.leader()
         if leader is not None and leader.term > change.term:
-            self._changes.pop(name, None)
-            self._successors.note_promoted(name)
-            group.release_writes(change.attempt)
-            self._gossip.send_now()
-            if self._orders.open(name):
-                self._fences.require(name)
+            self._finish_change(service, change, leader.endpoint)
+            return
+        service.wake_probe(change.target)
+        if service.limits.synchronous:
+            self._continue_synchronous_change(service, change)
             return
         if now - change.started_at > CHANGE_TIMEOUT_S:
-            self._changes.pop(name, None)
-            group.release_writes(change.attempt)
-            if service.limits.synchronous or self._orders.open(name):
-                # The order may still be carried out. The replicas stay paused
-                # until it is fenced: the chosen one has to hold all that is
-                # acknowledged.
-                self._fences.require(name)
+            self._drop_change(service)
             return
         if now - change.started_at < MAX_WRITE_HOLD_S:
             group.renew_hold(change.attempt, now + write_drain.HOLD_S)
         else:
             # The order was probably lost and the old primary still leads.
             group.release_writes(change.attempt)
-        service.wake_probe(change.target)
-        wait_s = ORDER_RETRY_S if change.last_order_answered else 0.0
+        wait_s = ORDER_RETRY_S if change.accepted_at else 0.0
         if now - change.ordered_at > wait_s:
             change.ordered_at = now
             self._order_target(service, change.target, "no effect yet", "")
 
+    def _finish_change(
+        self,
+        service: platform_service.PlatformService,
+        change: PrimaryChange,
+        leader: str,
+    ) -> None:
+        """Ends a change after which an endpoint leads a later term."""
+        name = service.limits.name
+        self._changes.pop(name, None)
+        self._successors.note_promoted(name)
+        open_targets = {order.endpoint for order in self._orders.open(name)}
+        if open_targets:
+            self._fences.require(name)
+        if not service.limits.synchronous or open_targets <= {leader}:
+            service.group.release_writes(change.attempt)
+        self._gossip.send_now()
+
+    def _continue_synchronous_change(
+        self, service: platform_service.PlatformService, change: PrimaryChange
+    ) -> None:
+        """Repeats an order whose outcome is not known, with a new choice.
+
+        Writes are held, but a proxy that does not know of the change may have
+        written, and a replica that was not paused may have confirmed that.
+        """
+        now = clock.now()
+        if change.accepted_at:
+            if now - change.accepted_at > CHANGE_TIMEOUT_S:
+                self._drop_change(service)
+            return
+        successor = self._successors.choose(service, change.replaced)
+        if successor is None:
+            return
+        change.target = successor.endpoint
+        change.ordered_at = now
+        self._order_target(
+            service,
+            successor.endpoint,
+            "no answer yet",
+            str(successor.received),
+        )
+
     # Planned changes.
 
     def _attempt_id(self, name: str) -> str:
         return f"{self._tokens.holder_id}/{self._tokens.known(name).number}"
 
+    def _may_hand_over(self, service: platform_service.PlatformService) -> bool:
+        """Returns whether a planned change may be tried now."""
+        due_at = self._hand_over_due_at.get(service.limits.name, 0.0)
+        return (
+            service.group.leader() is not None
+            and clock.now() >= due_at
+            and self._fences.may_hold_writes(service)
+        )
+
     def _hand_over_primary(
         self, service: platform_service.PlatformService
     ) -> None:
@@ -382,8 +497,6 @@
         group = service.group
         name = service.limits.name
         leader = group.leader()
-        if leader is None or clock.now() < self._hand_over_due_at.get(name, 0):
-            return
         attempt = self._attempt_id(name)
         self._drain.run(service, attempt)
         successor = self._successors.best_caught_up(service, leader.endpoint)
@@ -399,5 +512,9 @@
                 self._hand_over_due_at[name] = retry_at
             return
         self._begin_change(
-            service, successor, "the primary is leaving", attempt
+            service,
+            successor,
+            leader.endpoint,
+            "the primary is leaving",
+            attempt,
         )
--- a/bronzehold/process/promotions_test.py
+++ b/bronzehold/process/promotions_test.py
@@ -105,10 +105,12 @@
             timeline=timeline,
             failure_memory_s=4 * DRAIN_S,
         )
+        self.fences = fences_lib.Fences(tokens=self.tokens, orders=self.orders)
         self.promotions = promotions_lib.Promotions(
             process=FakeProcess(),
             tokens=self.tokens,
             orders=self.orders,
+            fences=self.fences,
             gossip=self.gossip,
             drain_s=DRAIN_S,
             request_members=self._request_members,
@@ -143,7 +145,7 @@
             received=statements.LogPosition(term=1, number=1),
             leaving=False,
         )
-        self.promotions._begin_change(self.service, candidate, "test")
+        self.promotions._begin_change(self.service, candidate, "a", "test", "")
 
     def lose_token_to_peer(self, number, holder="you/1"):
         value = json.dumps({"holder": holder, "token": number}).encode()
--- a/bronzehold/process/successors.py
+++ b/bronzehold/process/successors.py
@@ -108,7 +108,19 @@
         found = self._ask(service, names, pause)
         if not self._is_complete(service, names, found):
             return None
-        return _choose(service, found)
+        successor = _choose(service, found)
+        if successor is not None:
+            self._timeline.add(
+                promotion_events.SuccessorChosen(
+                    group=service.limits.name,
+                    primary=successor.endpoint,
+                    positions=tuple(
+                        f"{name}={status.received}"
+                        for name, status in sorted(found.items())
+                    ),
+                )
+            )
+        return successor
 
     def _is_complete(
         self,
--- a/bronzehold/process/write_drain.py
+++ b/bronzehold/process/write_drain.py
@@ -5,6 +5,7 @@
 from bronzehold.core import clock
 from bronzehold.process import gossip as gossip_lib
 from bronzehold.process import platform_service
+from bronzehold.process import write_hold
 
 # Writes in flight get this long to end.
 DRAIN_TIMEOUT_S = 0.5
@@ -30,12 +31,21 @@
     ) -> None:
         """Holds writes, and waits until those in flight have ended.
 
+        Where replicas confirm commits, the hold lasts until the outcome of the
+        change is known.
+
         Args:
             service: The service.
             attempt: The name of the change, for which writes are held.
         """
         deadline = clock.now() + DRAIN_TIMEOUT_S
-        service.group.hold_writes(attempt, deadline + HOLD_S)
+        service.group.hold_writes(
+            write_hold.Hold(
+                attempt=attempt,
+                expires_at=deadline + HOLD_S,
+                until_decided=service.limits.synchronous,
+            )
+        )
         self._gossip.send_now()
         while clock.now() < deadline and not self._all_drained(
             service, attempt
--- a/bronzehold/process/write_hold.py
+++ b/bronzehold/process/write_hold.py
@@ -3,9 +3,55 @@
 It is not safe for use from several threads.
 """
 
+import dataclasses
+
 from bronzehold.core import clock
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Hold:
+    """A hold of writes.
+
+    Attributes:
+        attempt: The name of the change, which ends in "/" and the fencing token
+            of its holder; "" if writes are not held.
+        expires_at: The time when the hold expires, in seconds of clock.now().
+        until_decided: Whether it lasts, beyond that time, until the outcome of
+            the change is known.
+        target: The endpoint whose promotion decides the change, "" if that is
+            not known.
+    """
+
+    attempt: str = ""
+    expires_at: float = 0.0
+    until_decided: bool = False
+    target: str = ""
+
+    def is_active(self) -> bool:
+        """Returns whether writes are held."""
+        is_lasting = self.until_decided or clock.now() < self.expires_at
+        return bool(self.attempt) and is_lasting
+
+    def token(self) -> int:
+        """Returns the fencing token in the name of the change, 0 if none."""
+        _, _, token = self.attempt.rpartition("/")
+        return int(token) if token.isascii() and token.isdigit() else 0
+
+    def precedes(self, other: "Hold") -> bool:
+        """Returns whether this one of two concurrent holds takes precedence.
+
+        One of a later token does, then the one whose change sorts first. One
+        that waits for an outcome gives way only to another such hold.
+        """
+        if other.until_decided and not self.until_decided:
+            return False
+        own = (-self.token(), self.attempt)
+        return own < (-other.token(), other.attempt)
+
+
+NO_HOLD = Hold()
+
+
 class WriteHold:
     """The hold of a group's writes, and the writes in flight.
 
@@ -14,55 +60,78 @@
     """
 
     def __init__(self):
-        self._attempt = ""
-        self._expires_at = 0.0
+        self._hold = NO_HOLD
         self.in_flight = 0
 
-    def hold(self, attempt: str, until: float) -> bool:
-        """Holds new writes back while a planned change is in progress.
+    def start(self, hold: Hold) -> bool:
+        """Holds new writes back while a change is in progress.
 
         Args:
-            attempt: The name of the change, which ends in "/" and the fencing
-                token. Of two concurrent ones, that of the later token takes
-                precedence, then the one that sorts first.
-            until: The time when the hold expires, in seconds of clock.now().
+            hold: The hold; it replaces an earlier one of the same change.
 
         Returns:
             Whether writes are held for this change.
         """
-        if self.is_held() and _rank(attempt) > _rank(self._attempt):
+        current = self.current()
+        is_other = current.attempt not in ("", hold.attempt)
+        if is_other and not hold.precedes(current):
             return False
-        self._attempt = attempt
-        self._expires_at = until
+        self._hold = hold
         return True
 
     def renew(self, attempt: str, until: float) -> None:
         """Extends the hold if writes are held for this change."""
-        if self.is_held() and self._attempt == attempt:
-            self._expires_at = until
+        current = self.current()
+        if attempt and current.attempt == attempt:
+            self._hold = dataclasses.replace(current, expires_at=until)
 
     def release(self, attempt: str) -> bool:
         """Releases writes; returns whether they were held for this change."""
-        if self._attempt != attempt:
+        if not attempt or self._hold.attempt != attempt:
             return False
-        self._attempt = ""
+        self._hold = NO_HOLD
         return True
 
+    def release_decided(self, *, leader: str) -> bool:
+        """Releases writes if the promotion of an endpoint decides the change.
+
+        Args:
+            leader: The endpoint that leads a later term.
+
+        Returns:
+            Whether they were held for the outcome of this change.
+        """
+        if not self._hold.until_decided or self._hold.target != leader:
+            return False
+        self._hold = NO_HOLD
+        return True
+
+    def release_fenced(self, token: int) -> bool:
+        """Releases writes that wait for an order with a lower token.
+
+        Args:
+            token: A token under which the platform has accepted a fence.
+
+        Returns:
+            Whether they were held for that.
+        """
+        if not self._hold.until_decided or self._hold.token() >= token:
+            return False
+        self._hold = NO_HOLD
+        return True
+
+    def current(self) -> Hold:
+        """Returns the hold in force, NO_HOLD if there is none."""
+        return self._hold if self._hold.is_active() else NO_HOLD
+
     def attempt(self) -> str:
         """Returns the change that writes are held for, "" if none."""
-        return self._attempt if self.is_held() else ""
+        return self.current().attempt
 
     def is_held(self) -> bool:
         """Returns whether writes are held."""
-        return bool(self._attempt) and clock.now() < self._expires_at
+        return self._hold.is_active()
 
     def is_drained(self) -> bool:
         """Returns whether writes are held and none is in flight."""
         return self.is_held() and self.in_flight == 0
-
-
-def _rank(attempt: str) -> tuple[int, str]:
-    """Returns a key that sorts the change that takes precedence first."""
-    _, _, token = attempt.rpartition("/")
-    is_number = token.isascii() and token.isdigit()
-    return -int(token) if is_number else 0, attempt
--- a/tests/duty_handover_test.py
+++ b/tests/duty_handover_test.py
@@ -6,6 +6,7 @@
 import pytest
 
 from bronzehold.platform import local as platform_local
+from tests import failover_calls
 from tests import helpers
 from tests import platform_failover_test as failover
 
@@ -15,28 +16,6 @@
 RETURN_S = 3.0
 
 
-class FailoverCalls:
-    """The failover calls of a deployment, which can be cut off by their holder.
-
-    Attributes:
-        cut_off: Names of the proxies whose calls are not answered.
-        holders: Names of the proxies that called, in order.
-    """
-
-    def __init__(self, deployment):
-        self.cut_off: set[str] = set()
-        self.holders: list[str] = []
-        self._handle = deployment.store.handle_call
-        deployment.store.handle_call = self._handle_call
-
-    def _handle_call(self, method, path, query, body, headers):
-        if path == "/failover":
-            self.holders.append(headers["Duty-Holder"])
-            if headers["Duty-Holder"] in self.cut_off:
-                return 0, {}
-        return self._handle(method, path, query, body, headers)
-
-
 @pytest.fixture(name="deployment")
 def _deployment():
     with platform_local.running(proxies=4) as running:
@@ -58,7 +37,7 @@
     Its orders were not answered, its peers heard its digests and left the
     token to it, and all proxies went on using the leaving primary.
     """
-    calls = FailoverCalls(deployment)
+    calls = failover_calls.FailoverCalls(deployment)
     first = holder(deployment)
     calls.cut_off.add(first.cfg.name)
     old = deployment.group.primary()
@@ -76,7 +55,7 @@
 
 def test_lost_primary_is_replaced_though_the_holder_cannot_call(deployment):
     """Guards against the same in an unplanned change."""
-    calls = FailoverCalls(deployment)
+    calls = failover_calls.FailoverCalls(deployment)
     first = holder(deployment)
     calls.cut_off.add(first.cfg.name)
     old = deployment.group.primary()
@@ -90,7 +69,7 @@
 
     Once the platform answers again, the holder of that time orders at once.
     """
-    calls = FailoverCalls(deployment)
+    calls = failover_calls.FailoverCalls(deployment)
     calls.cut_off.update(proxy.cfg.name for proxy in deployment.proxies)
     old = deployment.group.primary()
     first = deployment.proxies[0].tokens.known(platform_local.SERVICE).number
@@ -114,7 +93,7 @@
     deployment,
 ):
     """Guards against a write pause at each attempt of an outage."""
-    calls = FailoverCalls(deployment)
+    calls = failover_calls.FailoverCalls(deployment)
     calls.cut_off.update(proxy.cfg.name for proxy in deployment.proxies)
     old = deployment.group.primary()
     held_s = _measure_held_time(deployment, old, 2 * DRAIN_S)
--- a/tests/platform_failover_test.py
+++ b/tests/platform_failover_test.py
@@ -38,10 +38,11 @@
         unknown: The numbers with any other error.
     """
 
-    def __init__(self, deployment, proxy: int = 0):
+    def __init__(self, deployment, proxy: int = 0, name: str = "n"):
         super().__init__(daemon=True)
         self.deployment = deployment
         self.proxy = proxy
+        self.item_prefix = name
         self.stopped = threading.Event()
         self.acknowledged: list[tuple[int, float]] = []
         self.not_run: list[int] = []
@@ -53,7 +54,9 @@
         number = 0
         while not self.stopped.wait(0.005):
             number += 1
-            answer = session.execute(f"WRITE n{number} {number}")
+            answer = session.execute(
+                f"WRITE {self.item_prefix}{number} {number}"
+            )
             code = answer[0].split(" ")[1]
             if answer[0].startswith("COMPLETE"):
                 self.acknowledged.append((number, time.monotonic()))
