--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -27,7 +27,7 @@
 import json
 
 from bench.soak import records as records_lib
-from bronzehold.core import events
+from bronzehold.core import promotion_events
 from bronzehold.core import statements
 from bronzehold.platform import standin_group
 
@@ -336,7 +336,7 @@
         # Lines of a process that was killed may be incomplete.
         with contextlib.suppress(ValueError):
             fields = json.loads(line)
-            if fields.get("event") == events.TokenWon.__name__:
+            if fields.get("event") == promotion_events.TokenWon.__name__:
                 key = fields["group"], fields["token"]
                 winners[key].append(fields["instance"])
     return [
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -26,7 +26,7 @@
 from bench.soak import stop_series
 from bench.soak import workspace_checks
 from bench.soak import workspaces as workspaces_lib
-from bronzehold.core import events
+from bronzehold.core import promotion_events
 
 # Time without faults after the callers start.
 WARM_UP_S = 1.0
@@ -155,7 +155,7 @@
                 line
                 for proxy in deployment.processes
                 for line in proxy.log_lines()
-                if events.TokenWon.__name__ in line
+                if promotion_events.TokenWon.__name__ in line
             ),
         ]
 
