--- a/bronzehold/process/promotions_test.py
+++ b/bronzehold/process/promotions_test.py
@@ -145,7 +145,7 @@
             received=statements.LogPosition(term=1, number=1),
             leaving=False,
         )
-        self.promotions._begin_change(self.service, candidate, "a", "test", "")
+        self.promotions._changes.begin(self.service, candidate, "a", "test", "")
 
     def lose_token_to_peer(self, number, holder="you/1"):
         value = json.dumps({"holder": holder, "token": number}).encode()
@@ -365,10 +365,10 @@
     monkeypatch.setattr(
         harness.service, "probe", lambda name, _command=None: answers[name]
     )
-    harness.promotions._replace_primary(harness.service, "test")
+    harness.promotions._changes.replace(harness.service, "test")
     assert not harness.promoter.calls
     answers["c"] = _status(9)
-    harness.promotions._replace_primary(harness.service, "test")
+    harness.promotions._changes.replace(harness.service, "test")
     assert [call["endpoint"] for call in harness.promoter.calls] == ["c"]
 
 
