Digests: a hold whose holder has ended is passed on to new processes

A proxy that starts after a holder has ended with an order open heard nobody who told it to hold writes, until the next holder had fenced the order. Its peers now tell it, if the holder is not heard itself, the hold was not fenced and no later term is known. test_hold_of_a_proxy_that_has_ended_is_passed_on failed before.

--- a/bronzehold/process/digest_exchange.py
+++ b/bronzehold/process/digest_exchange.py
@@ -13,6 +13,7 @@
 from bronzehold.process import fences as fences_lib
 from bronzehold.process import gossip as gossip_lib
 from bronzehold.process import group_views
+from bronzehold.process import platform_group
 from bronzehold.process import platform_process
 from bronzehold.process import platform_service
 from bronzehold.process import promotion_orders
@@ -291,7 +292,8 @@
         if view.fenced_token > self._fenced_tokens.get(name, 0):
             self._fenced_tokens[name] = view.fenced_token
             group.release_fenced(view.fenced_token)
-        if view.held_for and view.held_for.startswith(f"{digest.proxy}/"):
+        is_holder = view.held_for.startswith(f"{digest.proxy}/")
+        if view.held_for and (is_holder or self._is_left_hold(group, view)):
             hold = write_hold.Hold(
                 attempt=view.held_for,
                 expires_at=clock.now() + write_drain.HOLD_S,
@@ -306,6 +308,21 @@
         elif self._holds.get(name, "").startswith(f"{digest.proxy}/"):
             self._release(service, digest)
 
+    def _is_left_hold(
+        self, group: platform_group.PlatformGroup, view: pb.GroupView
+    ) -> bool:
+        """Returns whether a peer holds writes for a proxy that has ended.
+
+        A process that has started since has not heard the proxy itself.
+        """
+        name, _, _ = view.held_for.partition("/")
+        return (
+            view.held_until_decided
+            and name not in self._gossip.live_peers()
+            and not group.hold_attempt()
+            and view.term >= group.term()
+        )
+
     def _is_fenced(self, name: str, hold: write_hold.Hold) -> bool:
         """Returns whether the orders of a change are fenced already."""
         return hold.token() < self._fenced_tokens.get(name, 0)
--- a/bronzehold/process/digest_exchange_test.py
+++ b/bronzehold/process/digest_exchange_test.py
@@ -41,6 +41,10 @@
 class FakeGossip:
     def __init__(self):
         self.replied_to = []
+        self.live = {}
+
+    def live_peers(self):
+        return self.live
 
     def send_now(self):
         return None
@@ -503,3 +507,26 @@
     assert _group(harness).hold_attempt()
     harness.at += 60.0
     assert not _group(harness).hold_attempt()
+
+
+@pytest.mark.parametrize(
+    ("live_peers", "until_decided", "is_held"),
+    [([], True, True), (["gone"], True, False), ([], False, False)],
+)
+def test_hold_of_a_proxy_that_has_ended_is_passed_on(
+    harness, live_peers, until_decided, is_held
+):
+    """Guards against LOST: a process that started later held no writes."""
+    harness.gossip.live = dict.fromkeys(live_peers)
+    view = pb.GroupView(
+        service="g",
+        held_for="gone/1/4",
+        held_until_decided=until_decided,
+        hold_targets=["b"],
+    )
+    harness.receive(3, view, incarnation="1")
+    assert bool(_group(harness).hold_attempt()) == is_held
+    harness.receive(3, pb.GroupView(service="g", fenced_token=5))
+    assert not _group(harness).hold_attempt()
+    harness.receive(3, view, incarnation="1")
+    assert not _group(harness).hold_attempt()
