--- a/bronzehold/process/platform_group.py
+++ b/bronzehold/process/platform_group.py
@@ -74,6 +74,8 @@
         )
         self._leader: Leader | None = None
         self._term = 0
+        # The latest term in which each endpoint was found to lead.
+        self._led_terms: dict[str, int] = {}
         self._leaderless_since = clock.now()
         self._reached_by_peer_at: dict[str, float] = {}
         self._hold = write_hold.WriteHold()
@@ -115,6 +117,7 @@
         with self.cond:
             self._note_answer(endpoint, status.received)
             if status.leads:
+                self._led_terms[endpoint] = status.term
                 self._set_leader(endpoint, status.term)
             elif self._is_leader(endpoint) and status.term >= self._term:
                 self._clear_leader("reports the replica role")
@@ -351,6 +354,20 @@
         """Returns the primary, None if none is known."""
         return self._leader
 
+    def has_deposed_log(
+        self, endpoint: str, received: statements.LogPosition
+    ) -> bool:
+        """Returns whether a replica's log ends in a term in which it led.
+
+        It may then hold commits that the promotion of another endpoint has
+        rolled back, and lack all commits since.
+
+        Args:
+            endpoint: The id of the endpoint, which does not lead.
+            received: The last position in its log.
+        """
+        return self._led_terms.get(endpoint) == received.term
+
     def term(self) -> int:
         """Returns the highest term in which an endpoint was found to lead."""
         return self._term
--- a/bronzehold/process/platform_group_test.py
+++ b/bronzehold/process/platform_group_test.py
@@ -138,6 +138,21 @@
     assert group.hold_attempt() == "p2/1/10"
 
 
+@pytest.mark.parametrize(
+    ("term", "number", "is_deposed"),
+    [(3, 191, True), (2, 9, False), (4, 1, False)],
+)
+def test_log_of_a_replica_that_led_in_its_last_term_is_deposed(
+    time, term, number, is_deposed
+):
+    group = _group()
+    group.note_status("a", _status(leads=True, term=3), time.at)
+    group.note_status("b", _status(leads=True, term=4), time.at)
+    received = statements.LogPosition(term=term, number=number)
+    assert group.has_deposed_log("a", received) == is_deposed
+    assert not group.has_deposed_log("c", received)
+
+
 def test_held_writes_wait_until_the_hold_expires(time):
     group = _group_with_primary(time)
     assert group.start_write(time.at) is not None
--- a/bronzehold/process/promotions_test.py
+++ b/bronzehold/process/promotions_test.py
@@ -561,3 +561,32 @@
     assert not harness.tokens.held()
     harness.start_change()
     assert not harness.promoter.calls
+
+
+def test_deposed_primary_is_not_promoted_as_the_only_one_that_answers(
+    harness, monkeypatch
+):
+    """Guards against STALE: commits that were rolled back came back in force.
+
+    The order for another endpoint had been carried out, and a partition hid it.
+    """
+    _list_endpoints(harness, "a", "b")
+    harness.service.limits = routes.ServiceLimits(
+        name="g", connections=4, synchronous=False
+    )
+    harness.tokens.acquire("g")
+    harness.promotions._evaluate_from = 0.0
+    log = statements.LogPosition(term=3, number=191)
+    led = helpers.status(log, leads=True)
+    deposed = helpers.status(log, term=4)
+    group = harness.service.group
+    group.note_status("a", led, clock.now())
+    group.note_status("a", deposed, clock.now())
+    monkeypatch.setattr(
+        harness.service,
+        "probe",
+        lambda name, _command=None: deposed if name == "a" else None,
+    )
+    monkeypatch.setattr(group, "leaderless_s", lambda: 60.0)
+    harness.promotions._check_group(harness.service)
+    assert not harness.promoter.calls
--- a/bronzehold/process/successors.py
+++ b/bronzehold/process/successors.py
@@ -10,6 +10,7 @@
 
 import collections.abc
 from concurrent import futures
+import dataclasses
 import threading
 
 from bronzehold.core import clock
@@ -25,9 +26,30 @@
 MAX_COMPARISONS = 3
 COMPARISON_INTERVAL_S = 0.03
 RESUME_RETRY_S = 1.0
+# An endpoint that was deposed is promoted only if no other one has answered for
+# this long. The one that leads, or a replica that has followed it, is probably
+# behind a partition.
+DEPOSED_LOG_TIMEOUT_S = 10.0
+# Choices that are further apart belong to different losses of a primary.
+MAX_CHOICE_INTERVAL_S = 2.0
 WORKERS = 4
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Wait:
+    """A wait for another candidate than deposed endpoints.
+
+    All times are in seconds of clock.now().
+
+    Attributes:
+        since: The time of the first choice that found none.
+        latest_at: The time of the latest one.
+    """
+
+    since: float
+    latest_at: float
+
+
 class Successors:
     """Compares the logs of a group's endpoints; used by one thread.
 
@@ -45,6 +67,8 @@
         # Replicas that may be paused, by service.
         self._paused: dict[str, set[str]] = {}
         self._resumed_at: dict[str, float] = {}
+        # Waits for another candidate than deposed endpoints, by service.
+        self._waits: dict[str, Wait] = {}
         # Endpoints whose log a choice waits for, by service.
         self._awaited: dict[str, tuple[str, ...]] = {}
 
@@ -58,7 +82,21 @@
             leader: The endpoint to replace, "" if none is known.
         """
         names = _others(service, leader)
-        return _choose(service, self._ask(service, names))
+        successor = _choose(service, self._ask(service, names))
+        name = service.limits.name
+        if successor is None or not successor.deposed:
+            self._waits.pop(name, None)
+            return successor
+        return successor if self._has_waited(name) else None
+
+    def _has_waited(self, name: str) -> bool:
+        """Returns whether another candidate was waited for long enough."""
+        now = clock.now()
+        wait = self._waits.get(name)
+        if wait is None or now - wait.latest_at > MAX_CHOICE_INTERVAL_S:
+            wait = Wait(since=now, latest_at=now)
+        self._waits[name] = dataclasses.replace(wait, latest_at=now)
+        return now - wait.since > DEPOSED_LOG_TIMEOUT_S
 
     def best_caught_up(
         self, service: platform_service.PlatformService, leader: str
@@ -232,6 +270,7 @@
             endpoint=name,
             received=status.received,
             leaving=listings[name].leaving,
+            deposed=service.group.has_deposed_log(name, status.received),
         )
         for name, status in found.items()
         if name in listings
--- a/bronzehold/process/successors_test.py
+++ b/bronzehold/process/successors_test.py
@@ -45,6 +45,7 @@
 class FakeGroup:
     def __init__(self, service):
         self._service = service
+        self.deposed = set()
 
     def listings(self):
         return {name: helpers.listing(name) for name in self._service.replicas}
@@ -55,6 +56,10 @@
     def term(self):
         return 3
 
+    def has_deposed_log(self, endpoint, received):
+        del received
+        return endpoint in self.deposed
+
 
 class FakeService:
     def __init__(self, *, synchronous):
@@ -185,3 +190,29 @@
 
     monkeypatch.setattr(service, "probe", probe)
     assert successors.choose(service, "a").endpoint == "b"
+
+
+def test_deposed_endpoint_waits_for_another_candidate(successors, monkeypatch):
+    """Guards against STALE: a deposed primary led again after a partition.
+
+    The endpoint that led, and the replica that followed it, were out of reach.
+    """
+    now = 100.0
+    monkeypatch.setattr(successors_lib.clock, "now", lambda: now)
+    service = FakeService(synchronous=False)
+    service.group.deposed = {"a"}
+    for name in ("b", "c"):
+        service.replicas[name].is_busy = True
+    assert successors.choose(service, "") is None
+    for _ in range(9):
+        now += 1.0
+        assert successors.choose(service, "") is None
+    service.replicas["b"].is_busy = False
+    assert successors.choose(service, "").endpoint == "b"
+    # The next loss of a primary is waited out anew.
+    service.replicas["b"].is_busy = True
+    assert successors.choose(service, "") is None
+    for _ in range(11):
+        now += 1.0
+        found = successors.choose(service, "")
+    assert found.endpoint == "a"
--- a/bronzehold/version/succession.py
+++ b/bronzehold/version/succession.py
@@ -143,11 +143,14 @@
         endpoint: The id of the endpoint.
         received: The last position in its log.
         leaving: True if the endpoint is leaving too.
+        deposed: True if its log ends in a term in which it led, so that it may
+            hold commits that were rolled back.
     """
 
     endpoint: str
     received: statements.LogPosition
     leaving: bool
+    deposed: bool = False
 
 
 def choose_successor(
@@ -156,10 +159,11 @@
     """Returns the candidate to promote, None if there is none.
 
     A leaving endpoint may end at any time and would have to be replaced again,
-    so it is chosen only if no other can be. Among the others, the one whose
-    promotion loses the fewest writes is chosen: what the log of the new primary
-    lacks is lost. If commits are acknowledged only once a replica has them,
-    none may be lost, and the logs decide first.
+    so it is chosen only if no other can be. One that was deposed is chosen
+    last: its position cannot be compared with the others. Among the others, the
+    one whose promotion loses the fewest writes is chosen: what the log of the
+    new primary lacks is lost. If commits are acknowledged only once a replica
+    has them, none may be lost, and the logs decide first.
 
     Args:
         candidates: The endpoints that have reported their logs.
@@ -173,6 +177,6 @@
         )
     return max(
         candidates,
-        key=lambda s: (not s.leaving, s.received, s.endpoint),
+        key=lambda s: (not s.deposed, not s.leaving, s.received, s.endpoint),
         default=None,
     )
--- a/bronzehold/version/succession_test.py
+++ b/bronzehold/version/succession_test.py
@@ -95,11 +95,12 @@
     assert _decide(no_leader, peers, leaderless_s=1.5) == succession.Keep()
 
 
-def _candidate(name, term, number, *, leaving=False):
+def _candidate(name, term, number, *, leaving=False, deposed=False):
     return succession.Candidate(
         endpoint=name,
         received=statements.LogPosition(term=term, number=number),
         leaving=leaving,
+        deposed=deposed,
     )
 
 
@@ -135,6 +136,22 @@
     assert successor.endpoint == chosen
 
 
+def test_deposed_endpoint_leads_again_only_if_it_is_the_only_one():
+    """Guards against STALE: commits that were rolled back came back in force.
+
+    The log of the deposed primary had a higher position in the old term than
+    that of its successor, and lacked all commits since.
+    """
+    deposed = _candidate("z", 3, 191, deposed=True)
+    others = [_candidate("a", 3, 163), _candidate("b", 3, 160, leaving=True)]
+    assert succession.choose_successor([deposed], synchronous=False) == deposed
+    for other in others:
+        chosen = succession.choose_successor(
+            [deposed, other], synchronous=False
+        )
+        assert chosen == other
+
+
 def test_leaving_endpoint_is_chosen_if_it_is_the_only_one():
     only = _candidate("z", 3, 9, leaving=True)
     assert succession.choose_successor([only], synchronous=False) == only
