--- a/bronzehold/process/store_mirror.py
+++ b/bronzehold/process/store_mirror.py
@@ -14,7 +14,6 @@
 import dataclasses
 import random
 import threading
-import typing
 
 from bronzehold.core import clock
 from bronzehold.core import endpoint_events
@@ -22,15 +21,12 @@
 from bronzehold.core import ports
 from bronzehold.core import routes
 from bronzehold.core import store_events
-from bronzehold.core import validation
+from bronzehold.process import entry_decoding
 from bronzehold.process import listing_order
 from bronzehold.process import platform_process
 from bronzehold.process import store_era
 from bronzehold.process import store_news as news_lib
 
-_EncodedT = typing.TypeVar("_EncodedT")
-_DecodedT = typing.TypeVar("_DecodedT")
-
 # Time for which further changes are collected after some have been read. When a
 # fleet starts, every proxy and endpoint that registers wakes all watches.
 BATCH_S = 0.3
@@ -253,8 +249,8 @@
     def _apply_config(self, item: ports.Item) -> None:
         if item.value is None:
             return
-        table = _decode(self._directory.decode_table, item.value)
-        if isinstance(table, _Undecodable):
+        table = entry_decoding.decode(self._directory.decode_table, item.value)
+        if isinstance(table, entry_decoding.Undecodable):
             self._process.timeline.add(
                 events.ConfigRefused(source="store", problems=table.why)
             )
@@ -289,8 +285,8 @@
             if name in self._listings:
                 self._missing.setdefault(name, clock.now())
             return
-        listing = _decode(self._directory.decode_listing, item)
-        if isinstance(listing, _Undecodable):
+        listing = entry_decoding.decode(self._directory.decode_listing, item)
+        if isinstance(listing, entry_decoding.Undecodable):
             # Another program may have overwritten the entry of an endpoint that
             # works; it writes its own again with its next heartbeat.
             if name in self._listings:
@@ -476,25 +472,5 @@
     was_found: bool = False
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class _Undecodable:
-    why: str
-
-
-def _decode(
-    decode: collections.abc.Callable[[_EncodedT], _DecodedT],
-    encoded: _EncodedT,
-) -> _DecodedT | _Undecodable:
-    """Decodes one entry, so that no entry can keep the others from use."""
-    try:
-        return decode(encoded)
-    except validation.ProblemsError as exc:
-        return _Undecodable(why=str(exc))
-    except Exception as exc:  # noqa: BLE001
-        # Other programs write the entries, and the changes that come with this
-        # one must be applied whatever it holds.
-        return _Undecodable(why=f"{type(exc).__name__}: {exc}")
-
-
 def _incarnation(listing: routes.Listing) -> str:
     return f"{listing.id}@{listing.started_ms}"
