--- a/bronzehold/process/digest_exchange.py
+++ b/bronzehold/process/digest_exchange.py
@@ -111,11 +111,14 @@
         """Returns whether to ask peers for the configuration and endpoints.
 
         The store is the first source. Peers are asked if this proxy has no
-        endpoints yet, or if a peer has a newer configuration and the store is
-        unreachable or has not delivered it in time.
+        endpoints yet, if the store is unreachable and a peer has reported a
+        change in it, or if a peer has a newer configuration and the store has
+        not delivered it in time.
         """
         if not self._process.listings_received.is_set():
             return True
+        if self._mirror.lacks_reported_change():
+            return True
         if self._newest_version <= self._process.table().version:
             return False
         is_late = clock.now() - self._newest_version_at > STORE_GRACE_S
--- a/bronzehold/process/digest_exchange_test.py
+++ b/bronzehold/process/digest_exchange_test.py
@@ -27,6 +27,9 @@
     def store_unreachable(self):
         return self.is_unreachable
 
+    def lacks_reported_change(self):
+        return False
+
     def leaving(self):
         return []
 
--- a/bronzehold/process/listing_order.py
+++ b/bronzehold/process/listing_order.py
@@ -9,6 +9,27 @@
 from bronzehold.core import routes
 
 
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Removed:
+    """An endpoint that was removed.
+
+    Attributes:
+        listing: Its last listing.
+        at: The time of the removal, in seconds of clock.now().
+        was_found: Whether the store held it again after a return, and it was
+            not used.
+    """
+
+    listing: routes.Listing
+    at: float
+    was_found: bool = False
+
+
+def incarnation(listing: routes.Listing) -> str:
+    """Returns the text by which peers name an endpoint since its start."""
+    return f"{listing.id}@{listing.started_ms}"
+
+
 def latest(
     known: routes.Listing | None,
     found: routes.Listing,
--- a/bronzehold/process/store_mirror.py
+++ b/bronzehold/process/store_mirror.py
@@ -23,6 +23,7 @@
 from bronzehold.core import store_events
 from bronzehold.process import entry_decoding
 from bronzehold.process import listing_order
+from bronzehold.process import peer_copies
 from bronzehold.process import platform_process
 from bronzehold.process import store_era
 from bronzehold.process import store_news as news_lib
@@ -67,7 +68,7 @@
         self._on_record = on_record
         self._raw_items: dict[str, ports.Item] = {}
         # Endpoints removed lately by id and start time.
-        self._removed: dict[str, _Removed] = {}
+        self._removed: dict[str, listing_order.Removed] = {}
         # The end of the time for which RETURN_REPORTS_S gives the reason.
         self._reports_count_until = 0.0
         # Endpoints by id and start time that peers report as leaving.
@@ -85,6 +86,7 @@
         # Positions of unused entries by key; each is recorded only once.
         self._unused_positions: dict[str, ports.Position] = {}
         self._unreachable = False
+        self._copies = peer_copies.PeerCopies()
 
     def run(self) -> None:
         """Follows the store until the process stops."""
@@ -314,7 +316,7 @@
     ) -> routes.Listing | None:
         """Returns the listing to act on, None if the one found is older."""
         known = self._listings.get(found.id)
-        removed = self._removed.get(_incarnation(found))
+        removed = self._removed.get(listing_order.incarnation(found))
         latest = listing_order.latest(
             known,
             found,
@@ -331,7 +333,7 @@
                 known=f"born {before.started_ms}, sequence {before.sequence}",
             )
         else:
-            self._removed.pop(_incarnation(found), None)
+            self._removed.pop(listing_order.incarnation(found), None)
         return latest
 
     def _apply_member(self, item: ports.Item) -> None:
@@ -354,8 +356,8 @@
             del self._missing[name]
             listing = self._listings.pop(name, None)
             if listing is not None:
-                self._removed[_incarnation(listing)] = _Removed(
-                    listing=listing, at=now
+                self._removed[listing_order.incarnation(listing)] = (
+                    listing_order.Removed(listing=listing, at=now)
                 )
             self._raw_items.pop(self._directory.listings_prefix + name, None)
         for incarnation, removed in list(self._removed.items()):
@@ -383,7 +385,7 @@
         listings = dict(self._listings)
         if self._use_reports():
             for name, listing in listings.items():
-                if _incarnation(listing) in self._reported_leaving:
+                if listing_order.incarnation(listing) in self._reported_leaving:
                     listings[name] = dataclasses.replace(listing, leaving=True)
         else:
             self._reported_leaving.clear()
@@ -401,7 +403,7 @@
         They are identified by id and start time, for the peers.
         """
         incarnations = [
-            _incarnation(listing)
+            listing_order.incarnation(listing)
             for listing in list(self._listings.values())
             if listing.leaving
         ]
@@ -434,43 +436,50 @@
             if item.value is not None
         ]
 
+    def lacks_reported_change(self) -> bool:
+        """Returns whether peers' entries may hold what this proxy lacks.
+
+        This is so while the store turns this proxy away, and a peer has
+        reported a newer position of it.
+        """
+        return self._unreachable and self._copies.are_needed(
+            self._news.report(), known=self._newest_relevant
+        )
+
     def apply_peer_entries(
         self, entries: collections.abc.Iterable[tuple[str, bytes]], peer: str
     ) -> None:
         """Applies store entries received from a peer.
 
-        The configuration is always applied, the endpoints and the registered
-        proxies only if this proxy has no endpoints.
+        The configuration is always applied. The registered proxies are applied
+        only if this proxy has no endpoints; the endpoints also while the store
+        is unreachable, if they have started since it was read.
 
         Args:
             entries: Keys and undecoded values.
             peer: Name of the peer.
         """
-        has_listings = bool(self._listings)
         items = [
             ports.Item(key=key, value=value, revision=0)
             for key, value in entries
-            if not (has_listings and key != self._directory.config_key)
         ]
+        if self._listings:
+            items = [item for item in items if self._is_peer_item_used(item)]
         self._process.timeline.count(f"entries from {peer}")
+        self._copies.note(self._news.report())
         self._apply(items)
 
-
-@dataclasses.dataclass(kw_only=True, slots=True)
-class _Removed:
-    """An endpoint that was removed.
-
-    Attributes:
-        listing: Its last listing.
-        at: The time of the removal, in seconds of clock.now().
-        was_found: Whether the store held it again after a return, and it was
-            not used.
-    """
-
-    listing: routes.Listing
-    at: float
-    was_found: bool = False
-
-
-def _incarnation(listing: routes.Listing) -> str:
-    return f"{listing.id}@{listing.started_ms}"
+    def _is_peer_item_used(self, item: ports.Item) -> bool:
+        """Returns whether a peer's entry may add to those of the store."""
+        if item.key == self._directory.config_key:
+            return True
+        prefix = self._directory.listings_prefix
+        if not self._unreachable or not item.key.startswith(prefix):
+            return False
+        found = entry_decoding.decode(self._directory.decode_listing, item)
+        if isinstance(found, entry_decoding.Undecodable):
+            return False
+        if listing_order.incarnation(found) in self._removed:
+            return False
+        known = self._listings.get(item.key.removeprefix(prefix))
+        return known is None or known.started_ms < found.started_ms
--- a/bronzehold/process/store_mirror_test.py
+++ b/bronzehold/process/store_mirror_test.py
@@ -254,3 +254,43 @@
     monkeypatch.setattr(mirror_lib, "LAPSE_GRACE_S", -1.0)
     mirror._expire()
     assert not mirror._listings
+
+
+def _mirror_with_listing(run_mirror, monkeypatch, *, unreachable):
+    """Returns a mirror that lists one endpoint."""
+    listings = {
+        b"old": helpers.listing("a", started_ms=10),
+        b"again": helpers.listing("a", started_ms=20),
+        b"new": helpers.listing("b", started_ms=30),
+    }
+    monkeypatch.setattr(FakeDirectory, "listings", listings)
+    item = ports.Item(key="listings/a", value=b"old", revision=6)
+    responses = [ports.Snapshot(items=(item,), revision=6)]
+    if unreachable:
+        responses.append(ports.StoreError("turned away"))
+    mirror = run_mirror(*responses).mirror
+    mirror._unreachable = unreachable
+    return mirror
+
+
+@pytest.mark.parametrize(
+    ("entry", "unreachable", "is_used"),
+    [
+        (("listings/b", b"new"), True, True),
+        (("listings/a", b"again"), True, True),
+        (("listings/a", b"old"), True, False),
+        (("listings/b", b"new"), False, False),
+        (("listings/b", b"odd"), True, False),
+        (("members/p1", b"h:1"), True, False),
+    ],
+)
+def test_endpoint_that_has_started_is_taken_from_peers_without_the_store(
+    run_mirror, monkeypatch, entry, unreachable, is_used
+):
+    """Guards against DRAIN: a proxy knew only endpoints that leave."""
+    mirror = _mirror_with_listing(
+        run_mirror, monkeypatch, unreachable=unreachable
+    )
+    before = dict(mirror._listings)
+    mirror.apply_peer_entries([entry], "p2")
+    assert (mirror._listings != before) == is_used
--- a/tests/duty_handover_test.py
+++ b/tests/duty_handover_test.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from bronzehold.core import ports
 from bronzehold.platform import local as platform_local
 from tests import failover_calls
 from tests import helpers
@@ -89,6 +90,39 @@
     assert last > first
 
 
+class UnavailableStore:
+    """A store that turns a proxy away."""
+
+    def __getattr__(self, name):
+        def fail(*_args, **_kwargs):
+            raise ports.StoreError(f"{name}: turned away")
+
+        return fail
+
+
+def test_holder_that_the_store_turns_away_hands_over_to_one_that_stays(
+    deployment,
+):
+    """Guards against DRAIN: the lead went from one leaving endpoint to another.
+
+    The holder heard from its peers which endpoints leave, and not that another
+    one had started.
+    """
+    calls = failover_calls.FailoverCalls(deployment)
+    first = holder(deployment)
+    first.mirror._store = UnavailableStore()
+    deployment.configure()
+    helpers.wait_for(first.mirror.store_unreachable)
+    old = frozenset(deployment.group.endpoints)
+    deployment.add_endpoint("e4", "z1")
+    deployment.publish_listings(draining=old)
+    new = deployment.group.endpoints["e4"]
+    helpers.wait_for(lambda: deployment.group.primary() is new, DRAIN_S)
+    ordered = {order[1] for order in deployment.store.promotion_orders}
+    assert ordered == {"e4"}
+    assert set(calls.holders) == {first.cfg.name}
+
+
 def test_writes_are_not_held_again_for_orders_that_are_not_answered(
     deployment,
 ):
