--- a/bronzehold/core/errors.py
+++ b/bronzehold/core/errors.py
@@ -10,6 +10,9 @@
 
 from bronzehold.core import statements
 
+# Messages quote names and values of callers, of up to a mebibyte each.
+MAX_MESSAGE_LENGTH = 1000
+
 
 class Outcome(enum.Enum):
     """The outcome of a request that failed."""
@@ -391,5 +394,5 @@
     return Report(
         outcome=Outcome.NOT_RUN,
         sqlstate=sqlstate,
-        message=f"not run: {message}",
+        message=f"not run: {message[:MAX_MESSAGE_LENGTH]}",
     )
--- a/bronzehold/process/timeline.py
+++ b/bronzehold/process/timeline.py
@@ -22,6 +22,8 @@
 # a failed instance refuses in one second; the rate after it is a fraction.
 FREQUENT_EVENTS_PER_S = 50
 FREQUENT_EVENTS_BURST = 300
+# Events hold ids and names that callers choose, of up to a mebibyte each.
+MAX_TEXT_LENGTH = 1000
 LOGGER_NAME = "bronzehold"
 
 # Used as a library, the package writes no log lines unless the application
@@ -79,7 +81,8 @@
         self._logger = logging.getLogger(LOGGER_NAME)
 
     def add(self, event: events.Event) -> None:
-        """Records an event and logs it."""
+        """Records an event and logs it; long texts in it are shortened."""
+        event = _shorten(event)
         with self._lock:
             entry = Entry(
                 sequence=next(self._sequence),
@@ -129,6 +132,17 @@
             return [e for e in self._entries if e.sequence > sequence]
 
 
+def _shorten(event: events.Event) -> events.Event:
+    """Returns an event without the rest of each long text."""
+    shortened = {
+        field.name: value[:MAX_TEXT_LENGTH] + f"... ({len(value)} characters)"
+        for field in dataclasses.fields(event)
+        if isinstance(value := getattr(event, field.name), str)
+        and len(value) > MAX_TEXT_LENGTH
+    }
+    return dataclasses.replace(event, **shortened) if shortened else event
+
+
 def _log_fields(entry: Entry) -> dict:
     fields = to_json_fields(entry)
     fields["instance"] = fields.pop("proxy")
--- a/tests/crowds_test.py
+++ b/tests/crowds_test.py
@@ -29,6 +29,9 @@
 MAX_OPEN = crowds.MAX_DESCRIPTORS - 32
 STARTUP = b"STARTUP own k\r\n"
 MESSAGE_BYTES = crowds.MEBIBYTE - 64
+# Callers whose messages are all answered.
+IDS_CROWD = 30
+MESSAGES_PER_CALLER = 5
 HALF_KIB = 512 * 1024
 
 pytestmark = [pytest.mark.crowd, pytest.mark.timeout(150)]
@@ -237,6 +240,25 @@
     _check(proxy)
 
 
+def test_long_ids_of_refused_messages(proxy, gather):
+    """Guards against memory for the ids of requests in kept events."""
+    proxy.mark_start()
+    crowd = gather(proxy.callers, IDS_CROWD)
+    crowd.push(STARTUP)
+    for _ in range(MESSAGES_PER_CALLER):
+        crowd.push(b"QUERY " + b"x" * MESSAGE_BYTES + b"\r\n")
+    _check(proxy)
+
+
+def test_long_database_names_of_refused_callers(proxy, gather):
+    """Guards against memory for the names that callers connect to."""
+    proxy.mark_start()
+    for _ in range(MESSAGES_PER_CALLER):
+        crowd = gather(proxy.callers, IDS_CROWD)
+        crowd.push(b"STARTUP " + b"x" * MESSAGE_BYTES + b" k\r\n")
+    _check(proxy)
+
+
 # The PostgreSQL path.
 
 
@@ -288,6 +310,18 @@
     _check(postgres)
 
 
+def test_postgres_long_names_of_unknown_statements(postgres, gather):
+    """Guards against memory for names in the events of failed requests."""
+    postgres.mark_start()
+    crowd = gather(postgres.callers, IDS_CROWD)
+    crowd.push(_startup_packet())
+    body = b"S" + b"x" * MESSAGE_BYTES + b"\0"
+    describe = b"D" + struct.pack("!I", len(body) + 4) + body
+    for _ in range(MESSAGES_PER_CALLER):
+        crowd.push(describe + b"S" + struct.pack("!I", 4))
+    _check(postgres)
+
+
 @pytest.mark.parametrize(
     "first", [b"", _startup_packet()], ids=["open", "idle"]
 )
