--- a/bronzehold/connection/forward_server.py
+++ b/bronzehold/connection/forward_server.py
@@ -220,6 +220,7 @@
             version=call.version,
             may_redirect=bool(call.workspace) and not call.redirected,
             may_start=self._account.may_start,
+            hold_answer=self._hold_answer,
         )
         req = call.request
         match call.block:
@@ -263,6 +264,9 @@
             )
         )
 
+    def _hold_answer(self, size: int) -> None:
+        self._account.hold(peer_reader.COPIES * size, byte_budget.Phase.RUNNING)
+
     def end(self) -> None:
         """Closes the connection once the request in progress is answered."""
         with contextlib.suppress(OSError):
--- a/bronzehold/connection/platform_blocks.py
+++ b/bronzehold/connection/platform_blocks.py
@@ -34,6 +34,7 @@
         may_redirect: Whether it may be refused in favour of the proxies in the
             region of its endpoint, which have the workspace's connections.
         may_start: Returns whether there is memory for an answer.
+        hold_answer: Charges the bytes of an answer that has arrived.
     """
 
     route: routes.Route
@@ -44,6 +45,7 @@
     version: int = 0
     may_redirect: bool = False
     may_start: collections.abc.Callable[[], bool] = lambda: True
+    hold_answer: collections.abc.Callable[[int], None] = lambda _size: None
 
     @property
     def deadline(self) -> float:
--- a/bronzehold/connection/platform_caller.py
+++ b/bronzehold/connection/platform_caller.py
@@ -372,6 +372,7 @@
             workspace=self._access.workspace,
             version=self._version,
             may_start=self._link.may_start,
+            hold_answer=self._link.hold_answer,
         )
 
     def _refuse_if_stopping(
--- a/bronzehold/connection/platform_exchange.py
+++ b/bronzehold/connection/platform_exchange.py
@@ -339,6 +339,10 @@
             case statements.Refused(reason=statements.RefusalReason.BUSY):
                 context.service.note_busy(self.endpoint)
         self._completed = isinstance(answer, statements.Completed)
+        if isinstance(answer, statements.Completed):
+            # The statement keeps its slot until the answer is charged, so that
+            # not more of them arrive uncharged than endpoints have slots.
+            context.hold_answer(len(answer.body))
         self._record_failure(context, forward.request, answer)
         return answer
 
--- a/bronzehold/core/ports.py
+++ b/bronzehold/core/ports.py
@@ -98,6 +98,9 @@
     def hold_state(self, size: int) -> bool:
         """Returns whether the session's state may take a number of bytes."""
 
+    def hold_answer(self, size: int) -> None:
+        """Charges the memory for an answer of some bytes that has arrived."""
+
     def may_start(self) -> bool:
         """Returns whether there is memory for an answer."""
 
--- a/bronzehold/platform/listener.py
+++ b/bronzehold/platform/listener.py
@@ -40,6 +40,8 @@
 NOT_TAKING_S = 1.0
 # Part of a large answer that a caller has to take within that time.
 SEND_PART_BYTES = 65536
+# The rows of an answer are in memory beside its body.
+ANSWER_COPIES = 2
 
 
 class Conn:
@@ -116,8 +118,7 @@
         if len(body) <= byte_budget.FREE_BYTES:
             self._send(body + ready)
             return
-        # The rows of the answer are in memory beside its body.
-        self._account.hold(2 * len(body), byte_budget.Phase.SENDING)
+        self._account.hold(ANSWER_COPIES * len(body), byte_budget.Phase.SENDING)
         view = memoryview(body)
         for start in range(0, len(body), SEND_PART_BYTES):
             self._send(view[start : start + SEND_PART_BYTES])
@@ -137,6 +138,11 @@
         """Returns whether the session's state may take a number of bytes."""
         return self._account.hold_state(size)
 
+    def hold_answer(self, size: int) -> None:
+        """Charges the memory for an answer of some bytes that has arrived."""
+        if size > byte_budget.FREE_BYTES:
+            self._account.hold(ANSWER_COPIES * size, byte_budget.Phase.RUNNING)
+
     def may_start(self) -> bool:
         """Returns whether there is memory for an answer."""
         return self._account.may_start()
