Succession: a leaving primary is handed over though a proxy is cut off from it

Cause: a planned change was decided only if no proxy reported the primary unreachable. One that is cut off was enough to keep it until it ended.

A leaving primary is handed over as long as a proxy reaches it. A holder that is cut off itself waits for the last position that the digests of its peers prove.

Three new tests failed before.

--- a/bronzehold/process/successors.py
+++ b/bronzehold/process/successors.py
@@ -103,18 +103,24 @@
     ) -> succession.Candidate | None:
         """Returns the best endpoint, if possible one that has caught up.
 
-        The logs are compared with the primary's several times.
+        The logs are compared several times with the primary's, or with the
+        newest position that its answers have proved if it does not answer this
+        proxy. The writes have to be held, so that it is the last one.
 
         Args:
             service: The service.
             leader: The primary.
         """
         status = service.probe(leader)
+        proof = service.group.proofs.newest()
+        position = proof.position if proof is not None else None
+        if status is not None:
+            position = status.received
         for _ in range(MAX_COMPARISONS):
             successor = self.best(service, leader)
-            if status is None or successor is None:
+            if position is None or successor is None:
                 return successor
-            if successor.received >= status.received:
+            if successor.received >= position:
                 return successor
             self._stop.wait(COMPARISON_INTERVAL_S)
         return successor
--- a/bronzehold/process/successors_test.py
+++ b/bronzehold/process/successors_test.py
@@ -8,6 +8,7 @@
 from bronzehold.core import statements
 from bronzehold.process import successors as successors_lib
 from bronzehold.process import timeline as timeline_lib
+from bronzehold.version import freshness
 from tests import helpers
 
 PAUSE = statements.PauseReplication
@@ -46,6 +47,7 @@
     def __init__(self, service):
         self._service = service
         self.deposed = set()
+        self.proofs = freshness.Proofs()
 
     def listings(self):
         return {name: helpers.listing(name) for name in self._service.replicas}
@@ -216,3 +218,23 @@
         now += 1.0
         found = successors.choose(service, "")
     assert found.endpoint == "a"
+
+
+def test_log_is_compared_with_a_primary_that_only_peers_reach(
+    successors, monkeypatch
+):
+    """Guards against a planned change that loses the last commits.
+
+    This proxy is cut off from the leaving primary; digests of its peers prove
+    the last position.
+    """
+    service = FakeService(synchronous=False)
+    service.replicas["a"].is_busy = True
+    service.group.proofs.add(freshness.Proof(position=position(9), at=1.0))
+
+    def catch_up(_seconds):
+        service.replicas["c"].received = 9
+
+    monkeypatch.setattr(successors._stop, "wait", catch_up)
+    found = successors.best_caught_up(service, "a")
+    assert (found.endpoint, found.received) == ("c", position(9))
--- a/bronzehold/version/succession.py
+++ b/bronzehold/version/succession.py
@@ -83,6 +83,9 @@
     a large fleet it suffices that no proxy reaches it, this one included, and
     that all those which serve the group have tried.
 
+    A leaving primary is handed over as long as a proxy reaches it: those that
+    do go on using it, whether or not others are cut off from it.
+
     Args:
         own: The view of this proxy.
         others: The views of its live peers.
@@ -119,7 +122,7 @@
         )
     if not reached and _is_lost_to_all(own, serving, serving_proxies):
         return Replace(reason=f"unreachable for all {serving_proxies} serving")
-    return HandOver() if leaving and not unreachable else Keep()
+    return HandOver() if leaving and reached else Keep()
 
 
 def _is_lost_to_all(
--- a/bronzehold/version/succession_test.py
+++ b/bronzehold/version/succession_test.py
@@ -86,6 +86,27 @@
     assert isinstance(decision, succession.Replace)
 
 
+@pytest.mark.parametrize(
+    ("own", "others"),
+    [
+        (REACHED, [UNREACHABLE, UNKNOWN, UNKNOWN]),
+        (UNREACHABLE, [REACHED, REACHED, UNKNOWN]),
+    ],
+)
+def test_leaving_primary_is_handed_over_though_one_proxy_is_cut_off(
+    own, others
+):
+    """Guards against DRAIN: the others went on using it until it ended."""
+    views = [_view(reach) for reach in others]
+    assert _decide(_view(own), views, leaving=True) == succession.HandOver()
+    assert _decide(_view(own), views) == succession.Keep()
+
+
+def test_leaving_primary_that_nobody_reaches_is_no_planned_change():
+    views = [_view(UNKNOWN)] * 3
+    assert _decide(_view(UNREACHABLE), views, leaving=True) == succession.Keep()
+
+
 def test_endpoint_is_promoted_only_after_the_leaderless_timeout():
     no_leader = _view(UNKNOWN, leader="")
     assert _decide(no_leader, leaderless_s=0.5) == succession.Keep()
