Token exchange test: the ended proxy has ended before it is asked again

A connection is ended by shutting down its receiving side, and the old process's session, which is a thread in this test, may read and answer one more request before it notices. A process that has ended cannot.

--- a/bronzehold/connection/token_exchange_test.py
+++ b/bronzehold/connection/token_exchange_test.py
@@ -22,6 +22,7 @@
 from bronzehold.process import token_messages as messages
 from bronzehold.proto import forward_pb2 as pb
 from bronzehold.version import members as members_lib
+from tests import helpers
 
 REQUEST = messages.TokenRequest(
     workspace="w", version=7, count=3, skipped=("p1", "p2"), ended=("p1",)
@@ -83,6 +84,8 @@
         self._thread.join()
         for connection in self.process.forwarded.list():
             connection.end()
+        # A session that has not noticed yet would answer one more request.
+        helpers.wait_for(lambda: not self.process.forwarded.list())
         self.tasks.close()
 
 
