Group: earlier primaries are remembered up to a number; words

The terms in which endpoints were found to lead were kept for all that were ever listed. Beyond 256, only those that are listed stay.

--- a/bronzehold/connection/primary_runner.py
+++ b/bronzehold/connection/primary_runner.py
@@ -251,7 +251,7 @@
     target: str,
     position: statements.LogPosition | None,
 ) -> None:
-    """Waits until a commit that its primary acknowledged can not be lost.
+    """Waits until a commit that its primary acknowledged cannot be lost.
 
     Raises:
         errors.FailureError: The primary was replaced meanwhile, or that is not
--- a/bronzehold/process/digest_exchange.py
+++ b/bronzehold/process/digest_exchange.py
@@ -187,8 +187,8 @@
         """Returns whether a digest has to hold this proxy's view of a group.
 
         A proxy that does not serve the group has its view from others, unless
-        it was asked to probe the primary, takes part in a planned change, or
-        cannot use the group's token, or has fenced orders that peers wait for.
+        it was asked to probe the primary, takes part in a planned change,
+        cannot use the group's token or has fenced orders that peers wait for.
         """
         group = service.group
         return (
--- a/bronzehold/process/platform_group.py
+++ b/bronzehold/process/platform_group.py
@@ -28,6 +28,9 @@
 # that a route tolerates.
 MIN_ESTIMATE_VALID_S = 0.1
 MAX_ESTIMATE_VALID_S = 0.8
+# Endpoints that are not listed any more are remembered as earlier primaries up
+# to this number: one behind a partition may be listed again.
+MAX_LED_TERMS = 256
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -88,6 +91,12 @@
             old = self._listings
             self._listings = dict(listings)
             self._contacts.apply_listings(old, listings)
+            if len(self._led_terms) > MAX_LED_TERMS:
+                self._led_terms = {
+                    name: term
+                    for name, term in self._led_terms.items()
+                    if name in listings
+                }
             leader = self._leader
             if leader is not None and leader.endpoint not in listings:
                 self._clear_leader("no longer listed")
