--- a/bronzehold/platform/standin_group.py
+++ b/bronzehold/platform/standin_group.py
@@ -21,6 +21,8 @@
 # Interval at which the group checks for entries to replicate.
 REPLICATION_INTERVAL_S = 0.002
 LISTEN_BACKLOG = 256
+# The stand-ins in review/ derive from it by this name.
+_Session = standin_session.Session
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
