--- a/tests/synchronous_change_test.py
+++ b/tests/synchronous_change_test.py
@@ -197,6 +197,21 @@
     stage.check_callers()
 
 
+def test_holder_that_cannot_call_is_replaced_without_a_loss(start):
+    """Guards against DRAIN and LOST together."""
+    stage = start(proxies=4, drain_ms=7_000)
+    holder = find_holder(stage.deployment)
+    stage.calls.cut_off.add(holder.cfg.name)
+    begun = time.monotonic()
+    stage.drain_primary()
+    stage.add_replica()
+    # No write waits for an order that is not answered.
+    assert stage.acknowledged_since(begun + JOIN_S / 2) > 5
+    stage.wait_for_change()
+    assert find_holder(stage.deployment) is not holder
+    stage.finish()
+
+
 def test_planned_change_without_faults_keeps_all_commits(start):
     stage = start(proxies=3)
     stage.drain_primary()
