--- a/review/harness_3.py
+++ b/review/harness_3.py
@@ -203,6 +203,7 @@
         promoter_address=lambda address: address,
         settings: dict | None = None,
         start_group=standin_group.Group,
+        start_store=standin_store.Store,
     ):
         self.groups = {}
         for service in services:
@@ -212,7 +213,7 @@
                     service=service, zones=ids, **(group or {})
                 )
             )
-        self.store = standin_store.Store(groups=self.groups)
+        self.store = start_store(groups=self.groups)
         self._sequence = 0
         self._lock = threading.Lock()
         self.version = 0
