Review case 14: a leaving primary is used past drain_ms

Tried: a release of the primary while POST /failover answers nobody for 9 s. Case 12 runs with 4 slots and 3.8 ms of work, so that more commits are on their way.

--- a/review/12/case.py
+++ b/review/12/case.py
@@ -25,7 +25,7 @@
     "dusu75a": "collection-db-5",
 }
 PROXIES = 4
-SESSIONS = 10
+SESSIONS = 6
 PAUSE_S = 0.001
 # The primary and one replica are in one region, the other replica is not.
 REGIONS = {
@@ -33,7 +33,7 @@
     "ub-khan-uul": "ulaanbaatar",
     "dkh-center": "darkhan",
 }
-# Figures of the sheet of tsk-collect: the network one way, a promote.
+# Figures of the sheets: the network one way, a promote.
 IN_REGION_S = 0.0005
 BETWEEN_REGIONS_S = 0.012
 PROMOTE_S = 1.0
@@ -157,10 +157,10 @@
         proxies=PROXIES,
         services=tuple(SERVICES.values()),
         group={
-            "work_s": 0.0051,
+            "work_s": 0.0038,
             "promote_s": PROMOTE_S,
-            "slots": 3,
-            "connections": 41,
+            "slots": 4,
+            "connections": 46,
             "sync_replicas": 1,
         },
         start_group=Group,
--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,6 +1,5 @@
-"""Callers with long STARTUP messages run proxies out of memory."""
+"""A leaving primary gets work past drain_ms while failover calls fail."""
 
-import contextlib
 import pathlib
 import socket
 import sys
@@ -9,111 +8,188 @@
 
 import harness_3 as harness
 
+from bronzehold.core import ports
+from bronzehold.platform import standin_store
+from bronzehold.platform import wire
+
+DATABASE = "lepu270"
+SERVICE = "buzon-1"
 PROXIES = 4
-CROWDED = 2
-# The limit in the settings, which the platform enforces.
-MEMORY_MB = 430
-CALLERS = 460
-WHO_BYTES = harness.MEBIBYTE - 64
-USUAL_WHO = b"u3f1"
-ENDS = 3
-RUN_S = 40.0
-
-
-def connect(address, who: bytes) -> socket.socket | None:
-    """Opens a session; returns None if that fails."""
-    try:
-        sock = socket.create_connection(address, 5.0)
-    except OSError:
-        return None
-    with contextlib.suppress(OSError):
-        sock.settimeout(8.0)
-        sock.sendall(b"STARTUP lepu270 " + who + b"\r\n")
-        if sock.recv(64).startswith(b"READY I"):
-            return sock
-    sock.close()
-    return None
-
-
-def crowd(record, proxy, who: bytes, done: threading.Event) -> None:
-    """Opens sessions at a proxy and leaves them idle.
-
-    Opens them again after the process has ended, like any client.
+SESSIONS = 2
+PAUSE_S = 0.05
+DRAIN_S = 7.0
+# The primary ends this much later than drain_ms after its report.
+LINGER_S = 4.0
+# The platform answers no failover call for this long, from just before it.
+OUTAGE_S = 9.0
+LEAD_S = 0.1
+LEAVES_AT_S = 6.0
+RUN_S = 22.0
+
+
+class Store(standin_store.Store):
+    """A platform whose failover call can be down; its store is not.
+
+    Attributes:
+        record: The record of the case.
+        is_down: Whether failover calls are not answered and not carried out.
     """
-    while not done.is_set():
-        sessions = []
-        starts = proxy.starts
-        while proxy.starts == starts and not done.is_set():
-            if len(sessions) < CALLERS:
-                sock = connect(proxy.callers, who)
-                if sock is not None:
-                    sessions.append(sock)
-                    continue
+
+    def __init__(self, *, groups):
+        super().__init__(groups=groups)
+        self.record: harness.Record | None = None
+        self.is_down = False
+
+    def _promote(self, body, headers) -> tuple[int, dict]:
+        text = f"failover to {body['id']} by {headers['Duty-Holder']}"
+        if self.is_down:
+            self.record.add(f"{text} is not answered")
+            while self.is_down:
+                time.sleep(0.05)
+            return 0, {}
+        status, fields = super()._promote(body, headers)
+        self.record.add(f"{text}: {status} {fields}")
+        return status, fields
+
+
+class Client:
+    """A caller that writes and reads, one statement at a time.
+
+    Attributes:
+        sent_at: When each statement was sent, by its id, in seconds of
+            time.monotonic().
+    """
+
+    def __init__(self, *, record: harness.Record, name: str, address):
+        self._record = record
+        self._name = name
+        self._address = address
+        self.sent_at: dict[str, float] = {}
+
+    def run(self, until: float) -> None:
+        """Works until a time of time.monotonic()."""
+        while time.monotonic() < until:
+            try:
+                with socket.create_connection(self._address, 2.0) as sock:
+                    sock.settimeout(5.0)
+                    self._run_session(sock, until)
+            except (OSError, ports.TransportError) as exc:
+                self._record.add(f"{self._name}: {exc}")
             time.sleep(0.1)
-        record.add(f"{len(sessions)} sessions were open at {proxy.name}")
-        for sock in sessions:
-            sock.close()
-
-
-def ask(proxy) -> str:
-    """Returns the end of the answer to one read at a proxy."""
-    sock = connect(proxy.callers, USUAL_WHO)
-    if sock is None:
-        return "no session"
-    with sock:
-        sock.sendall(b"QUERY a1 READ item\r\n")
-        answer = b""
-        while b"READY" not in answer:
-            part = sock.recv(4096)
-            if not part:
-                return "no answer"
-            answer += part
-    return answer.decode().strip().splitlines()[-2]
+
+    def _run_session(self, sock: socket.socket, until: float) -> None:
+        lines = wire.LineReader(sock=sock)
+        sock.sendall(f"STARTUP {DATABASE} {self._name}\r\n".encode())
+        lines.read_line()
+        while time.monotonic() < until:
+            number = len(self.sent_at)
+            request_id = f"{self._name}-{number}"
+            text = f"WRITE item-{self._name} {number}"
+            if number % 2:
+                text = f"READ item-{self._name}"
+            self.sent_at[request_id] = time.monotonic()
+            sock.sendall(f"QUERY {request_id} {text}\r\n".encode())
+            answer = ""
+            while not (line := lines.read_line()).startswith(b"READY"):
+                answer = line.decode()
+            self._record.add(f"{request_id} {text}: {answer}")
+            time.sleep(PAUSE_S)
 
 
 def case(record: harness.Record, folder: pathlib.Path) -> bool:
-    """Returns whether the processes stay within their memory."""
-    deployment = harness.Deployment(folder=folder, proxies=PROXIES)
+    """Returns whether the leaving primary gets no work past drain_ms."""
+    deployment = harness.Deployment(
+        folder=folder,
+        proxies=PROXIES,
+        services=(SERVICE,),
+        group={"work_s": 0.0038, "promote_s": 0.6, "lag_s": 0.008},
+        start_store=Store,
+    )
+    deployment.store.record = record
+    group = deployment.groups[SERVICE]
     deployment.configure(
         [
             {
                 "name": "r1",
-                "database": "lepu270",
-                "service": "buzon-1",
+                "database": DATABASE,
+                "service": SERVICE,
                 "type": "primary",
             }
         ]
     )
-    platform = harness.Platform(
-        record=record, proxies=deployment.proxies, memory_mb=MEMORY_MB
-    )
-    who = b"u" * WHO_BYTES if harness.has_trouble() else USUAL_WHO
     try:
         deployment.start()
-        platform.start()
-        record.add(f"a read before the crowd: {ask(deployment.proxies[0])}")
-        until = time.monotonic() + RUN_S
-        done = threading.Event()
+        started_at = time.monotonic()
+        clients = [
+            Client(
+                record=record,
+                name=f"c{proxy.name[-1]}{number}",
+                address=proxy.callers,
+            )
+            for proxy in deployment.proxies
+            for number in range(SESSIONS)
+        ]
         threads = [
-            threading.Thread(target=crowd, args=(record, proxy, who, done))
-            for proxy in deployment.proxies[:CROWDED]
+            threading.Thread(target=c.run, args=(started_at + RUN_S,))
+            for c in clients
         ]
         for thread in threads:
             thread.start()
-        while time.monotonic() < until:
-            time.sleep(0.5)
-            ended = [n for n in platform.ends.values() if n >= ENDS]
-            if len(ended) >= CROWDED:
-                break
-        done.set()
-        record.add(f"ends {platform.ends}")
+        time.sleep(LEAVES_AT_S)
+        name, accepted_at = release(record, deployment, group)
         for thread in threads:
             thread.join()
-        record.add(f"peaks {platform.peaks}")
     finally:
-        platform.close()
         deployment.close()
-    return sum(n >= ENDS for n in platform.ends.values()) < 2
+    return check(record, clients, group, name, accepted_at)
+
+
+def release(record, deployment, group) -> tuple[str, float]:
+    """Replaces the primary; returns its id and the time of its report."""
+    endpoint = group.primary()
+    new = f"{endpoint.name}-new"
+    group.add_endpoint(new, endpoint.zone)
+    deployment.publish()
+    record.add(f"{new} starts")
+    time.sleep(1.0)
+    deployment.store.is_down = harness.has_trouble()
+    time.sleep(LEAD_S)
+    deployment.draining = frozenset({endpoint.name})
+    deployment.publish()
+    accepted_at = time.monotonic()
+    record.add(f"the store has the report that {endpoint.name} is draining")
+    time.sleep(OUTAGE_S)
+    deployment.store.is_down = False
+    record.add("failover calls are answered again")
+    time.sleep(max(0.0, accepted_at + DRAIN_S + LINGER_S - time.monotonic()))
+    endpoint.kill()
+    deployment.store.remove(f"servers/{endpoint.name}")
+    record.add(f"{endpoint.name} has ended, {group.primary().name} leads")
+    return endpoint.name, accepted_at
+
+
+def check(record, clients, group, name: str, accepted_at: float) -> bool:
+    """Looks for statements that reached the primary too late."""
+    sent_at = {i: at for client in clients for i, at in client.sent_at.items()}
+    late = [
+        entry
+        for entry in group.executed
+        if entry.endpoint == name
+        and entry.request_id in sent_at
+        and entry.executed_at > accepted_at + DRAIN_S
+    ]
+    for entry in late:
+        after_sending_s = entry.executed_at - sent_at[entry.request_id]
+        record.add(
+            f"late: {entry.request_id} {entry.text} ran at {name} "
+            f"{entry.executed_at - accepted_at:.3f} s after the report, "
+            f"{after_sending_s:.3f} s after it was sent"
+        )
+    record.add(
+        f"{len(sent_at)} statements were sent, {len(late)} ran at {name} more "
+        f"than {DRAIN_S} s after its report"
+    )
+    return not late
 
 
 if __name__ == "__main__":
