--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,4 +1,4 @@
-"""A leaving primary gets work past drain_ms while failover calls fail."""
+"""A leaving primary gets work past drain_ms while the others are down."""
 
 import pathlib
 import socket
@@ -9,49 +9,25 @@
 import harness_3 as harness
 
 from bronzehold.core import ports
-from bronzehold.platform import standin_store
 from bronzehold.platform import wire
 
 DATABASE = "lepu270"
-SERVICE = "buzon-1"
+SERVICE = "collection-db-1"
 PROXIES = 4
 SESSIONS = 2
 PAUSE_S = 0.05
 DRAIN_S = 7.0
 # The primary ends this much later than drain_ms after its report.
 LINGER_S = 4.0
-# The platform answers no failover call for this long, from just before it.
-OUTAGE_S = 9.0
-LEAD_S = 0.1
+# All other endpoints crash this much later than its report, for this long.
+CRASH_AFTER_S = 0.5
+CRASH_S = 7.0
+# Three heartbeat intervals, after which the store removes an entry.
+SILENCE_S = 3.6
 LEAVES_AT_S = 6.0
 RUN_S = 22.0
 
 
-class Store(standin_store.Store):
-    """A platform whose failover call can be down; its store is not.
-
-    Attributes:
-        record: The record of the case.
-        is_down: Whether failover calls are not answered and not carried out.
-    """
-
-    def __init__(self, *, groups):
-        super().__init__(groups=groups)
-        self.record: harness.Record | None = None
-        self.is_down = False
-
-    def _promote(self, body, headers) -> tuple[int, dict]:
-        text = f"failover to {body['id']} by {headers['Duty-Holder']}"
-        if self.is_down:
-            self.record.add(f"{text} is not answered")
-            while self.is_down:
-                time.sleep(0.05)
-            return 0, {}
-        status, fields = super()._promote(body, headers)
-        self.record.add(f"{text}: {status} {fields}")
-        return status, fields
-
-
 class Client:
     """A caller that writes and reads, one statement at a time.
 
@@ -102,10 +78,14 @@
         folder=folder,
         proxies=PROXIES,
         services=(SERVICE,),
-        group={"work_s": 0.0038, "promote_s": 0.6, "lag_s": 0.008},
-        start_store=Store,
+        group={
+            "slots": 3,
+            "connections": 41,
+            "work_s": 0.0051,
+            "promote_s": 1.0,
+            "lag_s": 0.008,
+        },
     )
-    deployment.store.record = record
     group = deployment.groups[SERVICE]
     deployment.configure(
         [
@@ -152,15 +132,13 @@
     deployment.publish()
     record.add(f"{new} starts")
     time.sleep(1.0)
-    deployment.store.is_down = harness.has_trouble()
-    time.sleep(LEAD_S)
     deployment.draining = frozenset({endpoint.name})
     deployment.publish()
     accepted_at = time.monotonic()
     record.add(f"the store has the report that {endpoint.name} is draining")
-    time.sleep(OUTAGE_S)
-    deployment.store.is_down = False
-    record.add("failover calls are answered again")
+    time.sleep(CRASH_AFTER_S)
+    if harness.has_trouble():
+        crash_others(record, deployment, group, endpoint.name)
     time.sleep(max(0.0, accepted_at + DRAIN_S + LINGER_S - time.monotonic()))
     endpoint.kill()
     deployment.store.remove(f"servers/{endpoint.name}")
@@ -168,6 +146,22 @@
     return endpoint.name, accepted_at
 
 
+def crash_others(record, deployment, group, name: str) -> None:
+    """Crashes all endpoints but one and starts them again with their logs."""
+    others = [e for e in group.endpoints.values() if e.name != name]
+    for other in others:
+        other.kill()
+        record.add(f"{other.name} crashes")
+    time.sleep(SILENCE_S)
+    for other in others:
+        deployment.store.remove(f"servers/{other.name}")
+    time.sleep(CRASH_S - SILENCE_S)
+    for other in others:
+        other.listen()
+        record.add(f"{other.name} is back")
+    deployment.publish()
+
+
 def check(record, clients, group, name: str, accepted_at: float) -> bool:
     """Looks for statements that reached the primary too late."""
     sent_at = {i: at for client in clients for i, at in client.sent_at.items()}
