Review case 14: the script's primary exits soon after drain_ms

Tried: the leaving primary exits 0.4 s after drain_ms in place of 4 s, its log goes to the new backend at its address, and 12 callers send in place of 8.

--- a/review/14/case.py
+++ b/review/14/case.py
@@ -14,11 +14,11 @@
 DATABASE = "lepu270"
 SERVICE = "collection-db-1"
 PROXIES = 4
-SESSIONS = 2
-PAUSE_S = 0.05
+SESSIONS = 3
+PAUSE_S = 0.03
 DRAIN_S = 7.0
 # The primary ends this much later than drain_ms after its report.
-LINGER_S = 4.0
+LINGER_S = 0.4
 # All other endpoints crash this much later than its report, for this long.
 CRASH_AFTER_S = 0.5
 CRASH_S = 7.0
@@ -34,6 +34,7 @@
     Attributes:
         sent_at: When each statement was sent, by its id, in seconds of
             time.monotonic().
+        answers: The last line of each answer before READY, by the same id.
     """
 
     def __init__(self, *, record: harness.Record, name: str, address):
@@ -41,6 +42,7 @@
         self._name = name
         self._address = address
         self.sent_at: dict[str, float] = {}
+        self.answers: dict[str, str] = {}
 
     def run(self, until: float) -> None:
         """Works until a time of time.monotonic()."""
@@ -68,6 +70,7 @@
             answer = ""
             while not (line := lines.read_line()).startswith(b"READY"):
                 answer = line.decode()
+            self.answers[request_id] = answer
             self._record.add(f"{request_id} {text}: {answer}")
             time.sleep(PAUSE_S)
 
@@ -136,14 +139,24 @@
     deployment.publish()
     accepted_at = time.monotonic()
     record.add(f"the store has the report that {endpoint.name} is draining")
+    timer = threading.Timer(
+        DRAIN_S + LINGER_S, leave, (record, deployment, group, endpoint, new)
+    )
+    timer.start()
     time.sleep(CRASH_AFTER_S)
     if harness.has_trouble():
         crash_others(record, deployment, group, endpoint.name)
-    time.sleep(max(0.0, accepted_at + DRAIN_S + LINGER_S - time.monotonic()))
+    timer.join()
+    return endpoint.name, accepted_at
+
+
+def leave(record, deployment, group, endpoint, new: str) -> None:
+    """Ends the endpoint that has drained; its log goes to the new one."""
     endpoint.kill()
+    with group.lock:
+        group.endpoints[new].log = list(endpoint.log)
     deployment.store.remove(f"servers/{endpoint.name}")
-    record.add(f"{endpoint.name} has ended, {group.primary().name} leads")
-    return endpoint.name, accepted_at
+    record.add(f"{endpoint.name} has ended")
 
 
 def crash_others(record, deployment, group, name: str) -> None:
@@ -172,16 +185,24 @@
         and entry.request_id in sent_at
         and entry.executed_at > accepted_at + DRAIN_S
     ]
+    answers = {i: a for client in clients for i, a in client.answers.items()}
+    unsure = [
+        entry
+        for entry in late
+        if not answers.get(entry.request_id, "").startswith("COMPLETE")
+    ]
     for entry in late:
         after_sending_s = entry.executed_at - sent_at[entry.request_id]
         record.add(
             f"late: {entry.request_id} {entry.text} ran at {name} "
             f"{entry.executed_at - accepted_at:.3f} s after the report, "
-            f"{after_sending_s:.3f} s after it was sent"
+            f"{after_sending_s:.3f} s after it was sent; its caller got "
+            f"{answers.get(entry.request_id, 'no answer')}"
         )
     record.add(
         f"{len(sent_at)} statements were sent, {len(late)} ran at {name} more "
-        f"than {DRAIN_S} s after its report"
+        f"than {DRAIN_S} s after its report, {len(unsure)} of them without "
+        f"a success for their callers"
     )
     return not late
 
